Serve a request from caller to endpoint and back through separate processes

Roles by settings: entry (keys, plans, routes, scheduler, exchange), sidecar (attempt table with resumable answers, meter, load reports), control (ledger on a log of one replica in memory, feed with proof of freshness, operators' tRPC service); stand-ins; command line with run, check, plans, keys, status, usage and stand-in; npm start with the quickstart example; features/whole-path.

Left: the log is in memory until the replicated one is wired in; scheduler is the round-robin baseline; no claims, quarantine, orders or windows yet.

--- /dev/null
+++ b/apps/berylwood/src/lib/AdminServer.ts
@@ -0,0 +1,53 @@
+import { createServer, type Server, type ServerResponse } from 'node:http';
+import { Task, type Journal, type Metrics } from '@berylwood/base';
+import { splitAddress } from '@berylwood/link';
+
+/** Serves health, metrics and the latest events of a process. @internal */
+export class AdminServer extends Task {
+  readonly name = 'admin';
+
+  readonly #listen: string;
+
+  readonly #server: Server;
+
+  constructor(listen: string, process: { journal: Journal; metrics: Metrics }) {
+    super();
+    this.#listen = listen;
+    this.#server = createServer((request, response) => {
+      if (request.url === '/healthz') send(response, 'text/plain', 'ok\n');
+      else if (request.url === '/timeline') {
+        send(response, 'application/json', JSON.stringify(process.journal.recent()));
+      } else if (request.url === '/metrics') {
+        process.metrics.expose().then(
+          (text) => send(response, 'text/plain', text),
+          () => response.destroy(),
+        );
+      } else response.writeHead(404).end();
+    });
+  }
+
+  override async start(): Promise<void> {
+    const { host, port } = splitAddress(this.#listen);
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  override async stop(): Promise<void> {
+    this.#server.closeAllConnections();
+    await new Promise((resolve) => {
+      this.#server.close(resolve);
+    });
+    await super.stop();
+  }
+
+  protected override handle(): void {
+    // Requests come over HTTP.
+  }
+}
+
+function send(response: ServerResponse, type: string, body: string): void {
+  response.writeHead(200, { 'content-type': type });
+  response.end(body);
+}
--- /dev/null
+++ b/apps/berylwood/src/lib/CommandError.ts
@@ -0,0 +1,11 @@
+import type { ExitCode } from './codes';
+
+/** Ends a command with an exit code and lines for standard error. @internal */
+export class CommandError extends Error {
+  readonly exitCode: ExitCode;
+
+  constructor(exitCode: ExitCode, message: string) {
+    super(message);
+    this.exitCode = exitCode;
+  }
+}
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -40,7 +40,14 @@
   },
   {
     files: ['scripts/**'],
-    languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
+    languageOptions: {
+      globals: {
+        process: 'readonly',
+        console: 'readonly',
+        fetch: 'readonly',
+        setTimeout: 'readonly',
+      },
+    },
   },
   {
     files: ['**/*.test.ts', 'features/**', 'packages/testing/**', 'scripts/**'],
--- /dev/null
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -0,0 +1,30 @@
+import { createServer, type Server } from 'node:http';
+import { splitAddress } from '@berylwood/link';
+import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import { operatorRouter } from './operatorRouter';
+import type { OperatorService } from './OperatorService';
+
+/** Serves operators' commands by tRPC over HTTP. @public */
+export class OperatorServer {
+  readonly #server: Server;
+
+  constructor(service: OperatorService) {
+    const createContext = () => ({ service });
+    this.#server = createServer(createHTTPHandler({ router: operatorRouter, createContext }));
+  }
+
+  async listen(address: string): Promise<void> {
+    const { host, port } = splitAddress(address);
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  async close(): Promise<void> {
+    this.#server.closeAllConnections();
+    await new Promise((resolve) => {
+      this.#server.close(resolve);
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,3 @@
+/** The entry role: authenticates, schedules and relays requests. */
+export { Entry, type EntryOptions } from './lib/Entry';
+export { entryEvents } from './lib/events';
--- /dev/null
+++ b/packages/entry/src/lib/CallerServer.ts
@@ -0,0 +1,91 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { Failure, baseCodes } from '@berylwood/base';
+import { splitAddress } from '@berylwood/link';
+import type { EntrySettings } from '@berylwood/schema';
+import { sendFailure } from './sendFailure';
+
+/** What the caller server needs of its entry. @internal */
+export interface CallerHandlers {
+  serve(request: IncomingMessage, response: ServerResponse): Promise<void>;
+  isReady(): boolean;
+  metrics(): Promise<string>;
+}
+
+const KEEP_ALIVE_MS = 65_000;
+const MAX_HEADER_BYTES = 32 * 1024;
+const CONNECTION_CHECK_MS = 1000;
+
+/** HTTP/1.1 listener for callers, with health, readiness and metrics. @internal */
+export class CallerServer {
+  readonly #settings: EntrySettings;
+
+  readonly #handlers: CallerHandlers;
+
+  readonly #server: Server;
+
+  constructor(settings: EntrySettings, handlers: CallerHandlers) {
+    this.#settings = settings;
+    this.#handlers = handlers;
+    this.#server = createServer(
+      {
+        headersTimeout: settings.headersTimeoutMs,
+        requestTimeout: settings.bodyTimeoutMs,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        connectionsCheckingInterval: CONNECTION_CHECK_MS,
+        maxHeaderSize: MAX_HEADER_BYTES,
+      },
+      (request, response) => this.#answer(request, response),
+    );
+    this.#server.maxConnections = settings.maxConnections;
+  }
+
+  /** Listens and resolves to the address in use. */
+  async listen(): Promise<string> {
+    const { host, port } = splitAddress(this.#settings.listen);
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, resolve);
+    });
+    return `${host}:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  async close(): Promise<void> {
+    const closed = new Promise((resolve) => {
+      this.#server.close(resolve);
+    });
+    this.#server.closeIdleConnections();
+    await closed;
+  }
+
+  #answer(request: IncomingMessage, response: ServerResponse): void {
+    const { isReady, metrics, serve } = this.#handlers;
+    switch (request.url) {
+      case '/healthz':
+        sendText(response, 200, 'ok\n');
+        break;
+      case '/readyz':
+        if (isReady()) sendText(response, 200, 'ready\n');
+        else sendText(response, 503, 'not ready\n');
+        break;
+      case '/metrics':
+        metrics().then(
+          (text) => sendText(response, 200, text),
+          () => response.destroy(),
+        );
+        break;
+      default:
+        serve(request, response).catch((error: unknown) => {
+          sendFailure(
+            response,
+            new Failure(baseCodes.internal, 'internal error', { cause: error }),
+          );
+        });
+    }
+  }
+}
+
+function sendText(response: ServerResponse, status: number, text: string): void {
+  response.writeHead(status, { 'content-type': 'text/plain; charset=utf-8' });
+  response.end(text);
+}
--- /dev/null
+++ b/packages/entry/src/lib/completionSchema.ts
@@ -0,0 +1,19 @@
+import { z } from 'zod';
+
+const MAX_NAME = 128;
+
+const messageSchema = z.looseObject({
+  role: z.string(),
+  content: z.union([z.string(), z.array(z.looseObject({ type: z.string() })), z.null()]).optional(),
+});
+
+/** What the entry reads of a completion request; other fields pass to the engine. @internal */
+export const completionSchema = z.looseObject({
+  model: z.string().min(1).max(MAX_NAME),
+  stream: z.boolean().optional(),
+  max_tokens: z.number().int().positive().optional(),
+  messages: z.array(messageSchema).min(1).optional(),
+  prompt: z.union([z.string(), z.array(z.string())]).optional(),
+});
+
+export type Completion = z.output<typeof completionSchema>;
--- /dev/null
+++ b/packages/entry/src/lib/endpointHeaders.ts
@@ -0,0 +1,28 @@
+import type { IncomingHttpHeaders } from 'node:http';
+
+/** Headers of a request that an endpoint may see. */
+const ALLOWED = ['accept', 'accept-language', 'content-type', 'content-language', 'user-agent'];
+
+/** Whether a text holds the secret, plainly or percent-encoded. @internal */
+export function holdsSecret(text: string, secret: string): boolean {
+  if (text.includes(secret)) return true;
+  if (!text.includes('%')) return false;
+  try {
+    return decodeURIComponent(text).includes(secret);
+  } catch {
+    return true;
+  }
+}
+
+/** The allowed headers of a request that do not hold the secret. @internal */
+export function endpointHeaders(
+  headers: IncomingHttpHeaders,
+  secret: string,
+): Record<string, string> {
+  const kept: Record<string, string> = {};
+  for (const name of ALLOWED) {
+    const value = headers[name];
+    if (typeof value === 'string' && !holdsSecret(value, secret)) kept[name] = value;
+  }
+  return kept;
+}
--- /dev/null
+++ b/packages/feed/src/index.ts
@@ -0,0 +1,5 @@
+/** Copies of the replicated state in entries and sidecars, with proof of freshness. */
+export { CLOCK_RATE_BOUND, FRESHNESS_MS, RENEWAL_INTERVAL_MS } from './lib/constants';
+export { feedEvents } from './lib/events';
+export { StateCopy } from './lib/StateCopy';
+export { Subscription, type SubscriptionOptions } from './lib/Subscription';
--- /dev/null
+++ b/packages/feed/src/lib/Subscription.ts
@@ -0,0 +1,167 @@
+import { DisposableStore, Failure, fail, type Journal, type Timer } from '@berylwood/base';
+import { Dialer, linkCodes, type Link, type LinkIdentity } from '@berylwood/link';
+import {
+  controlMessageSchema,
+  type ControlMessage,
+  type DataCentreId,
+  type EndpointId,
+  type FeedChange,
+  type IncarnationId,
+  type Member,
+  type NodeCall,
+  type NodeMessage,
+} from '@berylwood/schema';
+import type { Result } from 'neverthrow';
+import { FRESHNESS_MS, RENEWAL_INTERVAL_MS } from './constants';
+import { feedEvents } from './events';
+import { StateCopy } from './StateCopy';
+
+/** Options of a subscription. @public */
+export interface SubscriptionOptions {
+  readonly timer: Timer;
+  readonly journal: Journal;
+  /** Addresses of control replicas or observers. */
+  readonly addresses: readonly string[];
+  readonly group: string;
+  readonly process: string;
+  readonly incarnation: IncarnationId;
+  readonly dataCentre: DataCentreId;
+  /** Given by a sidecar: its endpoint as members see it. */
+  readonly member?: () => Member;
+  readonly identity?: LinkIdentity;
+}
+
+type ControlLink = Link<NodeMessage | NodeCall, ControlMessage>;
+
+/**
+ * Keeps a copy of the replicated state and the freshness lease of this process: proof, younger than
+ * 2 s by its own monotonic clock, that it has applied everything committed at that time.
+ * @public
+ */
+export class Subscription implements Disposable {
+  readonly state = new StateCopy();
+
+  readonly members = new Map<EndpointId, Member>();
+
+  /** Called after the state has changed; a snapshot counts as a change of unknown extent. */
+  onChange: (changes: readonly FeedChange[] | 'snapshot') => void = () => {};
+
+  onMembers: () => void = () => {};
+
+  onFreshness: (isFresh: boolean) => void = () => {};
+
+  readonly #options: SubscriptionOptions;
+
+  readonly #store = new DisposableStore();
+
+  readonly #dialer: Dialer<NodeMessage | NodeCall, ControlMessage>;
+
+  #freshUntil = 0;
+
+  #wasFresh = false;
+
+  constructor(options: SubscriptionOptions) {
+    this.#options = options;
+    this.#dialer = this.#store.add(
+      new Dialer({ ...options, path: '/node', schema: controlMessageSchema }),
+    );
+    this.#dialer.onLink = (link) => this.#greet(link);
+  }
+
+  /** Whether new work may be taken now. */
+  get isFresh(): boolean {
+    return this.#options.timer.now() < this.#freshUntil;
+  }
+
+  open(): void {
+    this.#store.add(this.#options.timer.every(RENEWAL_INTERVAL_MS, () => this.renew()));
+    this.#store.add(this.#options.timer.every(RENEWAL_INTERVAL_MS / 2, () => this.#watch()));
+    this.#dialer.open();
+  }
+
+  /** Sends a call to the control group. */
+  call<Answer>(call: NodeCall, timeoutMs?: number): Promise<Result<Answer, Failure>> {
+    const { link } = this.#dialer;
+    if (!link) {
+      const notRun = { notRun: true };
+      return Promise.resolve(fail(linkCodes.linkLost, 'no control replica is connected', notRun));
+    }
+    return link.call<Answer>(call, timeoutMs);
+  }
+
+  /** Renews the proof of freshness now, and tells the state of the member. */
+  renew(): void {
+    const { timer, member } = this.#options;
+    const sentAt = timer.now();
+    const { index } = this.state;
+    this.#dialer.link?.send({ type: 'renew', sentAt, applied: index, state: member?.().state });
+  }
+
+  [Symbol.dispose](): void {
+    this.#store[Symbol.dispose]();
+  }
+
+  #greet(link: ControlLink): void {
+    const { group, process, incarnation, dataCentre, member } = this.#options;
+    link.onMessage = (message) => this.#handle(message);
+    const applied = this.state.index;
+    const hello = { group, process, incarnation, dataCentre, applied, member: member?.() };
+    link.send({ type: 'hello', ...hello });
+    this.renew();
+  }
+
+  #handle(message: ControlMessage): void {
+    switch (message.type) {
+      case 'redirect':
+        if (message.address) this.#dialer.redirect(message.address);
+        else this.#dialer.link?.[Symbol.dispose]();
+        break;
+      case 'snapshot':
+        if (this.state.restore(message.state)) this.#changed('snapshot');
+        break;
+      case 'changes':
+        this.state.apply(message.index, message.changes);
+        this.#changed(message.changes);
+        break;
+      case 'members':
+        this.#applyMembers(message);
+        break;
+      default:
+        this.#renewed(message);
+    }
+  }
+
+  #changed(changes: readonly FeedChange[] | 'snapshot'): void {
+    const { journal } = this.#options;
+    if (changes === 'snapshot' || changes.some(({ type }) => type === 'configured')) {
+      journal.record(feedEvents.configurationApplied, { revision: this.state.revision });
+    }
+    for (const change of changes === 'snapshot' ? [] : changes) {
+      if (change.type === 'keyWithdrawn')
+        journal.record(feedEvents.keyWithdrawn, { key: change.key });
+    }
+    this.onChange(changes);
+  }
+
+  #applyMembers(message: Extract<ControlMessage, { type: 'members' }>): void {
+    if (message.whole) this.members.clear();
+    for (const member of message.changed) this.members.set(member.endpoint, member);
+    for (const endpoint of message.removed) this.members.delete(endpoint);
+    this.onMembers();
+  }
+
+  #renewed(renewal: Extract<ControlMessage, { type: 'renewal' }>): void {
+    if (this.state.index < renewal.index) return;
+    this.#freshUntil = Math.max(this.#freshUntil, renewal.sentAt + FRESHNESS_MS);
+    this.#watch();
+  }
+
+  #watch(): void {
+    const { isFresh } = this;
+    if (isFresh === this.#wasFresh) return;
+    this.#wasFresh = isFresh;
+    const event = isFresh ? feedEvents.freshnessGained : feedEvents.freshnessLost;
+    this.#options.journal.record(event, { index: this.state.index });
+    this.onFreshness(isFresh);
+  }
+}
--- a/packages/schema/src/lib/AttemptMessage.ts
+++ b/packages/schema/src/lib/AttemptMessage.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { methodSchema } from './Configuration';
 import type { AttemptId, EndpointId, IncarnationId, RequestId, WorkspaceId } from './ids';
 
 /** Validates a branded id at the border of a process. @internal */
@@ -12,6 +13,12 @@
 
 const attemptId = idSchema<AttemptId>();
 
+/** Bytes of a body or an answer. @internal */
+export const bytesSchema = z.custom<Uint8Array>(
+  (value) => value instanceof Uint8Array,
+  'expected bytes',
+);
+
 /** A positive integer that counts bytes, tokens or milliseconds. */
 const count = z.number().int().nonnegative();
 
@@ -30,10 +37,10 @@
   deadlineMs: z.number(),
   /** Expected work, in tokens of prompt and answer. */
   estimatedTokens: count,
-  method: z.string(),
+  method: methodSchema,
   path: z.string(),
   headers: z.record(z.string(), z.string()),
-  body: z.instanceof(Uint8Array),
+  body: bytesSchema,
   /** Digest of the request's content, for quarantine. */
   fingerprint: z.string(),
   model: z.string().optional(),
@@ -115,7 +122,7 @@
     type: z.literal('data'),
     attempt: attemptId,
     offset: count,
-    bytes: z.instanceof(Uint8Array),
+    bytes: bytesSchema,
     /** Tokens of the answer generated so far. */
     tokens: count,
   }),
--- a/packages/schema/src/lib/Configuration.ts
+++ b/packages/schema/src/lib/Configuration.ts
@@ -38,11 +38,16 @@
   concurrentRequests: z.number().int().positive().optional(),
 });
 
+/** HTTP methods that routes may allow. */
+export const methodSchema = z.enum(['GET', 'POST', 'PUT', 'PATCH', 'DELETE']);
+
+export type Method = z.output<typeof methodSchema>;
+
 /** A path prefix that leads to a plain service. @public */
 export const serviceRouteSchema = z.strictObject({
   path: z.string().regex(/^\/[\w\-/]*$/, 'expected a path that starts with "/"'),
   service: nameSchema,
-  methods: z.array(z.enum(['GET', 'POST', 'PUT', 'PATCH', 'DELETE'])).default(['GET', 'POST']),
+  methods: z.array(methodSchema).default(['GET', 'POST']),
   /** Whether a call may be repeated without another effect. */
   idempotent: z.boolean(),
 });
--- a/packages/schema/src/lib/ControlMessage.ts
+++ b/packages/schema/src/lib/ControlMessage.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { idSchema, workSchema } from './AttemptMessage';
+import { bytesSchema, idSchema, workSchema } from './AttemptMessage';
 import { configurationSchema } from './Configuration';
 import type {
   AttemptId,
@@ -133,7 +133,7 @@
     outcome: z.enum(['ran', 'notRun', 'unknown']),
     status: z.number().int(),
     headers: z.record(z.string(), z.string()),
-    body: z.instanceof(Uint8Array),
+    body: bytesSchema,
   }),
   z.object({
     type: z.literal('suspect'),
@@ -154,7 +154,7 @@
     outcome: z.enum(['ran', 'notRun', 'unknown']),
     status: z.number().int(),
     headers: z.record(z.string(), z.string()),
-    body: z.instanceof(Uint8Array),
+    body: bytesSchema,
   }),
   z.object({ type: z.literal('running') }),
   /** The key was used with another body. */
--- a/packages/schema/src/lib/ids.ts
+++ b/packages/schema/src/lib/ids.ts
@@ -1,4 +1,4 @@
-import { createId, type Id } from '@berylwood/base';
+import { asId, createId, type Id } from '@berylwood/base';
 
 /** A tenant, named in the list of customers' plans. @public */
 export type WorkspaceId = Id<'workspace'>;
@@ -39,3 +39,6 @@
 export const createChangeId = (): ChangeId => createId('chg');
 /** @public */
 export const createOrderId = (): OrderId => createId('ord');
+
+/** Brands a workspace name that stands in the list of customers. @public */
+export const asWorkspaceId = (name: string): WorkspaceId => asId(name);
--- /dev/null
+++ b/packages/sidecar/src/index.ts
@@ -0,0 +1,3 @@
+/** The sidecar role: the only way to an endpoint. */
+export { Sidecar, type SidecarOptions } from './lib/Sidecar';
+export { sidecarEvents } from './lib/events';
--- /dev/null
+++ b/packages/sidecar/src/lib/Meter.ts
@@ -0,0 +1,60 @@
+import type { Subscription } from '@berylwood/feed';
+import type { Dispatch, EndpointId, IncarnationId, MeterRecord, Work } from '@berylwood/schema';
+
+const BATCH_RECORDS = 1000;
+
+/** Numbers the work of attempts and hands it in until the control group has committed it. @public */
+export class Meter {
+  readonly #subscription: Subscription;
+
+  readonly #endpoint: EndpointId;
+
+  readonly #incarnation: IncarnationId;
+
+  #records: MeterRecord[] = [];
+
+  #sequence = 0;
+
+  #isSending = false;
+
+  constructor(subscription: Subscription, endpoint: EndpointId, incarnation: IncarnationId) {
+    this.#subscription = subscription;
+    this.#endpoint = endpoint;
+    this.#incarnation = incarnation;
+  }
+
+  /** Records that are not committed yet. */
+  get pending(): number {
+    return this.#records.length;
+  }
+
+  /** Records the work of an ended attempt and returns its sequence number. */
+  record(dispatch: Dispatch, work: Work, billable: boolean): number {
+    this.#sequence += 1;
+    const { attempt, request, workspace, model = '' } = dispatch;
+    this.#records.push({
+      sequence: this.#sequence,
+      attempt,
+      request,
+      workspace,
+      class: dispatch.class,
+      model,
+      work,
+      billable,
+    });
+    return this.#sequence;
+  }
+
+  /** Hands in what is pending; what fails stays for the next time. */
+  async flush(): Promise<void> {
+    if (this.#isSending || this.#records.length === 0) return;
+    this.#isSending = true;
+    const records = this.#records.slice(0, BATCH_RECORDS);
+    const batch = { endpoint: this.#endpoint, incarnation: this.#incarnation, records };
+    const mark = await this.#subscription.call<number>({ type: 'meter', batch });
+    if (mark.isOk()) {
+      this.#records = this.#records.filter(({ sequence }) => sequence > mark.value);
+    }
+    this.#isSending = false;
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/events.ts
@@ -0,0 +1,41 @@
+import { defineEvents } from '@berylwood/base';
+
+/** Log events of the sidecar role (6000 to 6099). @public */
+export const sidecarEvents = defineEvents({
+  sidecarListening: {
+    number: 6000,
+    level: 'info',
+    meaning: 'The sidecar accepts entries for its endpoint.',
+    action: 'none',
+  },
+  attemptAccepted: {
+    number: 6001,
+    level: 'debug',
+    meaning: 'An attempt was taken into the table.',
+    action: 'none',
+  },
+  attemptRefused: {
+    number: 6002,
+    level: 'info',
+    meaning: 'An attempt was refused before it was handed to the endpoint.',
+    action: 'none; see the code if it recurs.',
+  },
+  attemptEnded: {
+    number: 6003,
+    level: 'debug',
+    meaning: 'An attempt has ended with a whole answer.',
+    action: 'none',
+  },
+  attemptFailed: {
+    number: 6004,
+    level: 'warn',
+    meaning: 'The endpoint failed while it ran an attempt.',
+    action: 'Look at the endpoint.',
+  },
+  sidecarDraining: {
+    number: 6005,
+    level: 'info',
+    meaning: 'The sidecar takes no new attempts and finishes what it has.',
+    action: 'none',
+  },
+});
--- /dev/null
+++ b/packages/testing/src/index.ts
@@ -0,0 +1,14 @@
+/** Stand-ins of what stands outside the system, and tools of the tests. */
+export { History, type HistoryRecord } from './lib/History';
+export { StandIn } from './lib/StandIn';
+export { Batch, type BatchOptions, type Generation } from './lib/Batch';
+export { EngineServer, type EngineOptions } from './lib/EngineServer';
+export { ServiceServer, type ServiceOptions } from './lib/ServiceServer';
+export { PlatformServer } from './lib/PlatformServer';
+export { expectedAnswer, promptMark, answerToken } from './lib/answer';
+export { Relay, type RelayMode } from './lib/Relay';
+export { ChildProcess, type ChildOptions, type Exit } from './lib/ChildProcess';
+export { Deployment } from './lib/Deployment';
+export { type DeploymentPlan, type EndpointPlan } from './lib/DeploymentPlan';
+export { callCompletion, type Call, type Reply } from './lib/callCompletion';
+export { until } from './lib/until';
--- /dev/null
+++ b/packages/testing/src/lib/Relay.ts
@@ -0,0 +1,134 @@
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { splitAddress } from '@berylwood/link';
+
+/** What a relay does with connections and bytes. @public */
+export type RelayMode =
+  /** Passes everything. */
+  | 'pass'
+  /** Passes no bytes but keeps connections open; what arrives waits until healed. */
+  | 'silent'
+  /** Resets open connections and refuses new ones. */
+  | 'refuse';
+
+/** Bytes that may wait on one side of a pair before its reader is paused. */
+const HIGH_WATER_BYTES = 64 * 1024;
+
+interface Pair {
+  readonly near: Socket;
+  readonly far: Socket;
+}
+
+/** A TCP relay between two processes with switchable faults. @public */
+export class Relay {
+  readonly #target: string;
+
+  readonly #server: Server;
+
+  readonly #pairs = new Set<Pair>();
+
+  #mode: RelayMode = 'pass';
+
+  #delayMs = 0;
+
+  constructor(target: string) {
+    this.#target = target;
+    this.#server = createServer((near) => this.#accept(near));
+  }
+
+  get address(): string {
+    const { address, port } = this.#server.address() as AddressInfo;
+    return `${address}:${port}`;
+  }
+
+  get mode(): RelayMode {
+    return this.#mode;
+  }
+
+  async listen(address: string): Promise<void> {
+    const { host, port } = splitAddress(address);
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  /** Switches the fault; `pass` heals, and lets go what was held. */
+  set(mode: RelayMode): void {
+    this.#mode = mode;
+    if (mode === 'refuse') this.reset();
+    if (mode === 'pass') for (const { near, far } of this.#pairs) resume(near, far);
+    if (mode === 'silent') for (const { near, far } of this.#pairs) pause(near, far);
+  }
+
+  /** Delays each chunk of bytes. */
+  delay(delayMs: number): void {
+    this.#delayMs = delayMs;
+  }
+
+  /** Resets all open connections, in whatever frame they are. */
+  reset(): void {
+    for (const { near, far } of this.#pairs) {
+      near.resetAndDestroy();
+      far.resetAndDestroy();
+    }
+  }
+
+  async close(): Promise<void> {
+    this.reset();
+    await new Promise((resolve) => {
+      this.#server.close(resolve);
+    });
+  }
+
+  #accept(near: Socket): void {
+    if (this.#mode === 'refuse') {
+      near.resetAndDestroy();
+      return;
+    }
+    const { host, port } = splitAddress(this.#target);
+    const far = connect(port, host);
+    const pair = { near, far };
+    this.#pairs.add(pair);
+    this.#join(near, far);
+    this.#join(far, near);
+    for (const socket of [near, far]) {
+      socket.setNoDelay(true);
+      socket.on('error', () => {});
+      socket.once('close', () => {
+        this.#pairs.delete(pair);
+        // A cut network tells neither side that the other is gone.
+        if (this.#mode !== 'silent') this.#drop(pair);
+      });
+    }
+    if (this.#mode === 'silent') pause(near, far);
+  }
+
+  #drop({ near, far }: Pair): void {
+    near.destroy();
+    far.destroy();
+  }
+
+  #join(from: Socket, to: Socket): void {
+    from.on('data', (chunk) => {
+      if (this.#delayMs > 0) setTimeout(() => write(from, to, chunk), this.#delayMs);
+      else write(from, to, chunk);
+    });
+    to.on('drain', () => {
+      if (this.#mode !== 'silent') from.resume();
+    });
+    from.on('end', () => to.end());
+  }
+}
+
+function write(from: Socket, to: Socket, chunk: Buffer): void {
+  if (to.destroyed) return;
+  if (!to.write(chunk) && to.writableLength > HIGH_WATER_BYTES) from.pause();
+}
+
+function pause(...sockets: Socket[]): void {
+  for (const socket of sockets) socket.pause();
+}
+
+function resume(...sockets: Socket[]): void {
+  for (const socket of sockets) socket.resume();
+}
