--- a/apps/berylwood/src/lib/createStandIn.ts
+++ b/apps/berylwood/src/lib/createStandIn.ts
@@ -9,6 +9,6 @@
     case 'service':
       return new ServiceServer(settings);
     default:
-      return new PlatformServer(settings.listen);
+      return new PlatformServer(settings);
   }
 }
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -5,6 +5,7 @@
 export { formatProblem, type Problem } from './lib/Problem';
 export { parseToml, readToml } from './lib/parseToml';
 export { nearestName } from './lib/naming';
+export { promptBlocks } from './lib/promptBlocks';
 export * from './lib/Configuration';
 export { loadConfiguration } from './lib/loadConfiguration';
 export * from './lib/Settings';
--- a/packages/schema/src/lib/Settings.ts
+++ b/packages/schema/src/lib/Settings.ts
@@ -104,6 +104,9 @@
   queue: z.number().int().nonnegative().default(64),
 });
 
+/** Share of events that a fault hits, from 0 to 1. */
+const shareSchema = z.number().min(0).max(1);
+
 const standInSchema = z.strictObject({
   kind: z.enum(['engine', 'service', 'platform']),
   listen: addressSchema,
@@ -114,6 +117,32 @@
   prefillRate: z.number().positive().default(8_000),
   /** Tokens generated a second for each stream. */
   decodeRate: z.number().positive().default(40),
+  /** Slowdown of each stream by each further one that runs. */
+  batchSlowdown: z.number().nonnegative().optional(),
+  /** Blocks of 64 tokens that the prefix cache holds. */
+  cacheBlocks: z.number().int().nonnegative().optional(),
+  /** Time until a cache event can be read, in milliseconds. */
+  cacheEventDelayMs: z.number().nonnegative().optional(),
+  cacheEventLoss: shareSchema.optional(),
+  /** Age of the figures in load reports, in milliseconds. */
+  loadLagMs: z.number().nonnegative().optional(),
+  /** Whether an engine or the platform refuses orders with an old fencing number. */
+  checksFence: z.boolean().optional(),
+  /** A prompt with this text ends the engine's process. */
+  crashMark: z.string().min(1).optional(),
+  /** Time that a call of a plain service takes, in milliseconds. */
+  delayMs: z.number().nonnegative().optional(),
+  /** Longest delay of the platform's answers, in milliseconds. */
+  answerDelayMs: z.number().nonnegative().optional(),
+  answerLoss: shareSchema.optional(),
+  orderRepeat: shareSchema.optional(),
+  /** Lag of the platform's list of instances, in milliseconds. */
+  listLagMs: z.number().nonnegative().optional(),
+  /** Rate of the platform's weight store, in bytes a second. */
+  weightBytesPerSecond: z.number().positive().optional(),
+  /** File that the history is appended to as JSON lines. */
+  history: z.string().min(1).optional(),
+  seed: z.number().int().optional(),
 });
 
 /** Settings of one process: the roles whose tables are present run in it. @public */
--- a/packages/testing/bench/path.ts
+++ b/packages/testing/bench/path.ts
@@ -3,7 +3,7 @@
  * and the latency that entry and sidecar add to calling the stand-in directly in the same run.
  */
 import { readFileSync } from 'node:fs';
-import { Deployment, callCompletion } from "../src";
+import { Deployment, callCompletion } from '../src';
 
 const CALLS = 300;
 const ENGINE_PORT = 24_000;
--- a/packages/testing/src/lib/ServiceServer.ts
+++ b/packages/testing/src/lib/ServiceServer.ts
@@ -8,11 +8,17 @@
   readonly name: string;
   /** Time that a call takes, in milliseconds. */
   readonly delayMs?: number;
+  /** File that the history is appended to. */
+  readonly history?: string;
 }
 
 const DEFAULT_DELAY_MS = 5;
+const LOG_BODY_BYTES = 4096;
 
-/** Stand-in of a plain service: it counts how often each call body ran. @public */
+/** Headers that identify a call beside its body. */
+const IDENTITY_HEADERS = ['idempotency-key', 'x-attempt-id'] as const;
+
+/** Stand-in of a plain service: it counts how often each call ran, by body and by identity. @public */
 export class ServiceServer extends StandIn {
   readonly name: string;
 
@@ -21,7 +27,7 @@
   readonly #runs = new Map<string, number>();
 
   constructor(options: ServiceOptions) {
-    super(options.listen);
+    super(options.listen, options.history);
     this.name = options.name;
     this.#delayMs = options.delayMs ?? DEFAULT_DELAY_MS;
   }
@@ -34,13 +40,22 @@
   ): Promise<void> {
     const digest = createHash('sha256').update(body).digest('hex').slice(0, 16);
     const call = `${request.method} ${url.pathname} ${digest}`;
-    const runs = (this.#runs.get(call) ?? 0) + 1;
-    this.#runs.set(call, runs);
     const { headers } = request;
-    this.history.add('call', { call, path: url.pathname + url.search, headers, runs });
+    const identities = IDENTITY_HEADERS.map((name) => headers[name]).filter(Boolean);
+    const runs = this.#count(call);
+    const identityRuns = Math.max(0, ...identities.map((value) => this.#count(String(value))));
+    const path = url.pathname + url.search;
+    const text = body.toString('utf8', 0, LOG_BODY_BYTES);
+    this.history.add('call', { call, path, headers, body: text, runs, identityRuns });
     await new Promise((resolve) => {
       setTimeout(resolve, this.#delayMs);
     });
     sendJson(response, 200, { service: this.name, call, runs, echo: body.toString() });
   }
+
+  #count(identity: string): number {
+    const runs = (this.#runs.get(identity) ?? 0) + 1;
+    this.#runs.set(identity, runs);
+    return runs;
+  }
 }
--- a/packages/testing/src/lib/StandIn.ts
+++ b/packages/testing/src/lib/StandIn.ts
@@ -16,15 +16,17 @@
 
 /** An HTTP stand-in with a history, served at `GET /history`. @public */
 export abstract class StandIn extends Task {
-  readonly history = new History();
+  readonly history: History;
 
   readonly #server: Server;
 
   readonly #listen: string;
 
-  constructor(listen: string) {
+  /** @param historyFile - file that the history is appended to, if any. */
+  constructor(listen: string, historyFile?: string) {
     super();
     this.#listen = listen;
+    this.history = this.store.add(new History(historyFile));
     this.#server = createServer((request, response) => {
       this.#answer(request, response).catch((error: unknown) => {
         const status = error instanceof HttpFault ? error.status : 500;
@@ -76,6 +78,15 @@
   }
 }
 
+/** Parses a JSON body. @throws HttpFault when it is not JSON. @internal */
+export function parseJson<T>(body: Buffer): T {
+  try {
+    return JSON.parse(body.toString('utf8')) as T;
+  } catch {
+    throw new HttpFault(400, 'the body is not JSON');
+  }
+}
+
 /** Answers with a JSON body. @internal */
 export function sendJson(response: ServerResponse, status: number, value: unknown): void {
   const body = JSON.stringify(value);
