Check the promises on the records of a run

Scenarios could compare single answers only; what must always hold concerns all callers' records together with the endpoints' and the platform's histories.

--- a/packages/testing/src/lib/ServiceServer.ts
+++ b/packages/testing/src/lib/ServiceServer.ts
@@ -1,5 +1,5 @@
-import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { contentDigest } from './contentDigest';
 import { StandIn, sendJson } from './StandIn';
 
 /** Options of a stand-in of a plain service. @public */
@@ -38,7 +38,7 @@
     url: URL,
     body: Buffer,
   ): Promise<void> {
-    const digest = createHash('sha256').update(body).digest('hex').slice(0, 16);
+    const digest = contentDigest(body);
     const call = `${request.method} ${url.pathname} ${digest}`;
     const { headers } = request;
     const identities = IDENTITY_HEADERS.map((name) => headers[name]).filter(Boolean);
@@ -46,7 +46,7 @@
     const identityRuns = Math.max(0, ...identities.map((value) => this.#count(String(value))));
     const path = url.pathname + url.search;
     const text = body.toString('utf8', 0, LOG_BODY_BYTES);
-    this.history.add('call', { call, path, headers, body: text, runs, identityRuns });
+    this.history.add('call', { call, digest, path, headers, body: text, runs, identityRuns });
     await new Promise((resolve) => {
       setTimeout(resolve, this.#delayMs);
     });
--- /dev/null
+++ b/packages/testing/src/lib/checks/checkFences.test.ts
@@ -0,0 +1,23 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { checkFences } from './checkFences';
+import { createHistory } from './fixtures';
+
+test('growing fences pass, also when the receiver takes an order twice', () => {
+  const repeated = { fence: 1, repeated: true };
+  const history = createHistory('order', { fence: 1 }, { fence: 2 }, repeated, { fence: 2 });
+  assert.deepEqual(checkFences('platform', history), []);
+});
+
+test('an older order after a newer is found, refused or not', () => {
+  for (const refused of [true, false]) {
+    const history = createHistory('order', { fence: 3 }, { fence: 2, refused }, { fence: 3 });
+    assert.equal(checkFences('engine-1', history).length, 1);
+  }
+});
+
+test('an older usage report after a newer order is found', () => {
+  const orders = createHistory('order', { fence: 3 });
+  const reports = createHistory('usage', { fence: 2, window: 'w1' });
+  assert.equal(checkFences('platform', [...orders, ...reports]).length, 1);
+});
--- a/packages/testing/src/lib/engine/EngineServer.ts
+++ b/packages/testing/src/lib/engine/EngineServer.ts
@@ -1,8 +1,9 @@
-import { createHash } from 'node:crypto';
+import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Random, SystemTimer } from '@berylwood/base';
+import { contentDigest } from '../contentDigest';
 import { HttpFault, StandIn, parseJson, sendJson } from '../StandIn';
-import type { CompletionRequest } from './answer';
+import { promptOf, type CompletionRequest } from './answer';
 import { Batch } from './Batch';
 import { CacheEventLog } from './CacheEventLog';
 import type { EngineOptions } from './EngineOptions';
@@ -140,8 +141,8 @@
   ): Promise<void> {
     const completion = parseJson<CompletionRequest>(body);
     const { headers } = request;
-    const digest = createHash('sha256').update(body).digest('hex');
-    const id = String(headers['x-stream-id'] ?? digest);
+    const digest = contentDigest(promptOf(completion));
+    const id = String(headers['x-stream-id'] ?? randomUUID());
     const path = url.pathname + url.search;
     const text = body.toString('utf8', 0, LOG_BODY_BYTES);
     this.history.add('run', { id, path, headers, body: text, digest });
