Put loads on a deployment and report how they fared; add the two deployments as examples

berylwood load sends the requests of a scenario at their times over kept connections, whatever becomes of earlier ones, and reports attainment, latencies, goodput, waste, cost and workspaces from worst to best as text, JSON and an HTML page with inline SVG plots. Targets, tiers and shares come from the operator lists in force, so that a scenario repeats none of them.

--- a/apps/berylwood/src/lib/createProgram.ts
+++ b/apps/berylwood/src/lib/createProgram.ts
@@ -3,6 +3,7 @@
 import { ExitCode } from './codes';
 import { CommandError } from './CommandError';
 import { createStandIn } from './createStandIn';
+import { loadCommand } from './loadCommand';
 import { operatorCommands } from './operatorCommands';
 import { readSettings } from './readSettings';
 import { runProcess } from './runProcess';
@@ -67,7 +68,13 @@
   const program = new Command('berylwood')
     .description('Router for language-model traffic with service levels and priorities')
     .version(VERSION);
-  const commands = [runCommand(), checkCommand(), standInCommand(), ...operatorCommands()];
+  const commands = [
+    runCommand(),
+    checkCommand(),
+    standInCommand(),
+    loadCommand(),
+    ...operatorCommands(),
+  ];
   for (const command of commands) program.addCommand(command);
   return program;
 }
--- a/packages/testing/src/lib/ServiceServer.ts
+++ b/packages/testing/src/lib/ServiceServer.ts
@@ -24,6 +24,8 @@
 
   readonly #delayMs: number;
 
+  #running = 0;
+
   readonly #runs = new Map<string, number>();
 
   constructor(options: ServiceOptions) {
@@ -38,6 +40,7 @@
     url: URL,
     body: Buffer,
   ): Promise<void> {
+    if (url.pathname === '/load') return sendJson(response, 200, { running: this.#running });
     const digest = contentDigest(body);
     const call = `${request.method} ${url.pathname} ${digest}`;
     const { headers } = request;
@@ -47,10 +50,12 @@
     const path = url.pathname + url.search;
     const text = body.toString('utf8', 0, LOG_BODY_BYTES);
     this.history.add('call', { call, digest, path, headers, body: text, runs, identityRuns });
+    this.#running += 1;
     await new Promise((resolve) => {
       setTimeout(resolve, this.#delayMs);
     });
-    sendJson(response, 200, { service: this.name, call, runs, echo: body.toString() });
+    this.#running -= 1;
+    return sendJson(response, 200, { service: this.name, call, runs, echo: body.toString() });
   }
 
   #count(identity: string): number {
--- a/packages/testing/src/lib/engine/OrderDesk.ts
+++ b/packages/testing/src/lib/engine/OrderDesk.ts
@@ -28,7 +28,7 @@
    * @throws HttpFault 409 when the desk checks fences and this one is older than one seen before.
    */
   take(order: Order): void {
-    if (typeof order.fence !== 'number') throw new HttpFault(400, 'fence: expected a number');
+    if (!Number.isFinite(order.fence)) throw new HttpFault(400, 'fence: expected a number');
     const refused = this.#checksFence && order.fence < this.#fence;
     this.#fence = Math.max(this.#fence, order.fence);
     this.#history.add('order', { ...order, refused });
--- a/packages/testing/src/lib/platform/InstanceList.ts
+++ b/packages/testing/src/lib/platform/InstanceList.ts
@@ -2,7 +2,8 @@
 
 /** An instance as the platform lists it. @public */
 export interface Instance {
-  readonly name: string;
+  readonly endpoint: string;
+  readonly instance: string;
   readonly dataCentre: string;
   readonly state: 'live' | 'leaving';
 }
@@ -25,10 +26,10 @@
   }
 
   set(instance: Instance): void {
-    this.#timer.after(this.#lagMs, () => this.#visible.set(instance.name, instance));
+    this.#timer.after(this.#lagMs, () => this.#visible.set(instance.endpoint, instance));
   }
 
-  remove(name: string): void {
-    this.#timer.after(this.#lagMs, () => this.#visible.delete(name));
+  remove(endpoint: string): void {
+    this.#timer.after(this.#lagMs, () => this.#visible.delete(endpoint));
   }
 }
--- a/packages/testing/src/lib/platform/PlatformServer.test.ts
+++ b/packages/testing/src/lib/platform/PlatformServer.test.ts
@@ -15,19 +15,21 @@
   return { url: `http://${platform.address}`, platform };
 }
 
-function post(url: string, value: unknown): Promise<Response> {
-  return fetch(url, { method: 'POST', body: JSON.stringify(value) });
+function post(url: string, id: string, fence: number, value: unknown): Promise<Response> {
+  const headers = { 'berylwood-request': id, 'berylwood-fence': String(fence) };
+  return fetch(url, { method: 'POST', body: JSON.stringify(value), headers });
 }
 
-function order(fence: number): Record<string, unknown> {
-  return { fence, order: `o${fence}`, data_centre: 'naas', model: 'crew-8b', running: 2 };
+function order(url: string, fence: number): Promise<Response> {
+  const body = { type: 'start', dataCentre: 'naas', model: 'crew-8b' };
+  return post(`${url}/orders`, `o${fence}`, fence, body);
 }
 
 test('the platform records orders with their fence, and refuses old ones when it checks', async (context) => {
   for (const checksFence of [true, false]) {
     const { url, platform } = await startPlatform(context, { checksFence });
-    assert.equal((await post(`${url}/orders`, order(2))).status, 200);
-    assert.equal((await post(`${url}/orders`, order(1))).status, checksFence ? 409 : 200);
+    assert.equal((await order(url, 2)).status, 200);
+    assert.equal((await order(url, 1)).status, checksFence ? 409 : 200);
     assert.deepEqual(
       platform.history.records.map(({ fields }) => [fields.fence, fields.refused]),
       [
@@ -40,13 +42,13 @@
 
 test('the platform repeats orders and loses answers as its seed says', async (context) => {
   const { url, platform } = await startPlatform(context, { orderRepeat: 1, answerLoss: 1 });
-  await assert.rejects(post(`${url}/orders`, order(1)));
+  await assert.rejects(order(url, 1));
   assert.equal(platform.history.records.length, 2);
 });
 
 test('the usage intake records the bytes of each report', async (context) => {
   const { url, platform } = await startPlatform(context);
-  for (const tokens of [1, 1, 2]) await post(`${url}/usage`, { window: 'w1', tokens });
+  for (const tokens of [1, 1, 2]) await post(`${url}/usage`, 'w1', 1, { tokens });
   const digests = platform.history.records.map(({ fields }) => fields.digest);
   assert.equal(digests[0], digests[1]);
   assert.notEqual(digests[0], digests[2]);
@@ -55,7 +57,7 @@
 test('the list of instances shows changes late', () => {
   const timer = new VirtualTimer();
   const list = new InstanceList(timer, 1000);
-  list.set({ name: 'engine-1', dataCentre: 'naas', state: 'live' });
+  list.set({ endpoint: 'engine-1', instance: 'i1', dataCentre: 'naas', state: 'live' });
   timer.advance(999);
   assert.deepEqual(list.instances, []);
   timer.advance(1);
--- a/packages/testing/src/lib/platform/PlatformServer.ts
+++ b/packages/testing/src/lib/platform/PlatformServer.ts
@@ -27,11 +27,9 @@
   readonly timer?: Timer;
 }
 
-/** A usage report as the platform takes it. */
-interface UsageReport {
-  readonly window: string;
-  readonly fence?: number;
-}
+/** Headers that name an order or window and the fencing number of its sender. */
+const ID_HEADER = 'berylwood-request';
+const FENCE_HEADER = 'berylwood-fence';
 
 const DEFAULT_LIST_LAG_MS = 2000;
 const DEFAULT_WEIGHT_RATE = 1_000_000_000;
@@ -71,16 +69,16 @@
   ): Promise<void> {
     switch (`${request.method} ${url.pathname}`) {
       case 'POST /orders':
-        return this.#order(response, parseJson<Order>(body));
+        return this.#order(response, readOrder(request, body));
       case 'POST /usage':
-        return this.#takeUsage(response, body);
+        return this.#takeUsage(request, response, body);
       case 'GET /instances':
         return sendJson(response, 200, { instances: this.#instances.instances });
       case 'POST /instances':
         this.#instances.set(parseJson<Instance>(body));
         return sendJson(response, 200, {});
       case 'DELETE /instances':
-        this.#instances.remove(url.searchParams.get('name') ?? '');
+        this.#instances.remove(url.searchParams.get('endpoint') ?? '');
         return sendJson(response, 200, {});
       case 'GET /weights':
         return this.#sendWeights(response, url);
@@ -96,8 +94,14 @@
     await this.#acknowledge(response);
   }
 
-  async #takeUsage(response: ServerResponse, body: Buffer): Promise<void> {
-    const { window, fence } = parseJson<UsageReport>(body);
+  async #takeUsage(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: Buffer,
+  ): Promise<void> {
+    const window = request.headers[ID_HEADER];
+    const fence = Number(request.headers[FENCE_HEADER]);
+    if (!window || Number.isNaN(fence)) throw new HttpFault(400, 'no window or no fence');
     const digest = createHash('sha256').update(body).digest('hex');
     this.history.add('usage', { window, fence, digest, body: body.toString('utf8') });
     await this.#acknowledge(response);
@@ -119,3 +123,9 @@
     sendJson(response, 200, { model, bytes });
   }
 }
+
+/** An order with the identity and fence from its headers. */
+function readOrder({ headers }: IncomingMessage, body: Buffer): Order {
+  const fields = parseJson<Record<string, unknown>>(body);
+  return { ...fields, order: String(headers[ID_HEADER]), fence: Number(headers[FENCE_HEADER]) };
+}
--- /dev/null
+++ b/scripts/example.mjs
@@ -0,0 +1,110 @@
+/**
+ * Starts or stops all processes of an example under examples/, each with its own settings file:
+ * `node scripts/example.mjs start|stop NAME`. A start gives each workspace a key and writes the keys
+ * to data/NAME/keys.json, which `berylwood load` reads.
+ */
+import { execFileSync, spawn, spawnSync } from 'node:child_process';
+import { existsSync, mkdirSync, readFileSync, readdirSync, rmSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+
+const BINARY = 'build/berylwood';
+const POLL_MS = 100;
+const START_LIMIT_MS = 60_000;
+const STOP_LIMIT_MS = 130_000;
+
+const [, , verb, name = ''] = process.argv;
+const folder = join('examples', name);
+const data = join('data', name);
+const pidFile = join(data, 'pids.json');
+const keyFile = join(data, 'keys.json');
+
+function fail(message) {
+  console.error(message);
+  process.exit(2);
+}
+
+function settingsTexts() {
+  const files = readdirSync(join(folder, 'settings')).sort();
+  return files.map((file) => readFileSync(join(folder, 'settings', file), 'utf8'));
+}
+
+/** Values of a field in the tables of a role, over all settings files. */
+function valuesOf(table, field) {
+  const pattern = new RegExp(`^\\[${table}\\][^[]*?^${field} = "([^"]+)"`, 'm');
+  return settingsTexts().flatMap((text) => pattern.exec(text)?.[1] ?? []);
+}
+
+async function until(what, limitMs, condition) {
+  const deadline = Date.now() + limitMs;
+  while (!(await condition())) {
+    if (Date.now() > deadline) throw new Error(`not within ${limitMs} ms: ${what}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+}
+
+async function isReady(address) {
+  try {
+    return (await fetch(`http://${address}/readyz`)).ok;
+  } catch {
+    return false;
+  }
+}
+
+function isRunning(pid) {
+  try {
+    return process.kill(pid, 0);
+  } catch {
+    return false;
+  }
+}
+
+function operate(...args) {
+  const control = valuesOf('control', 'operator').join(',');
+  return execFileSync(BINARY, [...args, '--control', control, '--json'], { encoding: 'utf8' });
+}
+
+function giveKeys() {
+  const customers = readFileSync(join(folder, 'customers.toml'), 'utf8');
+  const workspaces = [...customers.matchAll(/^\[customers\.(.+)\]$/gm)].map(([, found]) => found);
+  const keys = workspaces.map((workspace) => [
+    workspace,
+    JSON.parse(operate('keys', 'give', workspace)),
+  ]);
+  writeFileSync(keyFile, JSON.stringify(Object.fromEntries(keys), null, 2), { mode: 0o600 });
+}
+
+async function start() {
+  if (existsSync(pidFile)) fail(`${pidFile} exists: stop the example first`);
+  if (!existsSync(BINARY)) spawnSync(process.execPath, ['scripts/build.mjs'], { stdio: 'inherit' });
+  for (const path of [data, ...valuesOf('control', 'data')]) mkdirSync(path, { recursive: true });
+  const pids = readdirSync(join(folder, 'settings')).map((file) => {
+    const args = ['run', '--settings', join(folder, 'settings', file)];
+    const child = spawn(BINARY, args, { detached: true, stdio: 'ignore' });
+    child.unref();
+    return child.pid;
+  });
+  writeFileSync(pidFile, JSON.stringify(pids));
+  const entries = valuesOf('entry', 'listen');
+  await until('all entries are ready', START_LIMIT_MS, async () =>
+    (await Promise.all(entries.map(isReady))).every(Boolean),
+  );
+  if (!existsSync(keyFile)) giveKeys();
+  console.log(`${pids.length} processes run; entries: ${entries.join(', ')}; keys: ${keyFile}`);
+}
+
+async function stop() {
+  if (!existsSync(pidFile)) fail(`${name} does not run`);
+  const pids = JSON.parse(readFileSync(pidFile, 'utf8'));
+  for (const pid of pids.filter(isRunning)) process.kill(pid, 'SIGTERM');
+  await until('all processes have ended', STOP_LIMIT_MS, () => !pids.some(isRunning));
+  rmSync(pidFile);
+  console.log(`${pids.length} processes have ended`);
+}
+
+if (!existsSync(join(folder, 'settings')))
+  fail('usage: example.mjs start|stop chimney-lane|o-fearghail');
+if (verb === 'start') await start();
+else if (verb === 'stop') await stop();
+else fail('usage: example.mjs start|stop NAME');
