--- a/packages/testing/bench/path.ts
+++ b/packages/testing/bench/path.ts
@@ -3,7 +3,7 @@
  * and the latency that entry and sidecar add to calling the stand-in directly in the same run.
  */
 import { readFileSync } from 'node:fs';
-import { Deployment, callCompletion } from '../src';
+import { Deployment, callCompletion, percentile } from '../src';
 
 const CALLS = 300;
 const ENGINE_PORT = 24_000;
@@ -24,11 +24,6 @@
   return (Number(/VmRSS:\s+(\d+) kB/.exec(status)?.[1] ?? 0) * 1024) / BYTES_PER_MB;
 }
 
-function percentile(values: readonly number[], share: number): number {
-  const sorted = [...values].sort((a, b) => a - b);
-  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
-}
-
 async function sample(url: string, secret: string): Promise<number> {
   const call = { url, secret, model: 'crew-8b', prompt: 'x', stream: true, answerTokens: 1 };
   return (await callCompletion(call)).durationMs;
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -36,5 +36,5 @@
 export { LoadRun, type LoadRecords, type Progress } from './lib/load/LoadRun';
 export { type LoadReport } from './lib/load/LoadReport';
 export { summarize } from './lib/load/summarize';
-export { formatReport } from './lib/load/formatReport';
+export { formatReport, formatTable } from './lib/load/formatReport';
 export { renderPage } from './lib/load/renderPage';
--- a/packages/testing/src/lib/Deployment.ts
+++ b/packages/testing/src/lib/Deployment.ts
@@ -1,9 +1,10 @@
 import { execFile } from 'node:child_process';
-import { existsSync, mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { existsSync, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 import { promisify } from 'node:util';
 import { ChildProcess } from './ChildProcess';
+import type { EndpointHistories } from './checks/Run';
 import { PORTS, type DeploymentPlan } from './DeploymentPlan';
 import type { HistoryRecord } from './History';
 import { Relay } from './Relay';
@@ -109,14 +110,39 @@
     return JSON.parse(output) as { key: string; secret: string };
   }
 
+  /** Address of an endpoint itself, past its sidecar. */
+  endpointAddress(name: string): string {
+    const index = this.#plan.endpoints.findIndex((endpoint) => endpoint.name === name);
+    return `${this.host}:${PORTS.endpoint + index}`;
+  }
+
+  /** Switches faults of a stand-in engine while it runs. */
+  async switchEngine(name: string, faults: Record<string, number>): Promise<void> {
+    const url = `http://${this.endpointAddress(name)}/admin`;
+    const answer = await fetch(url, { method: 'POST', body: JSON.stringify(faults) });
+    if (!answer.ok) throw new Error(`${name} refused the faults`);
+  }
+
+  /** Histories of all endpoints from their files, which outlive crashes. */
+  get histories(): EndpointHistories {
+    const { endpoints } = this.#plan;
+    return new Map(endpoints.map(({ name }) => [name, this.#readHistory(name)]));
+  }
+
   /** History of a stand-in endpoint by its number in the plan, or of the platform. */
   async history(name: string): Promise<HistoryRecord[]> {
-    const index = this.#plan.endpoints.findIndex((endpoint) => endpoint.name === name);
-    const port = name === 'platform' ? PORTS.platform : PORTS.endpoint + index;
-    const answer = await fetch(`http://${this.host}:${port}/history`);
+    const isPlatform = name === 'platform';
+    const address = isPlatform ? `${this.host}:${PORTS.platform}` : this.endpointAddress(name);
+    const answer = await fetch(`http://${address}/history`);
     return (await answer.json()) as HistoryRecord[];
   }
 
+  #readHistory(name: string): HistoryRecord[] {
+    const file = join(this.folder, `${name}.history`);
+    const lines = readFileSync(file, 'utf8').split('\n').filter(Boolean);
+    return lines.map((line) => JSON.parse(line) as HistoryRecord);
+  }
+
   #route(from: string, to: string, address: string): string {
     if (!this.#plan.relays) return address;
     const relay = new Relay(address);
--- a/packages/testing/src/lib/DeploymentPlan.ts
+++ b/packages/testing/src/lib/DeploymentPlan.ts
@@ -22,6 +22,8 @@
   readonly customers: string;
   /** Whether connections between processes pass relays with switchable faults. */
   readonly relays?: boolean;
+  /** Level of the processes' logs; `debug` when left out. */
+  readonly logLevel?: 'debug' | 'info' | 'warn';
   /** Further lines for the settings of a role. */
   readonly extra?: Partial<Record<'process' | 'entry' | 'control' | 'sidecar' | 'standIn', string>>;
 }
--- a/packages/testing/src/lib/SettingsWriter.ts
+++ b/packages/testing/src/lib/SettingsWriter.ts
@@ -25,7 +25,7 @@
 data_centre = "${dataCentre}"
 ${plan.extra?.process ?? ''}
 [log]
-level = "debug"
+level = "${plan.logLevel ?? 'debug'}"
 
 [admin]
 listen = "${admin}"
@@ -89,6 +89,7 @@
 [[stand_ins]]
 kind = "platform"
 listen = "${this.#at(PORTS.platform)}"
+history = "${this.#folder}/platform.history"
 `;
   }
 
@@ -103,6 +104,7 @@
 slots = ${slots}
 prefill_rate = ${prefillRate}
 decode_rate = ${decodeRate}
+history = "${this.#folder}/${name}.history"
 ${this.#plan.extra?.standIn ?? ''}`;
     return { name, text };
   }
--- a/packages/testing/src/lib/engine/EngineServer.ts
+++ b/packages/testing/src/lib/engine/EngineServer.ts
@@ -65,7 +65,11 @@
     const { method = 'GET' } = request;
     switch (`${method} ${url.pathname}`) {
       case 'GET /load':
-        return sendJson(response, 200, this.#load.load);
+        return sendJson(
+          response,
+          200,
+          url.search === '?present' ? this.#load.present : this.#load.load,
+        );
       case 'GET /cache-events':
         return this.#sendEvents(response, url);
       case 'GET /v1/models':
--- a/packages/testing/src/lib/engine/LoadReporter.ts
+++ b/packages/testing/src/lib/engine/LoadReporter.ts
@@ -35,17 +35,14 @@
 
   /** The newest figures that are at least as old as the lag. */
   get load(): EngineLoad {
-    if (this.lagMs <= 0) return this.#present;
+    if (this.lagMs <= 0) return this.present;
     const limit = this.#timer.now() - this.lagMs;
     const old = this.#samples.findLast(({ at }) => at <= limit) ?? this.#samples[0];
-    return old?.load ?? this.#present;
+    return old?.load ?? this.present;
   }
 
-  [Symbol.dispose](): void {
-    this.#sampling[Symbol.dispose]();
-  }
-
-  get #present(): EngineLoad {
+  /** The figures of this moment. */
+  get present(): EngineLoad {
     const { slots, runningCount, waitingCount, prefillTokens, generatedTokens } = this.#batch;
     return {
       slots,
@@ -56,9 +53,13 @@
     };
   }
 
+  [Symbol.dispose](): void {
+    this.#sampling[Symbol.dispose]();
+  }
+
   #sample(): void {
     const at = this.#timer.now();
-    this.#samples.push({ at, load: this.#present });
+    this.#samples.push({ at, load: this.present });
     const limit = at - this.lagMs;
     const newest = this.#samples.findLastIndex((sample) => sample.at <= limit);
     if (newest > 0) this.#samples = this.#samples.slice(newest);
--- a/packages/testing/src/lib/load/EndpointProbe.ts
+++ b/packages/testing/src/lib/load/EndpointProbe.ts
@@ -18,7 +18,7 @@
   last: number;
 }
 
-const INTERVAL_MS = 500;
+const INTERVAL_MS = 200;
 const TIMEOUT_MS = 1000;
 
 /** Reads the endpoints' load reports during a load. @internal */
@@ -79,7 +79,8 @@
   async #read(address: string): Promise<boolean> {
     try {
       const signal = AbortSignal.timeout(TIMEOUT_MS);
-      const answer = await request(`http://${address}/load`, { signal, dispatcher: this.#agent });
+      const url = `http://${address}/load?present`;
+      const answer = await request(url, { signal, dispatcher: this.#agent });
       const report = (await answer.body.json()) as { generated_tokens?: number };
       this.#count(address, report.generated_tokens ?? 0);
       return true;
