--- a/apps/berylwood/src/lib/createProgram.ts
+++ b/apps/berylwood/src/lib/createProgram.ts
@@ -3,6 +3,7 @@
 import { ExitCode } from './codes';
 import { CommandError } from './CommandError';
 import { createStandIn } from './createStandIn';
+import { loadCommand } from './loadCommand';
 import { operatorCommands } from './operatorCommands';
 import { readSettings } from './readSettings';
 import { runProcess } from './runProcess';
@@ -73,6 +74,7 @@
     checkCommand(),
     standInCommand(),
     timelineCommand(),
+    loadCommand(),
     ...operatorCommands(),
   ];
   for (const command of commands) program.addCommand(command);
