--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -2,3 +2,35 @@
 export { StateMachine } from './lib/StateMachine';
 export { ReplicatedLog, type Applied, type LogStatus } from './lib/ReplicatedLog';
 export { LocalLog } from './lib/LocalLog';
+export { Replica, type ReplicaStatus } from './lib/Replica';
+export type { ReplicaOptions } from './lib/ReplicaOptions';
+export { Transport } from './lib/Transport';
+export { Disk } from './lib/Disk';
+export { FileDisk } from './lib/FileDisk';
+export { EntryKind, type Entry } from './lib/Entry';
+export type { Admission, Member, MemberKind, Membership } from './lib/Membership';
+export type {
+  Append,
+  AppendReply,
+  Join,
+  JoinReply,
+  LeaseStamp,
+  Message,
+  MessageBody,
+  PreVote,
+  PreVoteReply,
+  SnapshotChunk,
+  SnapshotReply,
+  TimeoutNow,
+  Vote,
+  VoteReply,
+} from './lib/Message';
+export {
+  createReplicaName,
+  type GroupId,
+  type Identity,
+  type Incarnation,
+  type ReplicaName,
+} from './lib/ids';
+export { consensusCodes } from './lib/codes';
+export { consensusEvents } from './lib/events';
--- /dev/null
+++ b/packages/consensus/src/lib/Core.ts
@@ -0,0 +1,231 @@
+import { assert, Failure } from '@berylwood/base';
+import { consensusCodes } from './codes';
+import { EntryKind, type Entry } from './Entry';
+import { consensusEvents } from './events';
+import type { GroupId, Identity, Incarnation, ReplicaName } from './ids';
+import type { LogStore } from './LogStore';
+import { decodeMembership } from './Membership';
+import type { MembershipHistory } from './MembershipHistory';
+import type { MessageBody, Message } from './Message';
+import type { HardState } from './records';
+import type { ReplicaSettings } from './ReplicaOptions';
+import type { Role, RoleEvent } from './roleMachine';
+
+/** A lease that this replica has granted to a leader, by its own monotonic clock. */
+interface GrantedLease {
+  readonly term: number;
+  readonly until: number;
+}
+
+interface CoreParts {
+  readonly settings: ReplicaSettings;
+  readonly identity: Identity;
+  readonly store: LogStore;
+  readonly membership: MembershipHistory;
+  /** Time until which a lease granted before a restart may run. */
+  readonly unknownLeaseUntil: number;
+}
+
+/**
+ * State that the parts of a replica share: log, term and vote, membership, commit index. Messages
+ * wait until the term and vote that they speak for are durable.
+ * @internal
+ */
+export class Core {
+  readonly settings: ReplicaSettings;
+
+  readonly identity: Identity;
+
+  readonly store: LogStore;
+
+  readonly membership: MembershipHistory;
+
+  readonly unknownLeaseUntil: number;
+
+  role: Role = 'learner';
+
+  leader: Identity | undefined;
+
+  granted: GrantedLease = { term: 0, until: 0 };
+
+  electionDeadline = 0;
+
+  /** Whether a snapshot of a leader is being written in place of the log. */
+  installing = false;
+
+  /** Sends an event to the role machine. */
+  sendRole: (event: RoleEvent) => void = () => {};
+
+  /** Called when the commit index has grown. */
+  onCommit: () => void = () => {};
+
+  /** Called when the disk or the state machine has failed. */
+  onFailure: (failure: Failure) => void = () => {};
+
+  #commitIndex: number;
+
+  #outbox: (() => void)[] = [];
+
+  #saving = false;
+
+  #dirty = false;
+
+  constructor(parts: CoreParts) {
+    this.settings = parts.settings;
+    this.identity = parts.identity;
+    this.store = parts.store;
+    this.membership = parts.membership;
+    this.unknownLeaseUntil = parts.unknownLeaseUntil;
+    this.#commitIndex = parts.store.snapshotIndex;
+    this.resetElectionDeadline();
+  }
+
+  get now(): number {
+    return this.settings.timer.now();
+  }
+
+  get term(): number {
+    return this.store.state.term;
+  }
+
+  get vote(): Incarnation | '' {
+    return this.store.state.vote;
+  }
+
+  get group(): GroupId | '' {
+    return this.store.state.group;
+  }
+
+  get commitIndex(): number {
+    return this.#commitIndex;
+  }
+
+  /** Index up to which this replica may acknowledge its log. */
+  get syncedIndex(): number {
+    const { unsafe } = this.settings;
+    return unsafe.acknowledgeUnsynced ? this.store.lastIndex : this.store.syncedIndex;
+  }
+
+  get isVoter(): boolean {
+    return this.membership.find(this.identity.incarnation)?.kind === 'voter';
+  }
+
+  /** Voter sets of which each must agree. */
+  get quorums(): Incarnation[][] {
+    return this.membership.quorums(this.#commitIndex);
+  }
+
+  isSelf(identity: Pick<Identity, 'incarnation'>): boolean {
+    return identity.incarnation === this.identity.incarnation;
+  }
+
+  /** Members to send to, including voters that an uncommitted change removes. */
+  get peers(): Identity[] {
+    const known = new Map<Incarnation, Identity>();
+    const previous = this.membership.at(this.membership.latestIndex - 1);
+    const uncommitted = this.membership.latestIndex > this.#commitIndex;
+    const memberships = uncommitted ? [previous, this.membership.latest] : [this.membership.latest];
+    for (const { members } of memberships) {
+      for (const member of members) known.set(member.incarnation, member);
+    }
+    known.delete(this.identity.incarnation);
+    return [...known.values()];
+  }
+
+  /** Adds entries to the log; memberships among them bind at once. */
+  append(entries: readonly Entry[]): void {
+    const [first] = entries;
+    if (!first) return;
+    assert(first.index > this.#commitIndex, 'a committed entry must not be replaced');
+    if (first.index <= this.store.lastIndex) this.membership.truncate(first.index);
+    this.store.append(entries);
+    for (const entry of entries) {
+      if (entry.kind !== EntryKind.Membership) continue;
+      this.membership.add(entry.index, decodeMembership(entry.data));
+    }
+    if (this.role !== 'leader') this.updateVotingRole();
+  }
+
+  /** Makes a role of a learner or voter out of the present membership. */
+  updateVotingRole(): void {
+    const isMember = this.membership.find(this.identity.incarnation) !== undefined;
+    if (isMember && !this.store.state.wasMember) {
+      this.#save({ ...this.store.state, wasMember: true });
+    }
+    this.sendRole({ type: this.isVoter ? 'voteGained' : 'voteLost' });
+  }
+
+  commitTo(index: number): void {
+    if (index <= this.#commitIndex) return;
+    this.#commitIndex = index;
+    this.membership.compact(index);
+    this.onCommit();
+  }
+
+  resetElectionDeadline(): void {
+    const { electionTimeoutMs, random } = this.settings;
+    this.electionDeadline = this.now + random.between(electionTimeoutMs, 2 * electionTimeoutMs);
+  }
+
+  /** Moves to a term with a vote; messages that follow wait until it is durable. */
+  saveTerm(term: number, vote: Incarnation | ''): void {
+    if (term > this.term) {
+      this.leader = undefined;
+      this.settings.journal.record(consensusEvents.termStarted, { term });
+    }
+    this.#save({ ...this.store.state, term, vote });
+  }
+
+  saveGroup(group: GroupId): void {
+    this.#save({ ...this.store.state, group });
+  }
+
+  /** Fails the replica with an error of the disk. */
+  failDisk(error: unknown): void {
+    const message = `the disk failed: ${String(error)}`;
+    this.onFailure(new Failure(consensusCodes.diskFailed, message, { cause: error }));
+  }
+
+  /** Runs once the present term and vote are durable. */
+  whenSaved(action: () => void): void {
+    if (this.#saving) this.#outbox.push(action);
+    else action();
+  }
+
+  send(to: Identity, body: MessageBody): void {
+    this.#post(to.replica, to.incarnation, body);
+  }
+
+  /** Sends to a replica whose incarnation is not known. */
+  sendByName(replica: ReplicaName, body: MessageBody): void {
+    this.#post(replica, '', body);
+  }
+
+  #post(replica: ReplicaName, incarnation: Incarnation | '', body: MessageBody): void {
+    const { term, group, identity } = this;
+    const message: Message = { group, from: identity, to: { replica, incarnation }, term, body };
+    const member = this.membership.latest.members.find((item) => item.incarnation === incarnation);
+    this.whenSaved(() => this.settings.transport.send(replica, message, member?.address ?? ''));
+  }
+
+  #save(state: HardState): void {
+    this.store.setState(state);
+    this.#dirty = true;
+    if (this.#saving) return;
+    this.#saving = true;
+    this.#saveUntilClean().catch(() => {
+      // The store has reported the failure, and the replica stops.
+    });
+  }
+
+  async #saveUntilClean(): Promise<void> {
+    while (this.#dirty) {
+      this.#dirty = false;
+      await this.store.saveState();
+    }
+    this.#saving = false;
+    const outbox = this.#outbox;
+    this.#outbox = [];
+    for (const action of outbox) action();
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/lib/Elector.ts
@@ -0,0 +1,132 @@
+import { majority } from './Membership';
+import type { Core } from './Core';
+import type { Incarnation } from './ids';
+import type { Message, PreVote, PreVoteReply, Vote, VoteReply } from './Message';
+
+/**
+ * Elections: stands with a pre-vote and then a vote, and answers those of others. A replica that
+ * has granted a lease grants neither until the lease has run out.
+ * @internal
+ */
+export class Elector {
+  /** Longest time for which a lease known to a granting voter may still run. */
+  leaseRemainingMs = 0;
+
+  /** End of the lease that this replica holds as a leader, by its monotonic clock. */
+  ownLeaseEnd: () => number = () => 0;
+
+  readonly #core: Core;
+
+  readonly #granted = new Set<Incarnation>();
+
+  /** Term whose leader handed over to this replica; 0 if none did. */
+  #transferOf = 0;
+
+  constructor(core: Core) {
+    this.#core = core;
+  }
+
+  /** Stands at once, on the word of a leader that has given up its lease. */
+  standForTransfer(): void {
+    this.#transferOf = this.#core.term;
+    this.#core.resetElectionDeadline();
+    this.#core.sendRole({ type: 'transferRequested' });
+  }
+
+  startPreVote(): void {
+    const core = this.#core;
+    core.leader = undefined;
+    this.#transferOf = 0;
+    this.#granted.clear();
+    const { lastIndex, lastTerm } = core.store;
+    const body: PreVote = { type: 'preVote', nextTerm: core.term + 1, lastIndex, lastTerm };
+    core.peers.forEach((peer) => core.send(peer, body));
+    this.#count(core.identity.incarnation);
+  }
+
+  startVote(): void {
+    const core = this.#core;
+    core.saveTerm(core.term + 1, core.identity.incarnation);
+    this.#granted.clear();
+    this.leaseRemainingMs = this.#unknownLeaseMs;
+    const { lastIndex, lastTerm } = core.store;
+    const body: Vote = { type: 'vote', lastIndex, lastTerm, transferOf: this.#transferOf };
+    this.#transferOf = 0;
+    core.peers.forEach((peer) => core.send(peer, body));
+    const { term } = core;
+    core.whenSaved(() => {
+      if (core.role === 'candidate' && core.term === term) this.#count(core.identity.incarnation);
+    });
+  }
+
+  onPreVote({ from, body }: Message<PreVote>): void {
+    const core = this.#core;
+    const granted = body.nextTerm > core.term && !this.#isBoundByLease(0) && this.#isUpToDate(body);
+    core.send(from, { type: 'preVoteReply', nextTerm: body.nextTerm, granted });
+  }
+
+  onPreVoteReply({ from, body }: Message<PreVoteReply>): void {
+    const core = this.#core;
+    if (core.role !== 'preCandidate' || !body.granted) return;
+    if (body.nextTerm === core.term + 1) this.#count(from.incarnation);
+  }
+
+  onVote({ from, term, body }: Message<Vote>): void {
+    const core = this.#core;
+    // A refusal for the lease's sake leaves the term alone, so that the leader is not disturbed.
+    if (term >= core.term && !this.#isBoundByLease(body.transferOf)) {
+      if (term > core.term) {
+        core.saveTerm(term, '');
+        core.sendRole({ type: 'newerTerm' });
+      }
+      if (this.#mayVote(from.incarnation) && this.#isUpToDate(body)) {
+        core.saveTerm(term, from.incarnation);
+        core.resetElectionDeadline();
+        const leaseRemainingMs = this.#unknownLeaseMs;
+        core.send(from, { type: 'voteReply', granted: true, leaseRemainingMs });
+        return;
+      }
+    }
+    core.send(from, { type: 'voteReply', granted: false, leaseRemainingMs: 0 });
+  }
+
+  onVoteReply({ from, body }: Message<VoteReply>): void {
+    if (this.#core.role !== 'candidate' || !body.granted) return;
+    this.leaseRemainingMs = Math.max(this.leaseRemainingMs, body.leaseRemainingMs);
+    this.#count(from.incarnation);
+  }
+
+  /** Time for which a lease may run that was granted before this replica's restart. */
+  get #unknownLeaseMs(): number {
+    return Math.max(0, this.#core.unknownLeaseUntil - this.#core.now);
+  }
+
+  #isBoundByLease(transferOf: number): boolean {
+    const { settings, granted, now } = this.#core;
+    if (settings.unsafe.ignoreGrantedLease) return false;
+    const isBound = now < granted.until && granted.term !== transferOf;
+    return isBound || now < this.ownLeaseEnd();
+  }
+
+  #isUpToDate({ lastIndex, lastTerm }: Pick<Vote, 'lastIndex' | 'lastTerm'>): boolean {
+    const { store } = this.#core;
+    if (lastTerm !== store.lastTerm) return lastTerm > store.lastTerm;
+    return lastIndex >= store.lastIndex;
+  }
+
+  #mayVote(candidate: Incarnation): boolean {
+    const { vote, role } = this.#core;
+    return (vote === '' && role !== 'leader') || vote === candidate;
+  }
+
+  #count(incarnation: Incarnation): void {
+    const core = this.#core;
+    this.#granted.add(incarnation);
+    const isQuorum = core.quorums.every((set) => {
+      const count = set.filter((voter) => this.#granted.has(voter)).length;
+      return count >= majority(set.length);
+    });
+    if (!isQuorum) return;
+    core.sendRole({ type: core.role === 'preCandidate' ? 'preVoteWon' : 'voteWon' });
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/lib/Follower.ts
@@ -0,0 +1,160 @@
+import { assert, required } from '@berylwood/base';
+import type { Core } from './Core';
+import type { Entry } from './Entry';
+import { consensusEvents } from './events';
+import { decodeFrame } from './frame';
+import type { Identity } from './ids';
+import type { Append, LeaseStamp, Message, SnapshotChunk } from './Message';
+import { migrate } from './migrations';
+import { decodeSnapshot, type Snapshot } from './records';
+import { SnapshotReceiver } from './SnapshotReceiver';
+
+const NO_STAMP: LeaseStamp = { mono: -Infinity, wall: -Infinity };
+
+/** Takes entries and snapshots from a leader and acknowledges what is synced. @internal */
+export class Follower {
+  /** Replaces the state of the embedder by that of a snapshot. */
+  onRestore: (snapshot: Snapshot) => void = () => {};
+
+  readonly #core: Core;
+
+  readonly #receiver = new SnapshotReceiver();
+
+  /** Index up to which the log is equal to that of the leader of this term. */
+  #verified = { term: 0, index: 0 };
+
+  #stamp = NO_STAMP;
+
+  #acknowledged = 0;
+
+  constructor(core: Core) {
+    this.#core = core;
+  }
+
+  onAppend(message: Message<Append>): void {
+    const core = this.#core;
+    if (!this.#follow(message) || core.installing) return;
+    const { prevIndex, prevTerm, entries, commitIndex } = message.body;
+    const known = prevIndex < core.commitIndex ? prevTerm : core.store.term(prevIndex);
+    if (known !== prevTerm) {
+      this.#reply(message.from, false, this.#hint(prevIndex));
+      return;
+    }
+    core.append(this.#newEntries(entries));
+    const last = prevIndex + entries.length;
+    this.#verified.index = Math.max(this.#verified.index, last);
+    core.commitTo(Math.min(commitIndex, this.#verified.index));
+    if (entries.length === 0 || core.syncedIndex >= last) this.acknowledge(true);
+  }
+
+  onSnapshotChunk(message: Message<SnapshotChunk>): void {
+    const core = this.#core;
+    if (!this.#follow(message) || core.installing) return;
+    const { body, from } = message;
+    if (body.index <= core.commitIndex) {
+      this.#verified.index = Math.max(this.#verified.index, body.index);
+      this.acknowledge(true);
+      return;
+    }
+    const whole = this.#receiver.add(message.term, body);
+    if (whole) this.#install(whole).catch(() => {});
+    else {
+      const { index } = body;
+      const nextOffset = this.#receiver.received;
+      core.send(from, { type: 'snapshotReply', index, nextOffset, stamp: this.#stamp });
+    }
+  }
+
+  /** Tells the leader what is synced, if that has grown or an answer is due. */
+  acknowledge(isDue = false): void {
+    const { leader, term, syncedIndex, installing } = this.#core;
+    if (!leader || this.#verified.term !== term || installing) return;
+    const match = Math.min(this.#verified.index, syncedIndex);
+    if (!isDue && match <= this.#acknowledged) return;
+    this.#acknowledged = match;
+    this.#reply(leader, true, match);
+  }
+
+  /** Accepts the sender as leader of the term and grants it a lease; false if it is out of date. */
+  #follow({ from, term, body }: Message<Append | SnapshotChunk>): boolean {
+    const core = this.#core;
+    if (term < core.term) {
+      core.send(from, {
+        type: 'appendReply',
+        accepted: false,
+        match: 0,
+        hint: 0,
+        stamp: body.stamp,
+      });
+      return false;
+    }
+    if (core.role === 'leader') {
+      core.settings.journal.record(consensusEvents.termConflict, { term, from: from.replica });
+      return false;
+    }
+    if (core.role === 'preCandidate' || core.role === 'candidate') {
+      core.sendRole({ type: 'leaderSeen' });
+    }
+    core.leader = from;
+    core.granted = { term, until: core.now + core.settings.leaseMs };
+    core.resetElectionDeadline();
+    if (this.#verified.term !== term) {
+      this.#verified = { term, index: 0 };
+      this.#acknowledged = 0;
+      this.#stamp = NO_STAMP;
+    }
+    if (body.stamp.mono > this.#stamp.mono) this.#stamp = body.stamp;
+    return true;
+  }
+
+  /** Entries that the log lacks or holds with another term, from the first such on. */
+  #newEntries(entries: readonly Entry[]): readonly Entry[] {
+    const { store, commitIndex } = this.#core;
+    const first = entries.findIndex(
+      ({ index, term }) => index > commitIndex && store.term(index) !== term,
+    );
+    return first < 0 ? [] : entries.slice(first);
+  }
+
+  /** An index at which the logs may agree: before the conflicting term, or the end of the log. */
+  #hint(prevIndex: number): number {
+    const { store, commitIndex } = this.#core;
+    if (prevIndex > store.lastIndex) return store.lastIndex;
+    const conflicting = store.term(prevIndex);
+    let index = prevIndex - 1;
+    while (index > commitIndex && store.term(index) === conflicting) index -= 1;
+    return index;
+  }
+
+  #reply(to: Identity, accepted: boolean, index: number): void {
+    const match = accepted ? index : 0;
+    const hint = accepted ? 0 : index;
+    this.#core.send(to, { type: 'appendReply', accepted, match, hint, stamp: this.#stamp });
+  }
+
+  async #install(bytes: Uint8Array): Promise<void> {
+    const core = this.#core;
+    const frame = required(decodeFrame(bytes, 0), 'a whole snapshot');
+    const body = migrate('snapshot', frame);
+    if (body.isErr()) {
+      core.onFailure(body.error);
+      return;
+    }
+    const snapshot = decodeSnapshot(body.value);
+    const { index, term } = snapshot;
+    if (core.store.term(index) === term && core.syncedIndex >= index) core.commitTo(index);
+    else {
+      core.installing = true;
+      await core.store.install(snapshot);
+      core.installing = false;
+      assert(index > core.commitIndex, 'nothing is committed during an installation');
+      core.membership.reset(index, snapshot.membership);
+      this.onRestore(snapshot);
+      core.commitTo(index);
+      core.updateVotingRole();
+      core.settings.journal.record(consensusEvents.snapshotInstalled, { index });
+    }
+    this.#verified.index = Math.max(this.#verified.index, index);
+    this.acknowledge(true);
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/lib/Joiner.ts
@@ -0,0 +1,71 @@
+import type { Core } from './Core';
+import { EntryKind } from './Entry';
+import { consensusEvents } from './events';
+import { createGroupId, type ReplicaName } from './ids';
+import { encodeMembership } from './Membership';
+import type { Join, JoinReply, Message } from './Message';
+
+/** Interval at which a replica without a group asks its seeds. */
+const JOIN_INTERVAL_MS = 500;
+
+/** Brings a replica with an empty disk into a group, or founds one. @internal */
+export class Joiner {
+  readonly #core: Core;
+
+  /** Seeds that have answered that they belong to no group. */
+  readonly #groupless = new Set<ReplicaName>();
+
+  #askedAt = -Infinity;
+
+  constructor(core: Core) {
+    this.#core = core;
+  }
+
+  /** Asks the seeds from time to time, as long as this replica is in no membership. */
+  tick(): void {
+    const { now, settings, store, identity, membership } = this.#core;
+    if (store.state.wasMember || membership.find(identity.incarnation)) return;
+    if (now - this.#askedAt < JOIN_INTERVAL_MS) return;
+    this.#askedAt = now;
+    this.#foundIfAlone();
+    const body: Join = { type: 'join', address: settings.address };
+    settings.seeds.forEach((seed) => this.#core.sendByName(seed, body));
+  }
+
+  /** Answers a replica that asks whether there is a group. */
+  answer({ from }: Message<Join>): void {
+    this.#core.send(from, { type: 'joinReply', hasGroup: this.#hasGroup });
+  }
+
+  onJoinReply({ from, body }: Message<JoinReply>): void {
+    if (body.hasGroup) this.#groupless.delete(from.replica);
+    else this.#groupless.add(from.replica);
+    this.#foundIfAlone();
+  }
+
+  get #hasGroup(): boolean {
+    return this.#core.membership.latest.members.length > 0;
+  }
+
+  #foundIfAlone(): void {
+    const { settings, store } = this.#core;
+    if (!settings.founder || this.#hasGroup || store.lastIndex > 0) return;
+    if (settings.seeds.every((seed) => this.#groupless.has(seed))) this.#found();
+  }
+
+  /** Begins a log whose first entry makes this replica the only voter. */
+  #found(): void {
+    const core = this.#core;
+    const { settings, identity } = core;
+    const { replica, incarnation } = identity;
+    const data = encodeMembership({
+      members: [{ replica, incarnation, kind: 'voter', address: settings.address }],
+      admitted: settings.seeds.map((seed) => ({ replica: seed, voter: true })),
+    });
+    core.saveGroup(createGroupId());
+    core.saveTerm(core.term + 1, incarnation);
+    core.append([{ index: 1, term: core.term, kind: EntryKind.Membership, data }]);
+    settings.journal.record(consensusEvents.groupFounded, { group: core.group });
+    core.sendRole({ type: 'electionTimeout' });
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/lib/LeaderLease.ts
@@ -0,0 +1,53 @@
+import type { Timer } from '@berylwood/base';
+import type { LeaseStamp } from './Message';
+
+/**
+ * The lease of a leader. A voter grants it for `leaseMs` from when it receives a heartbeat; the
+ * leader counts from before it sent that heartbeat, and less by the bound on clock rates. Both
+ * clocks must agree: the monotonic one may stand still while a machine is suspended, and the wall
+ * clock may be set back.
+ * @internal
+ */
+export class LeaderLease {
+  readonly #timer: Timer;
+
+  readonly #durationMs: number;
+
+  readonly #ignoresWall: boolean;
+
+  /** Both clocks at the latest stamp that a quorum has echoed. */
+  #start: LeaseStamp = { mono: -Infinity, wall: -Infinity };
+
+  #isAbandoned = false;
+
+  constructor(timer: Timer, leaseMs: number, clockRateBound: number, ignoresWall = false) {
+    this.#timer = timer;
+    this.#durationMs = leaseMs / (1 + clockRateBound);
+    this.#ignoresWall = ignoresWall;
+  }
+
+  renew(start: LeaseStamp): void {
+    this.#start = start;
+  }
+
+  /** Gives the lease up for the rest of the term. */
+  abandon(): void {
+    this.#isAbandoned = true;
+  }
+
+  get isAbandoned(): boolean {
+    return this.#isAbandoned;
+  }
+
+  /** End by the monotonic clock; 0 if it was given up or never held. */
+  get endsAt(): number {
+    if (this.#isAbandoned || this.#start.mono === -Infinity) return 0;
+    return this.#start.mono + this.#durationMs;
+  }
+
+  get isHeld(): boolean {
+    if (this.#timer.now() >= this.endsAt) return false;
+    const wallAge = this.#timer.wall() - this.#start.wall;
+    return this.#ignoresWall || wallAge < this.#durationMs;
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/lib/LogStore.ts
@@ -0,0 +1,307 @@
+import { assert, Failure } from '@berylwood/base';
+import { consensusCodes } from './codes';
+import type { Disk } from './Disk';
+import { entryBytes, type Entry } from './Entry';
+import { STATE_FILE, segmentName, snapshotIndexes, snapshotName } from './files';
+import { decodeFrame, encodeFrame } from './frame';
+import { migrate } from './migrations';
+import {
+  RECORD_VERSION,
+  decodeSnapshot,
+  encodeEntries,
+  encodeJson,
+  encodeSnapshot,
+  type HardState,
+  type Snapshot,
+} from './records';
+import type { Recovered, Segment } from './recover';
+
+/** Sizes of the files and writes of a log. @internal */
+export interface LogStoreLimits {
+  /** Size at which a new segment is begun, in bytes. */
+  readonly segmentBytes: number;
+  /** Most bytes of entries that are written with one sync. */
+  readonly syncBytes: number;
+  /** Entries kept before a snapshot, for followers that are slightly behind. */
+  readonly trailingEntries: number;
+}
+
+/**
+ * The log of one replica: entries after the compaction point in memory, and all of them in
+ * segments on the disk. Writing is asynchronous: entries that arrive during a sync share the next.
+ * @internal
+ */
+export class LogStore {
+  /** Called when entries are durable. */
+  onSynced: () => void = () => {};
+
+  /** Called when a batch of entries is about to be written. */
+  onWriting: () => void = () => {};
+
+  /** Called once when the disk has failed. */
+  onFailure: (failure: Failure) => void = () => {};
+
+  /** Number of syncs of entries so far. */
+  syncs = 0;
+
+  readonly #disk: Disk;
+
+  readonly #limits: LogStoreLimits;
+
+  #entries: Entry[];
+
+  /** Index and term of the entry before the first one in memory. */
+  #base: { index: number; term: number };
+
+  #snapshot: { index: number; term: number };
+
+  #segments: Segment[];
+
+  /** Segments with a smaller number were replaced by a snapshot of a leader. */
+  #firstSegment: number;
+
+  /** Number of the segment that is being written. */
+  #writtenSegment = 0;
+
+  #state: HardState;
+
+  #queue: Entry[] = [];
+
+  #writing = false;
+
+  #synced: number;
+
+  #failed = false;
+
+  constructor(disk: Disk, recovered: Recovered, limits: LogStoreLimits) {
+    this.#disk = disk;
+    this.#limits = limits;
+    this.#entries = [...recovered.entries];
+    const { index, term } = recovered.snapshot ?? { index: 0, term: 0 };
+    this.#base = { index, term };
+    this.#snapshot = { index, term };
+    this.#segments = [...recovered.segments];
+    this.#firstSegment = recovered.snapshot?.firstSegment ?? 0;
+    this.#state = recovered.state;
+    this.#synced = this.lastIndex;
+  }
+
+  /** Index of the first entry in memory. */
+  get firstIndex(): number {
+    return this.#base.index + 1;
+  }
+
+  get lastIndex(): number {
+    return this.#base.index + this.#entries.length;
+  }
+
+  get lastTerm(): number {
+    return this.#entries.at(-1)?.term ?? this.#base.term;
+  }
+
+  /** Index up to which the log is durable. */
+  get syncedIndex(): number {
+    return this.#synced;
+  }
+
+  get snapshotIndex(): number {
+    return this.#snapshot.index;
+  }
+
+  get state(): HardState {
+    return this.#state;
+  }
+
+  /** Term of an entry; undefined if the log does not hold it. */
+  term(index: number): number | undefined {
+    if (index === this.#base.index) return this.#base.term;
+    return this.entry(index)?.term;
+  }
+
+  entry(index: number): Entry | undefined {
+    return this.#entries[index - this.firstIndex];
+  }
+
+  /** Entries from an index on, at least one if there is any, up to a size in bytes. */
+  slice(from: number, maxBytes: number): Entry[] {
+    const found: Entry[] = [];
+    let bytes = 0;
+    for (let entry = this.entry(from); entry; entry = this.entry(entry.index + 1)) {
+      bytes += entryBytes(entry);
+      if (found.length > 0 && bytes > maxBytes) break;
+      found.push(entry);
+    }
+    return found;
+  }
+
+  /** Adds entries and replaces those from the first one's index on; writing follows. */
+  append(entries: readonly Entry[]): void {
+    const [first] = entries;
+    if (!first) return;
+    assert(first.index >= this.firstIndex, 'an entry before the compaction point');
+    assert(first.index <= this.lastIndex + 1, 'a gap in the log');
+    if (first.index <= this.lastIndex) this.#dropFrom(first.index);
+    for (const entry of entries) {
+      this.#entries.push(entry);
+      this.#queue.push(entry);
+    }
+    if (this.#writing) return;
+    this.#writing = true;
+    queueMicrotask(() => {
+      this.#writeAll().catch((error: unknown) => this.#fail(error));
+    });
+  }
+
+  /** Sets term, vote and group in memory; `saveState` makes them durable. */
+  setState(state: HardState): void {
+    this.#state = state;
+  }
+
+  /** Makes the present term, vote and group durable. */
+  async saveState(): Promise<void> {
+    const frame = encodeFrame(RECORD_VERSION, encodeJson(this.#state));
+    await this.#guard(() => this.#disk.replace(STATE_FILE, frame));
+  }
+
+  /** Makes a snapshot of the own state durable and compacts the log before it. */
+  async compact(snapshot: Omit<Snapshot, 'firstSegment'>): Promise<void> {
+    assert(snapshot.index <= this.#synced, 'a snapshot of entries that are not synced');
+    await this.#saveSnapshot({ ...snapshot, firstSegment: this.#firstSegment });
+    this.#forget(snapshot.index - this.#limits.trailingEntries);
+    await this.#guard(() => this.#removeObsolete());
+  }
+
+  /**
+   * Makes a snapshot of the leader durable. Entries after it stay if they are known to follow it;
+   * otherwise the log starts over. No entry may be appended meanwhile.
+   */
+  async install(snapshot: Omit<Snapshot, 'firstSegment'>): Promise<void> {
+    const { index, term } = snapshot;
+    if (this.#synced >= index && this.term(index) === term) {
+      await this.compact(snapshot);
+      return;
+    }
+    this.#queue = [];
+    const { number } = this.#beginSegment();
+    await this.#saveSnapshot({ ...snapshot, firstSegment: number });
+    this.#firstSegment = number;
+    this.#entries = [];
+    this.#base = { index, term };
+    this.#synced = index;
+    await this.#guard(() => this.#removeObsolete());
+  }
+
+  /** Reads the latest snapshot; undefined when there is none. */
+  async loadSnapshot(): Promise<Snapshot | undefined> {
+    if (this.#snapshot.index === 0) return undefined;
+    const frame = decodeFrame(await this.#disk.read(snapshotName(this.#snapshot.index)), 0);
+    const body = frame && migrate('snapshot', frame);
+    if (body?.isOk()) return decodeSnapshot(body.value);
+    this.onFailure(new Failure(consensusCodes.logDamaged, 'the latest snapshot is damaged'));
+    return undefined;
+  }
+
+  /** Ends writing and closes the disk; entries that wait for their write are not written. */
+  async close(): Promise<void> {
+    this.#failed = true;
+    this.#queue = [];
+    await this.#disk.close();
+  }
+
+  #dropFrom(index: number): void {
+    this.#entries.length = index - this.firstIndex;
+    this.#queue = this.#queue.filter((entry) => entry.index < index);
+    this.#synced = Math.min(this.#synced, index - 1);
+  }
+
+  async #saveSnapshot(snapshot: Snapshot): Promise<void> {
+    const frame = encodeFrame(RECORD_VERSION, encodeSnapshot(snapshot));
+    await this.#guard(() => this.#disk.replace(snapshotName(snapshot.index), frame));
+    this.#snapshot = { index: snapshot.index, term: snapshot.term };
+  }
+
+  /** Forgets entries in memory up to an index. */
+  #forget(index: number): void {
+    const term = this.term(index);
+    if (index <= this.#base.index || term === undefined) return;
+    this.#entries = this.#entries.slice(index - this.#base.index);
+    this.#base = { index, term };
+  }
+
+  async #writeAll(): Promise<void> {
+    while (this.#queue.length > 0 && !this.#failed) {
+      this.onWriting();
+      const batch = this.#takeBatch();
+      const segment = this.#openSegment();
+      this.#writtenSegment = segment.number;
+      const frame = encodeFrame(RECORD_VERSION, encodeEntries(batch));
+      segment.bytes += frame.byteLength;
+      segment.lastIndex = Math.max(segment.lastIndex, (batch.at(-1) as Entry).index);
+      await this.#guard(() => this.#disk.append(segmentName(segment.number), frame));
+      this.syncs += 1;
+      this.#markSynced(batch);
+    }
+    this.#writing = false;
+  }
+
+  #takeBatch(): Entry[] {
+    let bytes = 0;
+    const over = this.#queue.findIndex((entry, position) => {
+      bytes += entryBytes(entry);
+      return position > 0 && bytes > this.#limits.syncBytes;
+    });
+    return this.#queue.splice(0, over < 0 ? this.#queue.length : over);
+  }
+
+  #openSegment(): Segment {
+    const last = this.#segments.at(-1);
+    if (last && last.bytes < this.#limits.segmentBytes) return last;
+    return this.#beginSegment();
+  }
+
+  #beginSegment(): Segment {
+    const number = (this.#segments.at(-1)?.number ?? 0) + 1;
+    const segment = { number, lastIndex: 0, bytes: 0 };
+    this.#segments.push(segment);
+    return segment;
+  }
+
+  /** Counts the entries of a written batch that have not been replaced meanwhile. */
+  #markSynced(batch: readonly Entry[]): void {
+    const last = batch.findLast((entry) => this.entry(entry.index) === entry);
+    if (last && last.index > this.#synced) this.#synced = last.index;
+    this.onSynced();
+  }
+
+  /** Removes segments and snapshots that the latest snapshot makes obsolete. */
+  async #removeObsolete(): Promise<void> {
+    while (this.#segments.length > 1 && this.#mayRemove(this.#segments[0] as Segment)) {
+      const segment = this.#segments.shift() as Segment;
+      await this.#disk.remove(segmentName(segment.number));
+    }
+    const indexes = snapshotIndexes(await this.#disk.list());
+    const obsolete = indexes.filter((index) => index < this.#snapshot.index);
+    for (const index of obsolete) await this.#disk.remove(snapshotName(index));
+  }
+
+  #mayRemove(segment: Segment): boolean {
+    if (segment.number === this.#writtenSegment) return false;
+    return segment.number < this.#firstSegment || segment.lastIndex <= this.#base.index;
+  }
+
+  async #guard(action: () => Promise<void>): Promise<void> {
+    try {
+      await action();
+    } catch (error) {
+      this.#fail(error);
+      throw error;
+    }
+  }
+
+  #fail(error: unknown): void {
+    if (this.#failed) return;
+    this.#failed = true;
+    const message = `the disk failed: ${String(error)}`;
+    this.onFailure(new Failure(consensusCodes.diskFailed, message, { cause: error }));
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/lib/MembershipChanger.ts
@@ -0,0 +1,128 @@
+import { err, ok, type Result } from 'neverthrow';
+import { fail, type Failure } from '@berylwood/base';
+import { consensusCodes } from './codes';
+import type { Core } from './Core';
+import { EntryKind } from './Entry';
+import { consensusEvents } from './events';
+import type { Identity, ReplicaName } from './ids';
+import type { Leader } from './Leader';
+import {
+  encodeMembership,
+  voters,
+  withAdmission,
+  withJoiner,
+  withPromoted,
+  withoutReplica,
+  type Membership,
+} from './Membership';
+import type { Join, Message } from './Message';
+
+/** A learner is promoted only if it has answered within this many heartbeats. */
+const RECENT_HEARTBEATS = 5;
+
+interface Request {
+  readonly identity: Identity;
+  readonly address: string;
+}
+
+/** Changes the membership, one change at a time, on behalf of the leader. @internal */
+export class MembershipChanger {
+  readonly #core: Core;
+
+  readonly #leader: Leader;
+
+  /** Replicas that have asked to join and wait for a change in progress. */
+  readonly #requests = new Map<ReplicaName, Request>();
+
+  constructor(core: Core, leader: Leader) {
+    this.#core = core;
+    this.#leader = leader;
+  }
+
+  /** Admits a replica by name; it is added once it asks. */
+  admit(replica: ReplicaName, voter: boolean): Promise<Result<void, Failure>> {
+    return this.#change(withAdmission(this.#latest, { replica, voter }));
+  }
+
+  /** Removes a replica and its permission to join. */
+  async remove(replica: ReplicaName): Promise<Result<void, Failure>> {
+    const isKnown = [...this.#latest.members, ...this.#latest.admitted].some(
+      (item) => item.replica === replica,
+    );
+    if (!isKnown) return fail(consensusCodes.membershipInvalid, `no replica is named ${replica}`);
+    return this.#change(withoutReplica(this.#latest, replica));
+  }
+
+  /** Notes a request to join, if the replica is expected. */
+  onJoin({ from, body }: Message<Join>): void {
+    const { members, admitted } = this.#latest;
+    if (members.some((item) => item.incarnation === from.incarnation)) return;
+    const isExpected = [...members, ...admitted].some((item) => item.replica === from.replica);
+    const { journal } = this.#core.settings;
+    if (!this.#requests.has(from.replica)) {
+      journal.record(consensusEvents.joinRequested, { ...from, isExpected });
+    }
+    if (!isExpected) return;
+    this.#requests.set(from.replica, { identity: from, address: body.address });
+    this.tick();
+  }
+
+  /** Starts the next change that is due: a request to join, or a promotion. */
+  tick(): void {
+    if (!this.#isReady) return;
+    const [request] = this.#requests.values();
+    if (request) {
+      this.#requests.delete(request.identity.replica);
+      this.#join(request);
+      return;
+    }
+    const promotable = this.#latest.members.find(
+      (member) => member.kind === 'joining' && this.#isSynced(member),
+    );
+    if (promotable) this.#append(withPromoted(this.#latest, promotable.incarnation));
+  }
+
+  get #latest(): Membership {
+    return this.#core.membership.latest;
+  }
+
+  /** Whether no change is in progress and the state of the log is known. */
+  get #isReady(): boolean {
+    const { commitIndex, membership } = this.#core;
+    return this.#leader.isEstablished && membership.latestIndex <= commitIndex;
+  }
+
+  /** Whether a learner has synced everything committed, and answers. */
+  #isSynced({ incarnation }: Identity): boolean {
+    const { now, settings, commitIndex } = this.#core;
+    const progress = this.#leader.progress(incarnation);
+    if (!progress) return false;
+    const isRecent = now - progress.stamp.mono <= RECENT_HEARTBEATS * settings.heartbeatMs;
+    return isRecent && progress.match >= commitIndex;
+  }
+
+  #join({ identity, address }: Request): void {
+    const { members, admitted } = this.#latest;
+    const admission = admitted.find((item) => item.replica === identity.replica);
+    const earlier = members.find((item) => item.replica === identity.replica);
+    if (!admission && !earlier) return;
+    const isVoter = admission ? admission.voter : earlier?.kind !== 'learner';
+    this.#append(withJoiner(this.#latest, identity, address, isVoter));
+  }
+
+  async #change(membership: Membership): Promise<Result<void, Failure>> {
+    if (!this.#isReady) {
+      return fail(consensusCodes.membershipBusy, 'another change is not committed yet');
+    }
+    if (voters(membership).length === 0) {
+      return fail(consensusCodes.membershipInvalid, 'the group would have no voter');
+    }
+    const result = await this.#append(membership);
+    return result.isErr() ? err(result.error) : ok(undefined);
+  }
+
+  #append(membership: Membership): ReturnType<Leader['waitFor']> {
+    const entry = this.#leader.append(EntryKind.Membership, encodeMembership(membership));
+    return this.#leader.waitFor(entry);
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/lib/Progress.ts
@@ -0,0 +1,112 @@
+import type { Identity } from './ids';
+import type { LeaseStamp } from './Message';
+
+interface Inflight {
+  readonly lastIndex: number;
+}
+
+/** How the leader sends to a member: searching the common prefix, streaming, or by snapshot. */
+export type ProgressMode = 'probe' | 'stream' | 'snapshot';
+
+/** A snapshot on its way to a member. @internal */
+export interface Transfer {
+  readonly index: number;
+  readonly term: number;
+  readonly bytes: Uint8Array;
+  offset: number;
+  /** Time of the last sending. */
+  sentAt: number;
+}
+
+/**
+ * What a leader knows of one member. Unanswered messages are bounded, so that a member that is
+ * slow or down takes a fixed amount of memory.
+ * @internal
+ */
+export class Progress {
+  readonly identity: Identity;
+
+  mode: ProgressMode = 'probe';
+
+  /** Index up to which the member's log is synced and equal to the leader's. */
+  match = 0;
+
+  /** Index of the entry to send next. */
+  next: number;
+
+  /** Whether a probe has been sent and not been answered. */
+  isProbing = false;
+
+  transfer: Transfer | undefined;
+
+  /** Greatest stamp that the member has echoed. */
+  stamp: LeaseStamp = { mono: -Infinity, wall: -Infinity };
+
+  /** Commit index that was sent last. */
+  sentCommit = 0;
+
+  #inflight: Inflight[] = [];
+
+  readonly #maxInflight: number;
+
+  constructor(identity: Identity, next: number, maxInflight: number) {
+    this.identity = identity;
+    this.next = next;
+    this.#maxInflight = maxInflight;
+  }
+
+  get maySend(): boolean {
+    if (this.mode === 'stream') return this.#inflight.length < this.#maxInflight;
+    return this.mode === 'probe' && !this.isProbing;
+  }
+
+  /** Notes entries sent up to an index. */
+  sent(lastIndex: number): void {
+    if (this.mode === 'probe') {
+      this.isProbing = true;
+      return;
+    }
+    this.#inflight.push({ lastIndex });
+    this.next = lastIndex + 1;
+  }
+
+  /** Notes that the member holds everything up to an index. */
+  accepted(match: number): void {
+    this.match = Math.max(this.match, match);
+    this.next = Math.max(this.next, this.match + 1);
+    this.#inflight = this.#inflight.filter(({ lastIndex }) => lastIndex > this.match);
+    this.isProbing = false;
+    if (this.mode === 'snapshot' && this.match < (this.transfer?.index ?? 0)) return;
+    if (this.mode !== 'stream') this.#become('stream');
+  }
+
+  /** Goes back to an index at which the logs may agree. */
+  refused(hint: number): void {
+    if (this.mode === 'snapshot') return;
+    this.#become('probe');
+    this.next = Math.max(this.match, Math.min(hint, this.next - 1)) + 1;
+  }
+
+  /** Switches to sending a snapshot, which is loaded first. */
+  beginSnapshot(): void {
+    this.#become('snapshot');
+  }
+
+  /** Gives a snapshot up. */
+  endSnapshot(): void {
+    this.#become('probe');
+  }
+
+  /** Takes in an echoed stamp. */
+  heard({ mono, wall }: LeaseStamp): void {
+    if (mono > this.stamp.mono) this.stamp = { mono, wall };
+  }
+
+  #become(mode: ProgressMode): void {
+    this.mode = mode;
+    this.#inflight = [];
+    this.isProbing = false;
+    this.transfer = undefined;
+    if (mode === 'stream') this.next = this.match + 1;
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/lib/Replica.ts
@@ -0,0 +1,327 @@
+import { err, ok, type Result } from 'neverthrow';
+import { createActor } from 'xstate';
+import { DisposableStore, Failure, assert, fail } from '@berylwood/base';
+import { Applier } from './Applier';
+import { consensusCodes } from './codes';
+import { Core } from './Core';
+import { Elector } from './Elector';
+import { EntryKind, type Entry } from './Entry';
+import { consensusEvents } from './events';
+import { Follower } from './Follower';
+import type { Identity, ReplicaName } from './ids';
+import { Joiner } from './Joiner';
+import { Leader } from './Leader';
+import { LeadershipTransfer } from './LeadershipTransfer';
+import type { Membership } from './Membership';
+import { MembershipChanger } from './MembershipChanger';
+import type { Message } from './Message';
+import { dispatch } from './dispatch';
+import { openCore } from './openCore';
+import { Proposals } from './Proposals';
+import { ReplicatedLog, type Applied, type LogStatus } from './ReplicatedLog';
+import { withDefaults, type ReplicaOptions } from './ReplicaOptions';
+import { roleMachine, type Role, type RoleEffects } from './roleMachine';
+
+/** Parts of a heartbeat interval after which deadlines are looked at. */
+const TICKS_PER_HEARTBEAT = 4;
+
+/** Election timeouts after which a transfer is not waited for any longer. */
+const TRANSFER_ELECTIONS = 3;
+
+/** What an embedder may observe of a replica beside the status of its log. @public */
+export interface ReplicaStatus extends LogStatus {
+  readonly identity: Identity;
+  readonly membership: Membership;
+  /** Why the replica has stopped, if it has. */
+  readonly failure: Failure | undefined;
+  readonly lastIndex: number;
+  readonly snapshotIndex: number;
+  /** Syncs of entries since the start. */
+  readonly syncs: number;
+}
+
+/** A leadership together with what the leader does beside replicating. */
+interface Leadership {
+  readonly leader: Leader;
+  readonly changer: MembershipChanger;
+  transfer: LeadershipTransfer | undefined;
+}
+
+/** One replica of a replicated log: keeps it on a disk and takes part in its group. @public */
+export class Replica extends ReplicatedLog {
+  /** Called when a change of the membership has bound; addresses of members are in it. */
+  onMembership: (membership: Membership) => void = () => {};
+
+  readonly #core: Core;
+
+  readonly #elector: Elector;
+
+  readonly #follower: Follower;
+
+  readonly #applier: Applier;
+
+  readonly #joiner: Joiner;
+
+  readonly #proposals: Proposals;
+
+  readonly #store = new DisposableStore();
+
+  readonly #actor;
+
+  #leadership: Leadership | undefined;
+
+  #failure: Failure | undefined;
+
+  #roleWaiters: (() => void)[] = [];
+
+  private constructor(core: Core) {
+    super();
+    this.#core = core;
+    this.#elector = new Elector(core);
+    this.#follower = new Follower(core);
+    this.#applier = new Applier(core);
+    this.#joiner = new Joiner(core);
+    const { maxProposals, maxProposalBytes } = core.settings;
+    this.#proposals = new Proposals(maxProposals, maxProposalBytes);
+    this.#actor = createActor(roleMachine, { input: { effects: this.#createEffects() } });
+  }
+
+  /**
+   * Reads the disk and starts the replica. Fails with `logDamaged`, `versionUnknown` or
+   * `diskFailed`.
+   */
+  static async open(options: ReplicaOptions): Promise<Result<Replica, Failure>> {
+    const settings = withDefaults(options);
+    assert(settings.leaseMs <= settings.electionTimeoutMs, 'a lease outlasts the election timeout');
+    assert(settings.heartbeatMs < settings.leaseMs, 'a lease ends before the next heartbeat');
+    const opened = await openCore(settings);
+    if (opened.isErr()) return err(opened.error);
+    const replica = new Replica(opened.value.core);
+    const { snapshot } = opened.value;
+    if (snapshot) replica.#applier.restore(snapshot);
+    if (replica.#failure) return err(replica.#failure);
+    replica.#start();
+    return ok(replica);
+  }
+
+  override get status(): ReplicaStatus {
+    const { identity, term, leader, commitIndex, membership, store } = this.#core;
+    return {
+      replica: identity.replica,
+      role: this.#publicRole,
+      term,
+      leader: leader?.replica,
+      commitIndex,
+      appliedIndex: this.#applier.appliedIndex,
+      identity,
+      membership: membership.latest,
+      failure: this.#failure,
+      lastIndex: store.lastIndex,
+      snapshotIndex: store.snapshotIndex,
+      syncs: store.syncs,
+    };
+  }
+
+  override async propose(command: Uint8Array): Promise<Result<Applied, Failure>> {
+    if (!this.#leadership) return this.#refuse();
+    return this.#leadership.leader.propose(command);
+  }
+
+  override async barrier(): Promise<Result<number, Failure>> {
+    if (!this.#leadership) return this.#refuse();
+    const index = this.#leadership.leader.readIndex();
+    if (index.isOk()) await this.#applier.waitFor(index.value);
+    return index;
+  }
+
+  override get holdsLease(): boolean {
+    return this.#leadership?.leader.holdsLease ?? false;
+  }
+
+  override get leaseEndsAt(): number {
+    return this.#leadership?.leader.lease.endsAt ?? 0;
+  }
+
+  override async transferLeadership(): Promise<void> {
+    const leadership = this.#leadership;
+    const successor = leadership?.leader.successor;
+    if (!leadership || !successor || leadership.transfer) return;
+    const { leader } = leadership;
+    leadership.transfer = new LeadershipTransfer(this.#core, leader, successor.incarnation);
+    leadership.transfer.tick();
+    const deadline = this.#core.now + TRANSFER_ELECTIONS * this.#core.settings.electionTimeoutMs;
+    const isOver = (): boolean =>
+      this.#core.role === 'stopped' ||
+      this.#core.now >= deadline ||
+      (this.#leadership === leadership ? !leadership.transfer : this.#core.leader !== undefined);
+    while (!isOver()) {
+      await new Promise<void>((resolve) => {
+        this.#roleWaiters.push(resolve);
+      });
+    }
+  }
+
+  /** Admits a replica by its name, as a voter or for good as a learner; it joins once it asks. */
+  async addReplica(replica: ReplicaName, voter = true): Promise<Result<void, Failure>> {
+    if (!this.#leadership) return this.#refuse();
+    return this.#leadership.changer.admit(replica, voter);
+  }
+
+  /** Removes a replica; a leader that removes itself steps down once that is committed. */
+  async removeReplica(replica: ReplicaName): Promise<Result<void, Failure>> {
+    if (!this.#leadership) return this.#refuse();
+    return this.#leadership.changer.remove(replica);
+  }
+
+  override async close(): Promise<void> {
+    this.#actor.send({ type: 'stop' });
+    await this.#core.store.close();
+  }
+
+  get #publicRole(): LogStatus['role'] {
+    const { role } = this.#core;
+    if (role === 'preCandidate') return 'candidate';
+    return role === 'stopped' ? 'follower' : role;
+  }
+
+  #refuse<T>(): Result<T, Failure> {
+    if (this.#core.role === 'stopped') {
+      const cause = this.#failure?.message ?? 'it was closed';
+      return fail(consensusCodes.stopped, `the replica is stopped: ${cause}`);
+    }
+    const { leader } = this.#core;
+    return fail(consensusCodes.notLeader, `the leader is ${leader?.replica ?? 'not known'}`);
+  }
+
+  #start(): void {
+    const core = this.#core;
+    const { timer, transport, heartbeatMs, journal } = core.settings;
+    core.sendRole = (event) => this.#actor.send(event);
+    core.onCommit = () => this.#onCommit();
+    core.onFailure = (failure) => this.#stop(failure);
+    core.store.onFailure = (failure) => this.#stop(failure);
+    core.store.onSynced = () => this.#onSynced();
+    core.store.onWriting = () => this.#leadership?.leader.replicator.replicate();
+    this.#elector.ownLeaseEnd = () => this.leaseEndsAt;
+    this.#follower.onRestore = (snapshot) => this.#applier.restore(snapshot);
+    this.#applier.onEntry = (entry, result) => this.#onEntry(entry, result);
+    transport.onMessage = (message) => this.#receive(message);
+    this.#store.add(timer.every(heartbeatMs / TICKS_PER_HEARTBEAT, () => this.#tick()));
+    this.#store.defer(() => {
+      transport.onMessage = () => {};
+    });
+    this.#actor.start();
+    core.updateVotingRole();
+    const { lastIndex } = core.store;
+    journal.record(consensusEvents.replicaOpened, { ...core.identity, term: core.term, lastIndex });
+    this.#joiner.tick();
+  }
+
+  #tick(): void {
+    const core = this.#core;
+    this.#wakeRoleWaiters();
+    if (this.#leadership) {
+      this.#leadership.leader.tick();
+      this.#leadership?.changer.tick();
+      this.#tickTransfer();
+    } else if (core.now >= core.electionDeadline && !core.installing) {
+      core.resetElectionDeadline();
+      this.#actor.send({ type: 'electionTimeout' });
+    }
+    this.#joiner.tick();
+  }
+
+  #tickTransfer(): void {
+    const leadership = this.#leadership;
+    if (!leadership?.transfer || leadership.transfer.tick()) return;
+    leadership.transfer = undefined;
+  }
+
+  #receive(message: Message): void {
+    dispatch(message, {
+      core: this.#core,
+      elector: this.#elector,
+      follower: this.#follower,
+      joiner: this.#joiner,
+      leader: this.#leadership?.leader,
+      changer: this.#leadership?.changer,
+    });
+  }
+
+  #onSynced(): void {
+    if (this.#leadership) this.#leadership.leader.advance();
+    else this.#follower.acknowledge();
+    this.#applier.saveSnapshot();
+  }
+
+  #onCommit(): void {
+    this.#applier.apply();
+    if (this.#core.role === 'leader') this.#core.updateVotingRole();
+  }
+
+  #onEntry(entry: Entry, result: Uint8Array): void {
+    this.#proposals.settle(entry.index, result);
+    if (entry.kind === EntryKind.Command) this.onApplied(entry.index, entry.data, result);
+    if (entry.kind !== EntryKind.Membership) return;
+    const { index } = entry;
+    this.#core.settings.journal.record(consensusEvents.membershipCommitted, { index });
+    this.onMembership(this.#core.membership.latest);
+  }
+
+  #createEffects(): RoleEffects {
+    const core = this.#core;
+    return {
+      skipPreVote: core.settings.unsafe.skipPreVote ?? false,
+      entered: (role) => this.#enter(role),
+      startPreVote: () => this.#elector.startPreVote(),
+      startVote: () => this.#elector.startVote(),
+      startLeading: () => this.#startLeading(),
+      stopLeading: () => this.#stopLeading(),
+      release: () => this.#store[Symbol.dispose](),
+    };
+  }
+
+  #enter(role: Role): void {
+    const core = this.#core;
+    if (core.role === role) return;
+    core.role = role;
+    core.settings.journal.record(consensusEvents.roleChanged, { role, term: core.term });
+    if (role === 'leader') core.leader = core.identity;
+  }
+
+  #startLeading(): void {
+    const leader = new Leader(this.#core, this.#proposals, this.#elector.leaseRemainingMs);
+    const changer = new MembershipChanger(this.#core, leader);
+    this.#leadership = { leader, changer, transfer: undefined };
+    leader.start();
+    this.onRole(this.status);
+  }
+
+  #stopLeading(): void {
+    const leadership = this.#leadership;
+    this.#leadership = undefined;
+    leadership?.leader[Symbol.dispose]();
+    if (this.#core.leader && this.#core.isSelf(this.#core.leader)) this.#core.leader = undefined;
+    this.#core.resetElectionDeadline();
+    this.onRole(this.status);
+    this.#wakeRoleWaiters();
+  }
+
+  #wakeRoleWaiters(): void {
+    if (this.#roleWaiters.length === 0) return;
+    const waiters = this.#roleWaiters;
+    this.#roleWaiters = [];
+    waiters.forEach((resolve) => resolve());
+  }
+
+  #stop(failure: Failure): void {
+    if (this.#failure) return;
+    this.#failure = failure;
+    const { code, message } = failure;
+    this.#core.settings.journal.record(consensusEvents.replicaStopped, {
+      code: code.name,
+      message,
+    });
+    this.#actor.send({ type: 'stop' });
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/lib/dispatch.ts
@@ -0,0 +1,104 @@
+import { unreachable } from '@berylwood/base';
+import type { Core } from './Core';
+import type { Elector } from './Elector';
+import type { Follower } from './Follower';
+import type { Joiner } from './Joiner';
+import type { Leader } from './Leader';
+import type { MembershipChanger } from './MembershipChanger';
+import type { Join, JoinReply, Message, MessageBody } from './Message';
+
+/** The parts of a replica that handle messages. @internal */
+export interface Handlers {
+  readonly core: Core;
+  readonly elector: Elector;
+  readonly follower: Follower;
+  readonly joiner: Joiner;
+  readonly leader: Leader | undefined;
+  readonly changer: MembershipChanger | undefined;
+}
+
+function as<Body extends MessageBody>(message: Message, body: Body): Message<Body> {
+  return { ...message, body };
+}
+
+/** Whether a message is meant for this life of the disk and comes from its group. */
+function isAddressed(core: Core, { to, group }: Message): boolean {
+  if (to.incarnation !== core.identity.incarnation || group === '') return false;
+  if (core.group === '') core.saveGroup(group);
+  return group === core.group;
+}
+
+function handleJoin(message: Message<Join>, { joiner, changer }: Handlers): void {
+  joiner.answer(message);
+  changer?.onJoin(message);
+}
+
+function handleTimeoutNow({ from, term }: Message, { core, elector }: Handlers): void {
+  const isFromLeader = core.leader?.incarnation === from.incarnation;
+  if (term === core.term && isFromLeader && core.isVoter && !core.installing) {
+    elector.standForTransfer();
+  }
+}
+
+/** Answers to what this replica asked in its present term. */
+function handleInTerm(message: Message, handlers: Handlers): void {
+  const { core, elector, follower, leader } = handlers;
+  const { body } = message;
+  if (message.term > core.term) {
+    core.saveTerm(message.term, '');
+    core.sendRole({ type: 'newerTerm' });
+  }
+  switch (body.type) {
+    case 'append':
+      return follower.onAppend(as(message, body));
+    case 'snapshotChunk':
+      return follower.onSnapshotChunk(as(message, body));
+    case 'preVoteReply':
+      return elector.onPreVoteReply(as(message, body));
+    default:
+  }
+  if (message.term < core.term) return undefined;
+  switch (body.type) {
+    case 'voteReply':
+      return elector.onVoteReply(as(message, body));
+    case 'appendReply':
+      return leader?.onAppendReply(as(message, body));
+    case 'snapshotReply':
+      return leader?.onSnapshotReply(as(message, body));
+    case 'timeoutNow':
+      return handleTimeoutNow(message, handlers);
+    default:
+      return undefined;
+  }
+}
+
+/** Gives a message to the part of the replica that it concerns. @internal */
+export function dispatch(message: Message, handlers: Handlers): void {
+  const { core, elector, joiner } = handlers;
+  const { body, to } = message;
+  if (core.role === 'stopped' || to.replica !== core.identity.replica) return undefined;
+  switch (body.type) {
+    case 'join':
+      return handleJoin(as<Join>(message, body), handlers);
+    case 'joinReply':
+      return joiner.onJoinReply(as<JoinReply>(message, body));
+    default:
+  }
+  if (!isAddressed(core, message)) return undefined;
+  switch (body.type) {
+    case 'preVote':
+      return elector.onPreVote(as(message, body));
+    case 'vote':
+      return elector.onVote(as(message, body));
+    case 'append':
+    case 'appendReply':
+    case 'preVoteReply':
+    case 'voteReply':
+    case 'snapshotChunk':
+    case 'snapshotReply':
+    case 'timeoutNow':
+      return handleInTerm(message, handlers);
+    default:
+      return unreachable(body);
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/lib/files.ts
@@ -0,0 +1,40 @@
+/** Names of the files of a replica and the order in which they are read. */
+
+/** Digits of numbers in file names, so that names sort by number. */
+const DIGITS = 15;
+const SEGMENT = /^log-(\d+)$/;
+const SNAPSHOT = /^snapshot-(\d+)$/;
+
+/** @internal */
+export const IDENTITY_FILE = 'identity';
+
+/** @internal */
+export const STATE_FILE = 'state';
+
+/** @internal */
+export function segmentName(number: number): string {
+  return `log-${String(number).padStart(DIGITS, '0')}`;
+}
+
+/** @internal */
+export function snapshotName(index: number): string {
+  return `snapshot-${String(index).padStart(DIGITS, '0')}`;
+}
+
+function numbersOf(names: readonly string[], pattern: RegExp): number[] {
+  const numbers = names.flatMap((name) => {
+    const found = pattern.exec(name)?.[1];
+    return found === undefined ? [] : [Number(found)];
+  });
+  return numbers.sort((a, b) => a - b);
+}
+
+/** Numbers of the segments, ascending. @internal */
+export function segmentNumbers(names: readonly string[]): number[] {
+  return numbersOf(names, SEGMENT);
+}
+
+/** Indexes of the snapshots, ascending. @internal */
+export function snapshotIndexes(names: readonly string[]): number[] {
+  return numbersOf(names, SNAPSHOT);
+}
--- /dev/null
+++ b/packages/consensus/src/lib/frame.ts
@@ -0,0 +1,59 @@
+import { crc32 } from 'node:zlib';
+
+/** Start of each frame: the letters BWLG. */
+const MAGIC = 0x42574c47;
+
+/** Magic, version, two reserved bytes, body length, checksum of the body, checksum of the header. */
+const HEADER_BYTES = 20;
+const VERSION_OFFSET = 4;
+const LENGTH_OFFSET = 8;
+const BODY_CHECKSUM_OFFSET = 12;
+const HEADER_CHECKSUM_OFFSET = 16;
+
+/** A checksummed part of a file. @internal */
+export interface Frame {
+  readonly version: number;
+  readonly body: Buffer;
+  /** Offset in the file of the byte after the frame. */
+  readonly end: number;
+}
+
+/** Encodes a body with its version and checksums. @internal */
+export function encodeFrame(version: number, body: Uint8Array): Buffer {
+  const frame = Buffer.alloc(HEADER_BYTES + body.byteLength);
+  frame.writeUInt32BE(MAGIC, 0);
+  frame.writeUInt16BE(version, VERSION_OFFSET);
+  frame.writeUInt32BE(body.byteLength, LENGTH_OFFSET);
+  frame.writeUInt32BE(crc32(body), BODY_CHECKSUM_OFFSET);
+  const header = frame.subarray(0, HEADER_CHECKSUM_OFFSET);
+  frame.writeUInt32BE(crc32(header), HEADER_CHECKSUM_OFFSET);
+  frame.set(body, HEADER_BYTES);
+  return frame;
+}
+
+/** The frame at an offset, or undefined when none is whole and unaltered there. @internal */
+export function decodeFrame(bytes: Uint8Array, offset: number): Frame | undefined {
+  const rest = Buffer.from(bytes.buffer, bytes.byteOffset + offset, bytes.byteLength - offset);
+  if (rest.byteLength < HEADER_BYTES || rest.readUInt32BE(0) !== MAGIC) return undefined;
+  const header = rest.subarray(0, HEADER_CHECKSUM_OFFSET);
+  if (rest.readUInt32BE(HEADER_CHECKSUM_OFFSET) !== crc32(header)) return undefined;
+  const length = rest.readUInt32BE(LENGTH_OFFSET);
+  if (rest.byteLength < HEADER_BYTES + length) return undefined;
+  const body = rest.subarray(HEADER_BYTES, HEADER_BYTES + length);
+  if (rest.readUInt32BE(BODY_CHECKSUM_OFFSET) !== crc32(body)) return undefined;
+  const version = rest.readUInt16BE(VERSION_OFFSET);
+  return { version, body, end: offset + HEADER_BYTES + length };
+}
+
+/** Whether a whole frame begins anywhere after the offset. @internal */
+export function hasFrameAfter(bytes: Uint8Array, offset: number): boolean {
+  const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+  const magic = Buffer.alloc(4);
+  magic.writeUInt32BE(MAGIC, 0);
+  let found = buffer.indexOf(magic, offset + 1);
+  while (found >= 0) {
+    if (decodeFrame(bytes, found)) return true;
+    found = buffer.indexOf(magic, found + 1);
+  }
+  return false;
+}
--- /dev/null
+++ b/packages/consensus/src/lib/openCore.ts
@@ -0,0 +1,78 @@
+import { err, ok, type Result } from 'neverthrow';
+import { Failure, fail } from '@berylwood/base';
+import { consensusCodes } from './codes';
+import { Core } from './Core';
+import { EntryKind } from './Entry';
+import { consensusEvents } from './events';
+import { IDENTITY_FILE } from './files';
+import { encodeFrame } from './frame';
+import { createIncarnation, type Identity } from './ids';
+import { LogStore } from './LogStore';
+import { decodeMembership } from './Membership';
+import { MembershipHistory } from './MembershipHistory';
+import { RECORD_VERSION, encodeJson, type Snapshot } from './records';
+import { recover, type Recovered } from './recover';
+import type { ReplicaSettings } from './ReplicaOptions';
+
+interface Opened {
+  readonly core: Core;
+  readonly snapshot: Snapshot | undefined;
+}
+
+/** Reads the identity of a disk, or gives an empty disk a new one. */
+async function takeIdentity(
+  { disk, replica, unsafe }: ReplicaSettings,
+  recovered: Recovered,
+): Promise<Result<Identity, Failure>> {
+  const known = recovered.identity;
+  if (known?.replica === replica) return ok(known);
+  if (known) {
+    const message = `the disk belongs to the replica ${known.replica}, not ${replica}`;
+    return fail(consensusCodes.logDamaged, message);
+  }
+  if (recovered.entries.length > 0 || recovered.snapshot || recovered.state.term > 0) {
+    return fail(consensusCodes.logDamaged, 'the identity of the replica is missing');
+  }
+  const identity = { replica, incarnation: unsafe.incarnation ?? createIncarnation() };
+  await disk.replace(IDENTITY_FILE, encodeFrame(RECORD_VERSION, encodeJson(identity)));
+  return ok(identity);
+}
+
+function readMemberships({ snapshot, entries }: Recovered): MembershipHistory {
+  const history = new MembershipHistory();
+  if (snapshot) history.reset(snapshot.index, snapshot.membership);
+  for (const { kind, index, data } of entries) {
+    if (kind === EntryKind.Membership) history.add(index, decodeMembership(data));
+  }
+  return history;
+}
+
+async function open(settings: ReplicaSettings): Promise<Result<Opened, Failure>> {
+  const { disk, timer, leaseMs, journal, segmentBytes, batchBytes, trailingEntries } = settings;
+  const read = await recover(disk);
+  if (read.isErr()) return err(read.error);
+  const recovered = read.value;
+  const { snapshot, cutBytes } = recovered;
+  if (cutBytes > 0) journal.record(consensusEvents.tailCut, { bytes: cutBytes });
+  const identity = await takeIdentity(settings, recovered);
+  if (identity.isErr()) return err(identity.error);
+  const limits = { segmentBytes, syncBytes: batchBytes, trailingEntries };
+  const core = new Core({
+    settings,
+    identity: identity.value,
+    store: new LogStore(disk, recovered, limits),
+    membership: readMemberships(recovered),
+    // An incarnation that is new has granted nothing.
+    unknownLeaseUntil: recovered.identity ? timer.now() + leaseMs : 0,
+  });
+  return ok({ core, snapshot });
+}
+
+/** Reads the disk of a replica. @internal */
+export async function openCore(settings: ReplicaSettings): Promise<Result<Opened, Failure>> {
+  try {
+    return await open(settings);
+  } catch (error) {
+    return fail(consensusCodes.diskFailed, `the disk failed: ${String(error)}`, { cause: error });
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/lib/records.ts
@@ -0,0 +1,105 @@
+import type { Entry, EntryKind } from './Entry';
+import type { GroupId, Identity, Incarnation } from './ids';
+import { decodeMembership, encodeMembership, type Membership } from './Membership';
+
+/** Version in which records are written. @internal */
+export const RECORD_VERSION = 1;
+
+/** What a vote must not forget. @internal */
+export interface HardState {
+  readonly term: number;
+  /** Incarnation that got the vote of this term, or empty. */
+  readonly vote: Incarnation | '';
+  readonly group: GroupId | '';
+  /** Whether this incarnation has been a member; one that was removed does not ask to join again. */
+  readonly wasMember: boolean;
+}
+
+/** A snapshot together with the place in the log that it stands for. @internal */
+export interface Snapshot {
+  readonly index: number;
+  readonly term: number;
+  readonly membership: Membership;
+  /** Number of the first segment whose entries belong to the log after the snapshot. */
+  readonly firstSegment: number;
+  /** State of the embedder's state machine. */
+  readonly state: Uint8Array;
+}
+
+/** Kind, index, term and length of the data. */
+const ENTRY_HEADER_BYTES = 17;
+const INTEGER_BYTES = 6;
+const INDEX_OFFSET = 1;
+const TERM_OFFSET = 7;
+const LENGTH_OFFSET = 13;
+
+/** Encodes entries that are written and synced together. @internal */
+export function encodeEntries(entries: readonly Entry[]): Buffer {
+  const parts = entries.flatMap((entry) => {
+    const header = Buffer.alloc(ENTRY_HEADER_BYTES);
+    header.writeUInt8(entry.kind, 0);
+    header.writeUIntBE(entry.index, INDEX_OFFSET, INTEGER_BYTES);
+    header.writeUIntBE(entry.term, TERM_OFFSET, INTEGER_BYTES);
+    header.writeUInt32BE(entry.data.byteLength, LENGTH_OFFSET);
+    return [header, entry.data];
+  });
+  return Buffer.concat(parts);
+}
+
+/** @internal */
+export function decodeEntries(body: Buffer): Entry[] {
+  const entries: Entry[] = [];
+  let offset = 0;
+  while (offset < body.byteLength) {
+    const start = offset + ENTRY_HEADER_BYTES;
+    const end = start + body.readUInt32BE(offset + LENGTH_OFFSET);
+    entries.push({
+      kind: body.readUInt8(offset),
+      index: body.readUIntBE(offset + INDEX_OFFSET, INTEGER_BYTES),
+      term: body.readUIntBE(offset + TERM_OFFSET, INTEGER_BYTES),
+      // A copy, so that an entry in memory does not keep its whole segment there.
+      data: new Uint8Array(body.subarray(start, end)),
+    });
+    offset = end;
+  }
+  return entries;
+}
+
+/** Index, term, first segment and length of the membership. */
+const SNAPSHOT_HEADER_BYTES = 22;
+const SNAPSHOT_TERM_OFFSET = 6;
+const SNAPSHOT_SEGMENT_OFFSET = 12;
+const SNAPSHOT_LENGTH_OFFSET = 18;
+
+/** @internal */
+export function encodeSnapshot(snapshot: Snapshot): Buffer {
+  const membership = encodeMembership(snapshot.membership);
+  const header = Buffer.alloc(SNAPSHOT_HEADER_BYTES);
+  header.writeUIntBE(snapshot.index, 0, INTEGER_BYTES);
+  header.writeUIntBE(snapshot.term, SNAPSHOT_TERM_OFFSET, INTEGER_BYTES);
+  header.writeUIntBE(snapshot.firstSegment, SNAPSHOT_SEGMENT_OFFSET, INTEGER_BYTES);
+  header.writeUInt32BE(membership.byteLength, SNAPSHOT_LENGTH_OFFSET);
+  return Buffer.concat([header, membership, snapshot.state]);
+}
+
+/** @internal */
+export function decodeSnapshot(body: Buffer): Snapshot {
+  const end = SNAPSHOT_HEADER_BYTES + body.readUInt32BE(SNAPSHOT_LENGTH_OFFSET);
+  return {
+    index: body.readUIntBE(0, INTEGER_BYTES),
+    term: body.readUIntBE(SNAPSHOT_TERM_OFFSET, INTEGER_BYTES),
+    firstSegment: body.readUIntBE(SNAPSHOT_SEGMENT_OFFSET, INTEGER_BYTES),
+    membership: decodeMembership(body.subarray(SNAPSHOT_HEADER_BYTES, end)),
+    state: new Uint8Array(body.subarray(end)),
+  };
+}
+
+/** @internal */
+export function encodeJson(value: HardState | Identity): Buffer {
+  return Buffer.from(JSON.stringify(value));
+}
+
+/** @internal */
+export function decodeJson<T extends HardState | Identity>(body: Buffer): T {
+  return JSON.parse(body.toString()) as T;
+}
--- /dev/null
+++ b/packages/consensus/src/lib/recover.ts
@@ -0,0 +1,187 @@
+import { err, ok, type Result } from 'neverthrow';
+import { Failure, fail } from '@berylwood/base';
+import { consensusCodes } from './codes';
+import type { Disk } from './Disk';
+import type { Entry } from './Entry';
+import {
+  IDENTITY_FILE,
+  STATE_FILE,
+  segmentName,
+  segmentNumbers,
+  snapshotIndexes,
+  snapshotName,
+} from './files';
+import { decodeFrame, hasFrameAfter } from './frame';
+import type { Identity } from './ids';
+import { migrate, type RecordKind } from './migrations';
+import {
+  decodeEntries,
+  decodeJson,
+  decodeSnapshot,
+  type HardState,
+  type Snapshot,
+} from './records';
+
+/** A segment and the greatest index in it, which decides when it may go. @internal */
+export interface Segment {
+  readonly number: number;
+  lastIndex: number;
+  bytes: number;
+}
+
+/** What the files of a replica held. @internal */
+export interface Recovered {
+  readonly identity: Identity | undefined;
+  readonly state: HardState;
+  readonly snapshot: Snapshot | undefined;
+  /** Entries after the snapshot. */
+  readonly entries: readonly Entry[];
+  readonly segments: readonly Segment[];
+  /** Bytes of an interrupted write that were cut. */
+  readonly cutBytes: number;
+}
+
+const INITIAL_STATE: HardState = { term: 0, vote: '', group: '', wasMember: false };
+
+/** Reads a file that is replaced as a whole; undefined if it is missing. */
+async function readWhole(
+  disk: Disk,
+  names: readonly string[],
+  name: string,
+  kind: RecordKind,
+): Promise<Result<Buffer | undefined, Failure>> {
+  if (!names.includes(name)) return ok(undefined);
+  const bytes = await disk.read(name);
+  const frame = decodeFrame(bytes, 0);
+  if (!frame || frame.end !== bytes.byteLength) {
+    return fail(consensusCodes.logDamaged, `the file ${name} is damaged`);
+  }
+  return migrate(kind, frame);
+}
+
+/** Collects entries over all segments; a later entry replaces those from its index on. */
+class EntryCollector {
+  readonly #snapshot: Snapshot | undefined;
+
+  entries: Entry[] = [];
+
+  constructor(snapshot: Snapshot | undefined) {
+    this.#snapshot = snapshot;
+  }
+
+  get #base(): number {
+    return this.#snapshot?.index ?? 0;
+  }
+
+  /** False when an entry is missing before the one that was read. */
+  add(entry: Entry): boolean {
+    const expected = (this.entries.at(-1)?.index ?? this.#base) + 1;
+    if (entry.index > expected) return false;
+    const first = this.entries[0]?.index ?? entry.index;
+    this.entries.length = Math.max(0, entry.index - first);
+    this.entries.push(entry);
+    return true;
+  }
+
+  /** Whether the entry that the snapshot stands for, if it is there, is of the same term. */
+  get agrees(): boolean {
+    const same = this.entries.find((entry) => entry.index === this.#base);
+    return !same || same.term === this.#snapshot?.term;
+  }
+
+  get afterSnapshot(): Entry[] {
+    return this.entries.filter((entry) => entry.index > this.#base);
+  }
+}
+
+interface SegmentScan {
+  readonly segment: Segment;
+  /** Length of the part that is whole. */
+  readonly wholeBytes: number;
+}
+
+function scanSegment(
+  number: number,
+  bytes: Uint8Array,
+  collector: EntryCollector,
+): Result<SegmentScan, Failure> {
+  const segment: Segment = { number, lastIndex: 0, bytes: bytes.byteLength };
+  let offset = 0;
+  for (let frame = decodeFrame(bytes, 0); frame; frame = decodeFrame(bytes, offset)) {
+    const body = migrate('entries', frame);
+    if (body.isErr()) return err(body.error);
+    for (const entry of decodeEntries(body.value)) {
+      if (!collector.add(entry)) {
+        const message = `entries are missing before ${entry.index} in ${segmentName(number)}`;
+        return fail(consensusCodes.logDamaged, message);
+      }
+      segment.lastIndex = Math.max(segment.lastIndex, entry.index);
+    }
+    offset = frame.end;
+  }
+  return ok({ segment, wholeBytes: offset });
+}
+
+/** Reads the segments in order and cuts an interrupted write at the end of the last one. */
+async function readSegments(
+  disk: Disk,
+  numbers: readonly number[],
+  collector: EntryCollector,
+): Promise<Result<{ segments: Segment[]; cutBytes: number }, Failure>> {
+  const segments: Segment[] = [];
+  let cutBytes = 0;
+  for (const number of numbers) {
+    const name = segmentName(number);
+    const bytes = await disk.read(name);
+    const scan = scanSegment(number, bytes, collector);
+    if (scan.isErr()) return err(scan.error);
+    const { segment, wholeBytes } = scan.value;
+    if (wholeBytes < bytes.byteLength) {
+      // Frames are synced one after another: one that follows proves that the bad part was synced.
+      if (number !== numbers.at(-1) || hasFrameAfter(bytes, wholeBytes)) {
+        const message = `${name} is damaged at byte ${wholeBytes}, before data that is whole`;
+        return fail(consensusCodes.logDamaged, message);
+      }
+      cutBytes = bytes.byteLength - wholeBytes;
+      await disk.truncate(name, wholeBytes);
+      segment.bytes = wholeBytes;
+    }
+    segments.push(segment);
+  }
+  return ok({ segments, cutBytes });
+}
+
+/**
+ * Reads what a replica has kept, and cuts a torn tail.
+ * Fails with `logDamaged` or `versionUnknown`; rejects with the error of the disk.
+ * @internal
+ */
+export async function recover(disk: Disk): Promise<Result<Recovered, Failure>> {
+  const names = await disk.list();
+  const identity = await readWhole(disk, names, IDENTITY_FILE, 'identity');
+  if (identity.isErr()) return err(identity.error);
+  const state = await readWhole(disk, names, STATE_FILE, 'state');
+  if (state.isErr()) return err(state.error);
+  const index = snapshotIndexes(names).at(-1);
+  const name = index === undefined ? '' : snapshotName(index);
+  const snapshotBody = await readWhole(disk, names, name, 'snapshot');
+  if (snapshotBody.isErr()) return err(snapshotBody.error);
+  const snapshot = snapshotBody.value && decodeSnapshot(snapshotBody.value);
+  const collector = new EntryCollector(snapshot);
+  const firstSegment = snapshot?.firstSegment ?? 0;
+  const numbers = segmentNumbers(names).filter((number) => number >= firstSegment);
+  const replaced = segmentNumbers(names).filter((number) => number < firstSegment);
+  for (const number of replaced) await disk.remove(segmentName(number));
+  const read = await readSegments(disk, numbers, collector);
+  if (!collector.agrees) {
+    return fail(consensusCodes.logDamaged, 'the log disagrees with the latest snapshot');
+  }
+  return read.map(({ segments, cutBytes }) => ({
+    identity: identity.value && decodeJson<Identity>(identity.value),
+    state: state.value ? decodeJson<HardState>(state.value) : INITIAL_STATE,
+    snapshot,
+    entries: collector.afterSnapshot,
+    segments,
+    cutBytes,
+  }));
+}
--- /dev/null
+++ b/packages/consensus/src/simulation/SimulatedCluster.ts
@@ -0,0 +1,194 @@
+import { Random, VirtualTimer, createSilentJournal, type Journal } from '@berylwood/base';
+import { createReplicaName, type ReplicaName } from '../lib/ids';
+import { Replica } from '../lib/Replica';
+import type { ReplicaOptions, UnsafeDeviations } from '../lib/ReplicaOptions';
+import { RegisterMachine } from './RegisterMachine';
+import { SimulatedDisk } from './SimulatedDisk';
+import { SimulatedNetwork, SimulatedTransport } from './SimulatedNetwork';
+import { SimulatedTimer } from './SimulatedTimer';
+
+/** Settings of a simulated cluster. */
+export interface ClusterOptions {
+  readonly seed: number;
+  readonly names: readonly string[];
+  /** Clock rates lie within this relative bound around 1. */
+  readonly clockRateSpread?: number;
+  readonly replica?: Partial<ReplicaOptions>;
+  readonly unsafe?: UnsafeDeviations;
+}
+
+const DEFAULT_TIMES = { heartbeatMs: 20, leaseMs: 120, electionTimeoutMs: 140 };
+const MAX_ORIGIN_MS = 100_000;
+
+/** One machine: its disk outlives the processes that run on it. */
+export class SimulatedNode {
+  readonly name: ReplicaName;
+
+  readonly disk: SimulatedDisk;
+
+  replica: Replica | undefined;
+
+  machine = new RegisterMachine();
+
+  timer: SimulatedTimer;
+
+  /** Code of the failure that kept the replica from opening. */
+  refusal: string | undefined;
+
+  constructor(name: ReplicaName, disk: SimulatedDisk, timer: SimulatedTimer) {
+    this.name = name;
+    this.disk = disk;
+    this.timer = timer;
+  }
+
+  /** The running replica, unless its process is frozen. */
+  get active(): Replica | undefined {
+    return this.timer.isFrozen ? undefined : this.replica;
+  }
+}
+
+/** Replicas of the real code on simulated clocks, disks and a network, all from one seed. */
+export class SimulatedCluster {
+  readonly base = new VirtualTimer();
+
+  readonly random: Random;
+
+  readonly network: SimulatedNetwork;
+
+  readonly nodes: SimulatedNode[];
+
+  /** Called when a replica applies a command. */
+  onApplied: (node: SimulatedNode, index: number, command: Uint8Array) => void = () => {};
+
+  readonly #options: ClusterOptions;
+
+  readonly #journal: Journal;
+
+  constructor(options: ClusterOptions) {
+    this.#options = options;
+    this.random = new Random(options.seed);
+    this.network = new SimulatedNetwork(this.base, this.random);
+    this.#journal = createSilentJournal(this.base);
+    this.nodes = options.names.map((name) => this.#createNode(createReplicaName(name)));
+  }
+
+  get leader(): SimulatedNode | undefined {
+    const leaders = this.nodes.filter((node) => node.replica?.status.role === 'leader');
+    leaders.sort((a, b) => (b.replica?.status.term ?? 0) - (a.replica?.status.term ?? 0));
+    return leaders[0];
+  }
+
+  node(name: string): SimulatedNode {
+    const found = this.nodes.find((node) => node.name === name);
+    if (!found) throw new Error(`no node ${name}`);
+    return found;
+  }
+
+  /** Adds a machine with an empty disk. */
+  add(name: string): SimulatedNode {
+    const node = this.#createNode(createReplicaName(name));
+    this.nodes.push(node);
+    return node;
+  }
+
+  async startAll(): Promise<void> {
+    for (const node of this.nodes) await this.start(node);
+  }
+
+  /** Starts a process on a machine; the replica opens once its disk has been read. */
+  async start(node: SimulatedNode, unsafe = this.#options.unsafe): Promise<void> {
+    if (node.replica) return;
+    const { name } = node;
+    node.timer = this.#createTimer();
+    node.machine = new RegisterMachine();
+    node.refusal = undefined;
+    const { timer, machine, disk } = node;
+    disk.resume = (callback) => timer.run(callback);
+    const transport = new SimulatedTransport(this.network, name);
+    this.network.attach(name, (message) => timer.run(() => transport.onMessage(message)));
+    const { names } = this.#options;
+    const opening = Replica.open({
+      ...DEFAULT_TIMES,
+      ...this.#options.replica,
+      replica: name,
+      machine,
+      transport,
+      disk,
+      timer,
+      random: this.random,
+      journal: this.#journal,
+      seeds: names.filter((item) => item !== name).map(createReplicaName),
+      founder: name === names[0],
+      unsafe,
+    });
+    const opened = await this.#settle(opening, timer);
+    if (!opened) return;
+    if (opened.isErr()) node.refusal = opened.error.code.name;
+    else this.#attach(node, opened.value);
+  }
+
+  /** Stops a machine in the middle of what it does. */
+  crash(node: SimulatedNode): void {
+    const { replica } = node;
+    node.replica = undefined;
+    node.timer.end();
+    if (replica) replica.onApplied = () => {};
+    node.disk.crash();
+    this.network.attach(node.name, () => {});
+  }
+
+  /** Runs until the time has passed. */
+  async run(durationMs: number): Promise<void> {
+    await this.runUntil(() => false, durationMs);
+  }
+
+  /** Runs until the condition holds; false if it does not within the time. */
+  async runUntil(condition: () => boolean, limitMs: number): Promise<boolean> {
+    const end = this.base.now() + limitMs;
+    for (;;) {
+      if (condition()) return true;
+      const next = Math.min(this.base.nextAt ?? end, end);
+      this.base.advance(next - this.base.now());
+      await drain();
+      if (next >= end) return condition();
+    }
+  }
+
+  #createNode(name: ReplicaName): SimulatedNode {
+    return new SimulatedNode(name, new SimulatedDisk(this.base, this.random), this.#createTimer());
+  }
+
+  #createTimer(): SimulatedTimer {
+    const spread = this.#options.clockRateSpread ?? 0;
+    const rate = 1 + this.random.between(-spread, spread);
+    const origin = this.random.below(MAX_ORIGIN_MS);
+    return new SimulatedTimer(this.base, rate, origin, this.random.below(MAX_ORIGIN_MS));
+  }
+
+  #attach(node: SimulatedNode, replica: Replica): void {
+    node.replica = replica;
+    replica.onApplied = (index, command) => this.onApplied(node, index, command);
+  }
+
+  /** Waits for a promise while time goes on; undefined if the process ends before. */
+  async #settle<T>(promise: Promise<T>, timer: SimulatedTimer): Promise<T | undefined> {
+    let value: T | undefined;
+    promise.then(
+      (result) => {
+        value = result;
+      },
+      () => {},
+    );
+    await drain();
+    const isOver = (): boolean => value !== undefined || timer.isEnded;
+    await this.runUntil(isOver, MAX_ORIGIN_MS);
+    return value;
+  }
+}
+
+/** Lets all promises settle that need no time to pass. */
+export function drain(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
