Explore random schedules of faults against the replicas

Concurrent clients on a register, a linearizability checker after Wing, Gong and Lowe, and checks between any two events. Two faults of the replicas were found: with the previous membership asked until the commit was known, a restart could leave a group without a quorum for good; a replacement is now a joint membership that a second entry settles.

--- a/packages/consensus/src/lib/Core.ts
+++ b/packages/consensus/src/lib/Core.ts
@@ -4,7 +4,7 @@
 import { consensusEvents } from './events';
 import type { GroupId, Identity, Incarnation, ReplicaName } from './ids';
 import type { LogStore } from './LogStore';
-import { decodeMembership } from './Membership';
+import { decodeMembership, quorumSets } from './Membership';
 import type { MembershipHistory } from './MembershipHistory';
 import type { MessageBody, Message } from './Message';
 import type { HardState } from './records';
@@ -111,25 +111,17 @@
   }
 
   /** Voter sets of which each must agree. */
-  get quorums(): Incarnation[][] {
-    return this.membership.quorums(this.#commitIndex);
+  get quorums(): (readonly Incarnation[])[] {
+    return quorumSets(this.membership.latest);
   }
 
   isSelf(identity: Pick<Identity, 'incarnation'>): boolean {
     return identity.incarnation === this.identity.incarnation;
   }
 
-  /** Members to send to, including voters that an uncommitted change removes. */
+  /** The other members. */
   get peers(): Identity[] {
-    const known = new Map<Incarnation, Identity>();
-    const previous = this.membership.at(this.membership.latestIndex - 1);
-    const uncommitted = this.membership.latestIndex > this.#commitIndex;
-    const memberships = uncommitted ? [previous, this.membership.latest] : [this.membership.latest];
-    for (const { members } of memberships) {
-      for (const member of members) known.set(member.incarnation, member);
-    }
-    known.delete(this.identity.incarnation);
-    return [...known.values()];
+    return this.membership.latest.members.filter((member) => !this.isSelf(member));
   }
 
   /** Adds entries to the log; memberships among them bind at once. */
--- a/packages/consensus/src/lib/Membership.ts
+++ b/packages/consensus/src/lib/Membership.ts
@@ -24,6 +24,11 @@
 export interface Membership {
   readonly members: readonly Member[];
   readonly admitted: readonly Admission[];
+  /**
+   * Voters before a replacement of one incarnation by another, until that is settled: meanwhile
+   * each decision also needs a quorum of these, as the two sets have quorums without a common voter.
+   */
+  readonly outgoing?: readonly Incarnation[];
 }
 
 /** Membership of a replica that belongs to no group yet. @internal */
@@ -38,8 +43,8 @@
 
 /** @internal */
 export function decodeMembership(data: Uint8Array): Membership {
-  const { members, admitted } = JSON.parse(Buffer.from(data).toString()) as Membership;
-  return { members, admitted };
+  const { members, admitted, outgoing } = JSON.parse(Buffer.from(data).toString()) as Membership;
+  return outgoing ? { members, admitted, outgoing } : { members, admitted };
 }
 
 /** Incarnations that vote. @internal */
@@ -47,6 +52,12 @@
   return membership.members.filter(({ kind }) => kind === 'voter').map((item) => item.incarnation);
 }
 
+/** Voter sets of which each must agree. @internal */
+export function quorumSets(membership: Membership): (readonly Incarnation[])[] {
+  const { outgoing } = membership;
+  return outgoing ? [voters(membership), outgoing] : [voters(membership)];
+}
+
 /** Replicas needed for a decision among this many voters. @internal */
 export function majority(count: number): number {
   return Math.floor(count / 2) + 1;
@@ -58,7 +69,7 @@
  * @internal
  */
 export function quorumValue(
-  sets: readonly Incarnation[][],
+  sets: readonly (readonly Incarnation[])[],
   valueOf: (incarnation: Incarnation) => number,
 ): number {
   const values = sets.map((set) => {
@@ -91,7 +102,16 @@
   const joiner = membership.members.find((item) => item.incarnation === incarnation);
   if (!joiner) return membership;
   const others = membership.members.filter((item) => item.replica !== joiner.replica);
-  return { ...membership, members: [...others, { ...joiner, kind: 'voter' }] };
+  const members: Member[] = [...others, { ...joiner, kind: 'voter' }];
+  const before = voters(membership);
+  const isReplacement = before.some((item) => others.every((other) => other.incarnation !== item));
+  const { admitted } = membership;
+  return isReplacement ? { members, admitted, outgoing: before } : { members, admitted };
+}
+
+/** Ends a replacement that is committed. @internal */
+export function withoutOutgoing({ members, admitted }: Membership): Membership {
+  return { members, admitted };
 }
 
 /** Permits a replica to join. @internal */
--- a/packages/consensus/src/lib/MembershipChanger.ts
+++ b/packages/consensus/src/lib/MembershipChanger.ts
@@ -4,20 +4,22 @@
 import type { Core } from './Core';
 import { EntryKind } from './Entry';
 import { consensusEvents } from './events';
-import type { Identity, ReplicaName } from './ids';
+import type { Identity, Incarnation, ReplicaName } from './ids';
 import type { Leader } from './Leader';
 import {
   encodeMembership,
+  majority,
   voters,
   withAdmission,
   withJoiner,
   withPromoted,
+  withoutOutgoing,
   withoutReplica,
   type Membership,
 } from './Membership';
 import type { Join, Message } from './Message';
 
-/** A learner is promoted only if it has answered within this many heartbeats. */
+/** A member counts as reachable if it has answered within this many heartbeats. */
 const RECENT_HEARTBEATS = 5;
 
 interface Request {
@@ -50,7 +52,12 @@
       (item) => item.replica === replica,
     );
     if (!isKnown) return fail(consensusCodes.membershipInvalid, `no replica is named ${replica}`);
-    return this.#change(withoutReplica(this.#latest, replica));
+    const remaining = withoutReplica(this.#latest, replica);
+    const reachable = voters(remaining).filter((incarnation) => this.#isReachable(incarnation));
+    if (reachable.length < majority(voters(remaining).length)) {
+      return fail(consensusCodes.membershipInvalid, 'most of the remaining voters do not answer');
+    }
+    return this.#change(remaining);
   }
 
   /** Notes a request to join, if the replica is expected. */
@@ -67,9 +74,13 @@
     this.tick();
   }
 
-  /** Starts the next change that is due: a request to join, or a promotion. */
+  /** Starts the next change that is due: the end of a replacement, a joiner, or a promotion. */
   tick(): void {
     if (!this.#isReady) return;
+    if (this.#latest.outgoing) {
+      this.#append(withoutOutgoing(this.#latest));
+      return;
+    }
     const [request] = this.#requests.values();
     if (request) {
       this.#requests.delete(request.identity.replica);
@@ -94,11 +105,16 @@
 
   /** Whether a learner has synced everything committed, and answers. */
   #isSynced({ incarnation }: Identity): boolean {
-    const { now, settings, commitIndex } = this.#core;
     const progress = this.#leader.progress(incarnation);
-    if (!progress) return false;
-    const isRecent = now - progress.stamp.mono <= RECENT_HEARTBEATS * settings.heartbeatMs;
-    return isRecent && progress.match >= commitIndex;
+    if (!progress || progress.match < this.#core.commitIndex) return false;
+    return this.#isReachable(incarnation);
+  }
+
+  #isReachable(incarnation: Incarnation): boolean {
+    if (this.#core.isSelf({ incarnation })) return true;
+    const { now, settings } = this.#core;
+    const heardAt = this.#leader.progress(incarnation)?.stamp.mono ?? -Infinity;
+    return now - heardAt <= RECENT_HEARTBEATS * settings.heartbeatMs;
   }
 
   #join({ identity, address }: Request): void {
@@ -111,7 +127,7 @@
   }
 
   async #change(membership: Membership): Promise<Result<void, Failure>> {
-    if (!this.#isReady) {
+    if (!this.#isReady || this.#latest.outgoing) {
       return fail(consensusCodes.membershipBusy, 'another change is not committed yet');
     }
     if (voters(membership).length === 0) {
--- a/packages/consensus/src/lib/MembershipHistory.ts
+++ b/packages/consensus/src/lib/MembershipHistory.ts
@@ -1,17 +1,12 @@
 import type { Incarnation } from './ids';
-import { EMPTY_MEMBERSHIP, voters, type Member, type Membership } from './Membership';
+import { EMPTY_MEMBERSHIP, type Member, type Membership } from './Membership';
 
 interface Version {
   readonly index: number;
   readonly membership: Membership;
 }
 
-/**
- * The memberships in the log. The latest one binds as soon as it is in the log; until it is known
- * to be committed, a decision needs a quorum of it and one of the membership before it, so that
- * replacing one incarnation by another leaves no two quorums without a common voter.
- * @internal
- */
+/** The memberships in the log; the latest one binds as soon as it is in the log. @internal */
 export class MembershipHistory {
   #versions: Version[] = [{ index: 0, membership: EMPTY_MEMBERSHIP }];
 
@@ -53,14 +48,6 @@
     if (first > 0) this.#versions = this.#versions.slice(first);
   }
 
-  /** Voter sets of which each must agree. */
-  quorums(commitIndex: number): Incarnation[][] {
-    const previous = this.#versions.at(-2);
-    const latest = voters(this.latest);
-    if (!previous || this.latestIndex <= commitIndex || previous.index === 0) return [latest];
-    return [voters(previous.membership), latest];
-  }
-
   /** The member of an incarnation in the latest membership. */
   find(incarnation: Incarnation): Member | undefined {
     return this.latest.members.find((item) => item.incarnation === incarnation);
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -12,7 +12,7 @@
 import { Joiner } from './Joiner';
 import { Leader } from './Leader';
 import { LeadershipTransfer } from './LeadershipTransfer';
-import type { Membership } from './Membership';
+import { decodeMembership, type Membership } from './Membership';
 import { MembershipChanger } from './MembershipChanger';
 import type { Message } from './Message';
 import { dispatch } from './dispatch';
@@ -49,7 +49,7 @@
 
 /** One replica of a replicated log: keeps it on a disk and takes part in its group. @public */
 export class Replica extends ReplicatedLog {
-  /** Called when a change of the membership has bound; addresses of members are in it. */
+  /** Called when a change of the membership is committed; addresses of members are in it. */
   onMembership: (membership: Membership) => void = () => {};
 
   readonly #core: Core;
@@ -265,7 +265,7 @@
     if (entry.kind !== EntryKind.Membership) return;
     const { index } = entry;
     this.#core.settings.journal.record(consensusEvents.membershipCommitted, { index });
-    this.onMembership(this.#core.membership.latest);
+    this.onMembership(decodeMembership(entry.data));
   }
 
   #createEffects(): RoleEffects {
--- a/packages/consensus/src/lib/migrations.ts
+++ b/packages/consensus/src/lib/migrations.ts
@@ -30,7 +30,7 @@
     return err(new Failure(consensusCodes.versionUnknown, message));
   }
   let { body } = frame;
-  for (let {version} = frame; version < target; version += 1) {
+  for (let { version } = frame; version < target; version += 1) {
     const from = version;
     const step = migrations.find((item) => item.kind === kind && item.from === from);
     if (step) body = step.apply(body);
--- a/packages/consensus/src/lib/records.ts
+++ b/packages/consensus/src/lib/records.ts
@@ -1,4 +1,4 @@
-import type { Entry, EntryKind } from './Entry';
+import type { Entry } from './Entry';
 import type { GroupId, Identity, Incarnation } from './ids';
 import { decodeMembership, encodeMembership, type Membership } from './Membership';
 
--- a/packages/consensus/src/simulation/RegisterMachine.ts
+++ b/packages/consensus/src/simulation/RegisterMachine.ts
@@ -1,34 +1,35 @@
 import { StateMachine } from '../lib/StateMachine';
+import { registerSpecification, type RegisterAction } from './registerSpecification';
 
-/** An operation on the register. */
-export type RegisterOperation =
-  | { readonly type: 'write'; readonly id: number; readonly value: number }
-  | {
-      readonly type: 'swap';
-      readonly id: number;
-      readonly expected: number;
-      readonly value: number;
-    };
+/** An action as it is replicated. */
+export interface RegisterCommand {
+  readonly id: number;
+  readonly action: RegisterAction;
+}
 
-/** A register of one number, with the ids of the operations that it has seen in order. */
-export class RegisterMachine extends StateMachine {
-  value = 0;
+export function encodeCommand(command: RegisterCommand): Uint8Array {
+  return Buffer.from(JSON.stringify(command));
+}
 
-  applied: number[] = [];
+export function decodeCommand(data: Uint8Array): RegisterCommand {
+  return JSON.parse(Buffer.from(data).toString()) as RegisterCommand;
+}
+
+/** A register of one number. */
+export class RegisterMachine extends StateMachine {
+  value = registerSpecification.initial;
 
   override apply(_index: number, command: Uint8Array): Uint8Array {
-    const operation = JSON.parse(Buffer.from(command).toString()) as RegisterOperation;
-    this.applied.push(operation.id);
-    const before = this.value;
-    if (operation.type === 'write' || before === operation.expected) this.value = operation.value;
-    return Buffer.from(String(before));
+    const { state, output } = registerSpecification.step(this.value, decodeCommand(command).action);
+    this.value = state;
+    return Buffer.from(String(output));
   }
 
   override snapshot(): Uint8Array {
-    return Buffer.from(JSON.stringify([this.value, this.applied]));
+    return Buffer.from(String(this.value));
   }
 
   override restore(snapshot: Uint8Array): void {
-    [this.value, this.applied] = JSON.parse(Buffer.from(snapshot).toString()) as [number, number[]];
+    this.value = Number(Buffer.from(snapshot).toString());
   }
 }
--- a/packages/consensus/src/simulation/SimulatedCluster.ts
+++ b/packages/consensus/src/simulation/SimulatedCluster.ts
@@ -1,5 +1,6 @@
 import { Random, VirtualTimer, createSilentJournal, type Journal } from '@berylwood/base';
-import { createReplicaName, type ReplicaName } from '../lib/ids';
+import { createReplicaName, type Incarnation, type ReplicaName } from '../lib/ids';
+import { voters } from '../lib/Membership';
 import { Replica } from '../lib/Replica';
 import type { ReplicaOptions, UnsafeDeviations } from '../lib/ReplicaOptions';
 import { RegisterMachine } from './RegisterMachine';
@@ -18,6 +19,7 @@
 }
 
 const DEFAULT_TIMES = { heartbeatMs: 20, leaseMs: 120, electionTimeoutMs: 140 };
+const MAX_OPENING_MS = 1000;
 const MAX_ORIGIN_MS = 100_000;
 
 /** One machine: its disk outlives the processes that run on it. */
@@ -32,6 +34,11 @@
 
   timer: SimulatedTimer;
 
+  /** Incarnation of the last process that ran here. */
+  lastIncarnation: Incarnation | undefined;
+
+  isStarting = false;
+
   /** Code of the failure that kept the replica from opening. */
   refusal: string | undefined;
 
@@ -60,8 +67,16 @@
   /** Called when a replica applies a command. */
   onApplied: (node: SimulatedNode, index: number, command: Uint8Array) => void = () => {};
 
+  /** Called between two events. */
+  onStep: () => void = () => {};
+
+  /** Voters of the latest membership that a replica has applied; none during a replacement. */
+  committedVoters: readonly Incarnation[] = [];
+
   readonly #options: ClusterOptions;
 
+  #committedAt = 0;
+
   readonly #journal: Journal;
 
   constructor(options: ClusterOptions) {
@@ -92,13 +107,19 @@
   }
 
   async startAll(): Promise<void> {
-    for (const node of this.nodes) await this.start(node);
+    const isOpen = ({ replica, refusal }: SimulatedNode): boolean =>
+      replica !== undefined || refusal !== undefined;
+    this.nodes.forEach((node) => {
+      this.start(node).catch(() => {});
+    });
+    await this.runUntil(() => this.nodes.every(isOpen), MAX_OPENING_MS);
   }
 
-  /** Starts a process on a machine; the replica opens once its disk has been read. */
+  /** Starts a process on a machine; resolves once its disk was read, while time is run. */
   async start(node: SimulatedNode, unsafe = this.#options.unsafe): Promise<void> {
-    if (node.replica) return;
+    if (node.replica || node.isStarting) return;
     const { name } = node;
+    node.isStarting = true;
     node.timer = this.#createTimer();
     node.machine = new RegisterMachine();
     node.refusal = undefined;
@@ -107,7 +128,7 @@
     const transport = new SimulatedTransport(this.network, name);
     this.network.attach(name, (message) => timer.run(() => transport.onMessage(message)));
     const { names } = this.#options;
-    const opening = Replica.open({
+    const opened = await Replica.open({
       ...DEFAULT_TIMES,
       ...this.#options.replica,
       replica: name,
@@ -121,8 +142,8 @@
       founder: name === names[0],
       unsafe,
     });
-    const opened = await this.#settle(opening, timer);
-    if (!opened) return;
+    if (node.timer !== timer) return;
+    node.isStarting = false;
     if (opened.isErr()) node.refusal = opened.error.code.name;
     else this.#attach(node, opened.value);
   }
@@ -131,6 +152,7 @@
   crash(node: SimulatedNode): void {
     const { replica } = node;
     node.replica = undefined;
+    node.isStarting = false;
     node.timer.end();
     if (replica) replica.onApplied = () => {};
     node.disk.crash();
@@ -150,6 +172,7 @@
       const next = Math.min(this.base.nextAt ?? end, end);
       this.base.advance(next - this.base.now());
       await drain();
+      this.onStep();
       if (next >= end) return condition();
     }
   }
@@ -167,23 +190,15 @@
 
   #attach(node: SimulatedNode, replica: Replica): void {
     node.replica = replica;
+    node.lastIncarnation = replica.status.identity.incarnation;
+    replica.onMembership = (membership) => {
+      const { appliedIndex } = replica.status;
+      if (appliedIndex <= this.#committedAt) return;
+      this.#committedAt = appliedIndex;
+      this.committedVoters = membership.outgoing ? [] : voters(membership);
+    };
     replica.onApplied = (index, command) => this.onApplied(node, index, command);
   }
-
-  /** Waits for a promise while time goes on; undefined if the process ends before. */
-  async #settle<T>(promise: Promise<T>, timer: SimulatedTimer): Promise<T | undefined> {
-    let value: T | undefined;
-    promise.then(
-      (result) => {
-        value = result;
-      },
-      () => {},
-    );
-    await drain();
-    const isOver = (): boolean => value !== undefined || timer.isEnded;
-    await this.runUntil(isOver, MAX_ORIGIN_MS);
-    return value;
-  }
 }
 
 /** Lets all promises settle that need no time to pass. */
--- a/packages/consensus/src/simulation/SimulatedTimer.ts
+++ b/packages/consensus/src/simulation/SimulatedTimer.ts
@@ -1,5 +1,8 @@
 import { Timer, type VirtualTimer } from '@berylwood/base';
 
+/** Time over which a thawed process works off what has arrived meanwhile. */
+const MAX_BACKLOG_MS = 20;
+
 /** Clocks of one process: their rate differs, and a frozen process is called back on thawing. */
 export class SimulatedTimer extends Timer {
   readonly #base: VirtualTimer;
@@ -67,7 +70,9 @@
     this.#suspendedMs += suspendedMs;
     const deferred = this.#deferred;
     this.#deferred = [];
-    deferred.forEach((callback) => this.run(callback));
+    deferred.forEach((callback, position) => {
+      this.#base.after(position % MAX_BACKLOG_MS, () => this.run(callback));
+    });
   }
 
   end(): void {
