--- a/packages/consensus/src/lib/LogStore.ts
+++ b/packages/consensus/src/lib/LogStore.ts
@@ -260,7 +260,7 @@
   }
 
   #beginSegment(): Segment {
-    const number = (this.#segments.at(-1)?.number ?? 0) + 1;
+    const number = Math.max(this.#segments.at(-1)?.number ?? 0, this.#firstSegment - 1) + 1;
     const segment = { number, lastIndex: 0, bytes: 0 };
     this.#segments.push(segment);
     return segment;
