--- /dev/null
+++ b/packages/consensus/src/lib/LogStore.test.ts
@@ -0,0 +1,159 @@
+import assert from 'node:assert/strict';
+import { join } from 'node:path';
+import test from 'node:test';
+import { Random, VirtualTimer } from '@berylwood/base';
+import fc from 'fast-check';
+import { drain } from '../simulation/SimulatedCluster';
+import { SimulatedDisk } from '../simulation/SimulatedDisk';
+import { EntryKind, type Entry } from './Entry';
+import { FileDisk } from './FileDisk';
+import { LogStore } from './LogStore';
+import { recover } from './recover';
+
+const LIMITS = { segmentBytes: 600, syncBytes: 300, trailingEntries: 2 };
+const VERSION_1 = join(import.meta.dirname, '../../testdata/version-1');
+const NO_MEMBERS = { members: [], admitted: [] };
+
+function createEntries(from: number, to: number, term: number): Entry[] {
+  return Array.from({ length: to - from + 1 }, (_, i) => ({
+    index: from + i,
+    term,
+    kind: EntryKind.Command,
+    data: new Uint8Array(Buffer.from(`command ${from + i} of term ${term}`)),
+  }));
+}
+
+function createDisk(seed = 1) {
+  const timer = new VirtualTimer();
+  const disk = new SimulatedDisk(timer, new Random(seed));
+  const pass = async (): Promise<void> => {
+    await drain();
+    while (timer.nextAt !== undefined) {
+      timer.advance(timer.nextAt - timer.now());
+      await drain();
+    }
+  };
+  return { disk, timer, pass };
+}
+
+async function open(disk: SimulatedDisk): Promise<LogStore> {
+  return new LogStore(disk, (await recover(disk))._unsafeUnwrap(), LIMITS);
+}
+
+test('entries that were synced are there after a crash at any time', async () => {
+  const property = fc.asyncProperty(fc.integer(), fc.nat(60), async (seed, crashMs) => {
+    const { disk, timer, pass } = createDisk(seed);
+    const random = new Random(seed);
+    const store = await open(disk);
+    for (let index = 1; timer.now() < crashMs; index += 2) {
+      store.append(createEntries(index, index + 1, 1));
+      await drain();
+      timer.advance(random.below(4) + 1);
+      await drain();
+    }
+    const synced = store.syncedIndex;
+    disk.crash();
+    const recovering = recover(disk);
+    await pass();
+    const { entries } = (await recovering)._unsafeUnwrap();
+    assert.ok(entries.length >= synced);
+    assert.deepEqual(entries, createEntries(1, entries.length, 1));
+  });
+  await fc.assert(property, { seed: 7, numRuns: 200 });
+});
+
+test('a log that is cut at any byte keeps its whole frames', async () => {
+  const { disk, pass } = createDisk();
+  const store = await open(disk);
+  for (let index = 1; index <= 4; index += 1) {
+    store.append(createEntries(index, index, 1));
+    await pass();
+  }
+  const [name = ''] = (await disk.list()).slice(-1);
+  const whole = await disk.read(name);
+  for (let length = whole.byteLength; length >= 0; length -= 7) {
+    const cut = createDisk();
+    const writing = cut.disk.replace(name, whole.subarray(0, length));
+    await cut.pass();
+    await writing;
+    const recovering = recover(cut.disk);
+    await cut.pass();
+    const { entries, cutBytes } = (await recovering)._unsafeUnwrap();
+    assert.deepEqual(entries, createEntries(1, entries.length, 1));
+    assert.equal((await cut.disk.read(name)).byteLength, length - cutBytes);
+  }
+});
+
+test('a flipped bit in a part that was synced before others is refused', async () => {
+  const property = fc.asyncProperty(fc.integer(), async (seed) => {
+    const { disk, pass } = createDisk(seed);
+    const store = await open(disk);
+    for (let index = 1; index <= 9; index += 1) {
+      store.append(createEntries(index, index, 1));
+      await pass();
+    }
+    assert.ok(disk.flip());
+    const recovered = await recover(disk);
+    assert.equal(recovered._unsafeUnwrapErr().code.name, 'logDamaged');
+  });
+  await fc.assert(property, { seed: 3, numRuns: 100 });
+});
+
+test('entries of a newer term replace the old ones also after a restart', async () => {
+  const { disk, pass } = createDisk();
+  const store = await open(disk);
+  store.append(createEntries(1, 9, 1));
+  await pass();
+  store.append(createEntries(4, 5, 2));
+  assert.equal(store.syncedIndex, 3);
+  await pass();
+  assert.equal(store.syncedIndex, 5);
+  const { entries } = (await recover(disk))._unsafeUnwrap();
+  assert.deepEqual(entries, [...createEntries(1, 3, 1), ...createEntries(4, 5, 2)]);
+});
+
+test('a snapshot removes what it stands for and keeps a few entries in memory', async () => {
+  const { disk, pass } = createDisk();
+  const store = await open(disk);
+  for (let index = 1; index <= 40; index += 1) {
+    store.append(createEntries(index, index, 1));
+    await pass();
+  }
+  const before = (await disk.list()).length;
+  const state = Buffer.from('state');
+  store.compact({ index: 38, term: 1, membership: NO_MEMBERS, state }).catch(assert.fail);
+  await pass();
+  assert.ok((await disk.list()).length < before);
+  assert.equal(store.firstIndex, 37);
+  const { entries, snapshot } = (await recover(disk))._unsafeUnwrap();
+  assert.deepEqual(entries, createEntries(39, 40, 1));
+  assert.equal(Buffer.from(snapshot?.state ?? '').toString(), 'state');
+});
+
+test('an installed snapshot starts the log over, also across restarts', async () => {
+  const { disk, pass } = createDisk();
+  const store = await open(disk);
+  store.append(createEntries(1, 30, 1));
+  await pass();
+  const state = Buffer.from('state');
+  store.install({ index: 20, term: 2, membership: NO_MEMBERS, state }).catch(assert.fail);
+  await pass();
+  const opening = open(disk);
+  await pass();
+  const again = await opening;
+  assert.equal(again.lastIndex, 20);
+  again.append(createEntries(21, 22, 2));
+  await pass();
+  const { entries } = (await recover(disk))._unsafeUnwrap();
+  assert.deepEqual(entries, createEntries(21, 22, 2));
+});
+
+test('files of version 1 can be read', async () => {
+  const disk = await FileDisk.open(VERSION_1);
+  const recovered = (await recover(disk))._unsafeUnwrap();
+  assert.equal(recovered.identity?.replica, 'north');
+  assert.equal(recovered.state.term, 2);
+  assert.equal(recovered.snapshot?.index, 3);
+  assert.deepEqual(recovered.entries, createEntries(4, 6, 2));
+  await disk.close();
+});
--- a/packages/consensus/src/simulation/FaultInjector.ts
+++ b/packages/consensus/src/simulation/FaultInjector.ts
@@ -102,33 +102,23 @@
     if (running.length === 0) return;
     const any = random.pick(running);
     const target = leader?.active ? leader : any;
-    switch (kind) {
-      case 'crash':
-        return this.#crash(any);
-      case 'crashLeader':
-        return this.#crash(target);
-      case 'partition':
-        return this.#partition();
-      case 'isolateLeader':
-        return this.#isolate(target);
-      case 'cutPair':
-        return network.partition([any.name], [random.pick(nodes).name], random.next() < 0.5);
-      case 'heal':
-        return network.heal();
-      case 'freeze':
-        return this.#freeze(random.next() < 0.5 ? target : any);
-      case 'transfer':
+    const faults: Record<FaultKind, () => void> = {
+      crash: () => this.#crash(any),
+      crashLeader: () => this.#crash(target),
+      partition: () => this.#partition(),
+      isolateLeader: () => this.#isolate(target),
+      cutPair: () => network.partition([any.name], [random.pick(nodes).name], random.next() < 0.5),
+      heal: () => network.heal(),
+      freeze: () => this.#freeze(random.next() < 0.5 ? target : any),
+      transfer: () => {
         target.replica?.transferLeadership().catch(() => {});
-        return undefined;
-      case 'loseDisk':
-        return this.#loseDisk(any);
-      case 'damageDisk':
-        return this.#damageDisk(any);
-      case 'changeMembership':
-        return this.#changeMembership(target);
-      default:
-        return this.#changeQuality();
-    }
+      },
+      loseDisk: () => this.#loseDisk(any),
+      damageDisk: () => this.#damageDisk(any),
+      changeMembership: () => this.#changeMembership(target),
+      changeQuality: () => this.#changeQuality(),
+    };
+    faults[kind]();
   }
 
   #crash(node: SimulatedNode): void {
--- a/packages/consensus/src/simulation/explore.ts
+++ b/packages/consensus/src/simulation/explore.ts
@@ -72,15 +72,6 @@
   if (!(await isRecovered(cluster, workload)))
     invariants.violations.add('no progress after faults');
   workload.stop();
-  if (process.env.DUMP)
-    for (const n of cluster.nodes)
-      console.log(
-        n.name,
-        n.refusal,
-        n.lastIncarnation,
-        JSON.stringify(n.replica?.status),
-        n.replica?.holdsLease,
-      );
   invariants.checkHistory();
   return {
     violations: [...invariants.violations],
