--- /dev/null
+++ b/packages/consensus/src/lib/Joiner.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { awaitLeader, createGroup, write, type Group } from '../simulation/createGroup';
+import type { SimulatedNode } from '../simulation/SimulatedCluster';
+
+const REPAIR_MS = 10_000;
+
+async function loseDisk({ cluster }: Group, node: SimulatedNode): Promise<void> {
+  cluster.crash(node);
+  node.disk.wipe();
+  await cluster.startNow(node);
+}
+
+function isRepaired({ cluster }: Group, node: SimulatedNode): boolean {
+  const incarnation = node.replica?.status.identity.incarnation;
+  return cluster.committedVoters.some((voter) => voter === incarnation);
+}
+
+test('a second disk lost right after a repair loses nothing', async () => {
+  const small = { snapshotEntries: 10, trailingEntries: 2, chunkBytes: 20 };
+  for (let seed = 1; seed <= 10; seed += 1) {
+    const group = await createGroup({ seed, replica: small });
+    const { cluster, leader, others, workload, invariants } = group;
+    const [first, slow] = others;
+    assert.ok(first && slow);
+    // What the slow follower misses is on the leader and on the replica that is lost first.
+    cluster.network.partition([leader.name], [slow.name]);
+    for (let value = 1; value <= 20; value += 1) await write(group, leader, value);
+    await loseDisk(group, first);
+    cluster.network.heal();
+    assert.ok(await cluster.runUntil(() => isRepaired(group, first), REPAIR_MS));
+    await loseDisk(group, leader);
+    assert.ok(await awaitLeader(group, [leader]));
+    assert.ok(await cluster.runUntil(() => isRepaired(group, leader), REPAIR_MS));
+    const next = await awaitLeader(group);
+    assert.ok(next);
+    await workload.operate(next, { type: 'read' });
+    assert.equal(next.machine.value, 20);
+    invariants.checkHistory();
+    assert.deepEqual([...invariants.violations], []);
+  }
+});
+
+test('a replica without its disk does not vote as its old self', async () => {
+  const group = await createGroup();
+  const { cluster, leader, others } = group;
+  const [lost, other] = others;
+  assert.ok(lost && other);
+  cluster.network.partition([leader.name], [other.name]);
+  await write(group, leader, 1);
+  cluster.crash(leader);
+  await loseDisk(group, lost);
+  cluster.network.heal();
+  await cluster.run(2000);
+  // The other voter is alone: electing it would lose the write.
+  assert.equal(await awaitLeader(group, [], 2000), undefined);
+  await cluster.startNow(leader);
+  assert.equal(await awaitLeader(group), leader);
+  assert.ok(await cluster.runUntil(() => isRepaired(group, lost), REPAIR_MS));
+  assert.equal(leader.machine.value, 1);
+});
+
+test('a founder that lost its disk joins the group instead of founding another', async () => {
+  const group = await createGroup();
+  const { cluster, invariants } = group;
+  const founder = cluster.node('a');
+  await write(group, group.leader, 1);
+  await loseDisk(group, founder);
+  assert.ok(await cluster.runUntil(() => isRepaired(group, founder), REPAIR_MS));
+  await cluster.run(200);
+  assert.equal(founder.machine.value, 1);
+  assert.deepEqual([...invariants.violations], []);
+});
+
+test('an admitted replica becomes a voter, and a removed one none', async () => {
+  const group = await createGroup();
+  const { cluster, leader } = group;
+  const added = cluster.add('d');
+  await cluster.startNow(added);
+  await cluster.run(1000);
+  assert.equal(cluster.committedVoters.length, 3);
+  leader.replica?.addReplica(added.name).catch(assert.fail);
+  assert.ok(await cluster.runUntil(() => isRepaired(group, added), REPAIR_MS));
+  assert.equal(cluster.committedVoters.length, 4);
+  leader.replica?.removeReplica(added.name).catch(assert.fail);
+  assert.ok(await cluster.runUntil(() => cluster.committedVoters.length === 3, REPAIR_MS));
+  leader.replica?.removeReplica(leader.name).catch(assert.fail);
+  assert.ok(await awaitLeader(group, [leader]));
+  assert.equal(cluster.committedVoters.length, 2);
+  assert.equal(leader.replica?.status.role, 'learner');
+});
--- /dev/null
+++ b/packages/consensus/src/lib/Leader.test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { awaitLeader, createGroup } from '../simulation/createGroup';
+import { encodeCommand } from '../simulation/RegisterMachine';
+import type { UnsafeDeviations } from './ReplicaOptions';
+
+function command(id: number): Uint8Array {
+  return encodeCommand({ id, action: { type: 'write', value: id } });
+}
+
+/**
+ * The schedule of figure 8 of the Raft paper with three replicas: entries of an old term reach a
+ * majority under a later leader, and a third leader replaces them.
+ */
+async function replaceOldEntries(seed: number, unsafe: UnsafeDeviations) {
+  const { cluster, leader, others, invariants } = await createGroup({
+    seed,
+    unsafe,
+    replica: { batchBytes: 1 },
+  });
+  const [voter, rival] = others;
+  assert.ok(voter && rival);
+  const { network } = cluster;
+  const oldTerm = leader.replica?.status.term ?? 0;
+  const propose = (node: typeof leader, id: number): void => {
+    node.replica?.propose(command(id)).catch(assert.fail);
+  };
+  network.filter = ({ body }) =>
+    body.type !== 'append' || body.entries.every(({ term }) => term <= oldTerm);
+  network.partition([leader.name], [voter.name, rival.name]);
+  propose(leader, 1);
+  propose(leader, 2);
+  const isRivalElected = (): boolean => rival.replica?.status.role === 'leader';
+  assert.ok(await cluster.runUntil(isRivalElected, 2000));
+  propose(rival, 3);
+  await cluster.run(10);
+  network.heal();
+  network.partition([rival.name], [leader.name, voter.name]);
+  const isElectedAgain = (): boolean => leader.replica?.status.role === 'leader';
+  assert.ok(await cluster.runUntil(isElectedAgain, 4000));
+  await cluster.run(60);
+  network.heal();
+  network.filter = () => true;
+  network.partition([leader.name], [voter.name, rival.name]);
+  assert.ok(await cluster.runUntil(isRivalElected, 4000));
+  await cluster.run(100);
+  return invariants.violations;
+}
+
+test('entries of an older term are committed only with one of the own term', async () => {
+  assert.deepEqual([...(await replaceOldEntries(1, {}))], []);
+  const found = await replaceOldEntries(1, { commitOlderTerms: true });
+  assert.ok(found.has('replicas applied different commands at one index'));
+});
+
+test('proposals beyond the bounds are refused as not run', async () => {
+  const limits = { maxProposals: 3, maxCommandBytes: 100 };
+  const { cluster, leader, others } = await createGroup({ replica: limits });
+  cluster.network.partition(
+    [leader.name],
+    others.map(({ name }) => name),
+  );
+  const large = await leader.replica?.propose(new Uint8Array(101));
+  assert.equal(large?._unsafeUnwrapErr().code.name, 'commandTooLarge');
+  for (let id = 1; id <= 3; id += 1) leader.replica?.propose(command(id)).catch(assert.fail);
+  const refused = await leader.replica?.propose(command(4));
+  assert.equal(refused?._unsafeUnwrapErr().code.name, 'queueFull');
+  assert.equal(refused?._unsafeUnwrapErr().notRun, true);
+});
+
+test('leadership is handed over without waiting for the lease', async () => {
+  const group = await createGroup();
+  const { cluster, leader, invariants } = group;
+  const start = cluster.base.now();
+  let isOver = false;
+  leader.replica?.transferLeadership().then(() => {
+    isOver = true;
+  }, assert.fail);
+  assert.ok(await awaitLeader(group, [leader]));
+  assert.ok(cluster.base.now() - start < 60);
+  assert.ok(await cluster.runUntil(() => isOver, 100));
+  assert.equal(leader.replica?.status.role, 'follower');
+  assert.deepEqual([...invariants.violations], []);
+});
--- /dev/null
+++ b/packages/consensus/src/lib/LeaderLease.test.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { awaitLeader, createGroup, write } from '../simulation/createGroup';
+import type { UnsafeDeviations } from './ReplicaOptions';
+
+const LEASE_MS = 120;
+const TWO_LEASES = 'two replicas hold the lease';
+
+/**
+ * One follower is cut off from the leader only, stands for election, and the leader is then cut
+ * off from the rest while its lease runs.
+ */
+async function deposeUnderLease(seed: number, unsafe: UnsafeDeviations, restartsVoter: boolean) {
+  const group = await createGroup({ seed, unsafe });
+  const { cluster, leader, others, workload, invariants } = group;
+  const [voter, candidate] = others;
+  assert.ok(voter && candidate);
+  cluster.network.partition([leader.name], [candidate.name]);
+  const isElected = (): boolean => candidate.replica?.status.role === 'leader';
+  if (restartsVoter) {
+    await cluster.run(200);
+    cluster.crash(voter);
+    await cluster.startNow(voter);
+    cluster.network.partition([leader.name], [voter.name]);
+  }
+  await cluster.runUntil(isElected, restartsVoter ? LEASE_MS : 1000);
+  cluster.network.partition([leader.name], [voter.name]);
+  await cluster.run(10);
+  await write(group, candidate, 5);
+  await workload.operate(leader, { type: 'read' });
+  await cluster.run(1000);
+  invariants.checkHistory();
+  return invariants.violations;
+}
+
+test('a voter that granted a lease votes for nobody until it has run out', async () => {
+  assert.deepEqual([...(await deposeUnderLease(1, {}, false))], []);
+  const found = await deposeUnderLease(1, { ignoreGrantedLease: true }, false);
+  assert.ok(found.has(TWO_LEASES) && found.has('the history is not linearizable'));
+});
+
+test('a new leader waits out a lease that a restarted voter may have granted', async () => {
+  for (let seed = 1; seed <= 8; seed += 1) {
+    assert.deepEqual([...(await deposeUnderLease(seed, {}, true))], []);
+  }
+  const found = await deposeUnderLease(1, { skipLeaseWait: true }, true);
+  assert.ok(found.has(TWO_LEASES) && found.has('the history is not linearizable'));
+});
+
+/** The leader's machine is suspended, so that its monotonic clock stands still. */
+async function suspendLeader(unsafe: UnsafeDeviations) {
+  const group = await createGroup({ unsafe });
+  const { cluster, leader, invariants } = group;
+  const start = cluster.base.now();
+  leader.timer.freeze();
+  assert.ok(await awaitLeader(group, [leader]));
+  leader.timer.thaw(cluster.base.now() - start);
+  await cluster.run(5);
+  return invariants.violations;
+}
+
+test('a leader whose machine was suspended does not believe in its lease', async () => {
+  assert.deepEqual([...(await suspendLeader({}))], []);
+  assert.ok((await suspendLeader({ ignoreWallClock: true })).has(TWO_LEASES));
+});
+
+test('a frozen leader has lost its lease when it goes on', async () => {
+  const group = await createGroup();
+  const { cluster, leader, invariants } = group;
+  leader.timer.freeze();
+  const next = await awaitLeader(group, [leader]);
+  leader.timer.thaw();
+  assert.equal(leader.replica?.holdsLease, false);
+  await cluster.run(100);
+  assert.equal(cluster.leader, next);
+  assert.deepEqual([...invariants.violations], []);
+});
+
+test('a leader without a quorum steps down and answers what it had taken', async () => {
+  const { cluster, leader, others } = await createGroup();
+  cluster.network.partition(
+    [leader.name],
+    others.map(({ name }) => name),
+  );
+  let notRun: unknown;
+  leader.replica?.propose(new Uint8Array(1)).then((result) => {
+    notRun = result._unsafeUnwrapErr().notRun;
+  }, assert.fail);
+  await cluster.run(400);
+  assert.equal(notRun, 'unknown');
+  assert.notEqual(leader.replica?.status.role, 'leader');
+  const refused = await leader.replica?.propose(new Uint8Array(1));
+  assert.equal(refused?._unsafeUnwrapErr().notRun, true);
+});
--- a/packages/consensus/src/simulation/SimulatedCluster.ts
+++ b/packages/consensus/src/simulation/SimulatedCluster.ts
@@ -107,12 +107,17 @@
   }
 
   async startAll(): Promise<void> {
+    await this.startNow(...this.nodes);
+  }
+
+  /** Starts processes and runs time until their disks have been read. */
+  async startNow(...nodes: readonly SimulatedNode[]): Promise<void> {
     const isOpen = ({ replica, refusal }: SimulatedNode): boolean =>
       replica !== undefined || refusal !== undefined;
-    this.nodes.forEach((node) => {
+    nodes.forEach((node) => {
       this.start(node).catch(() => {});
     });
-    await this.runUntil(() => this.nodes.every(isOpen), MAX_OPENING_MS);
+    await this.runUntil(() => nodes.every(isOpen), MAX_OPENING_MS);
   }
 
   /** Starts a process on a machine; resolves once its disk was read, while time is run. */
