--- /dev/null
+++ b/packages/consensus/src/lib/Follower.test.ts
@@ -0,0 +1,37 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { awaitLeader, createGroup } from '../simulation/createGroup';
+import type { UnsafeDeviations } from './ReplicaOptions';
+
+const SLOW_SYNC_MS = 1000;
+
+/** All machines lose power while a write waits for its sync; tells whether it was answered. */
+async function crashBeforeSync(unsafe: UnsafeDeviations) {
+  const group = await createGroup({ unsafe });
+  const { cluster, leader, workload, invariants } = group;
+  cluster.nodes.forEach(({ disk }) => {
+    disk.slownessMs = SLOW_SYNC_MS;
+  });
+  workload.operate(leader, { type: 'write', value: 1 }).catch(assert.fail);
+  await cluster.run(50);
+  const isAnswered = workload.acknowledged.size > 0;
+  cluster.nodes.forEach((node) => {
+    cluster.crash(node);
+    node.disk.slownessMs = 0;
+  });
+  await cluster.startAll();
+  const next = await awaitLeader(group);
+  assert.ok(next);
+  await workload.operate(next, { type: 'read' });
+  invariants.checkHistory();
+  return { isAnswered, violations: invariants.violations };
+}
+
+test('what is not synced is not acknowledged', async () => {
+  const safe = await crashBeforeSync({});
+  assert.equal(safe.isAnswered, false);
+  assert.deepEqual([...safe.violations], []);
+  const { isAnswered, violations } = await crashBeforeSync({ acknowledgeUnsynced: true });
+  assert.equal(isAnswered, true);
+  assert.ok(violations.has('the history is not linearizable'));
+});
--- a/packages/consensus/src/simulation/SimulatedDisk.ts
+++ b/packages/consensus/src/simulation/SimulatedDisk.ts
@@ -21,6 +21,9 @@
   /** Runs the end of an operation in the process that asked for it. */
   resume: (callback: () => void) => void = (callback) => callback();
 
+  /** Time that each write takes longer. */
+  slownessMs = 0;
+
   readonly #timer: VirtualTimer;
 
   readonly #random: Random;
@@ -114,7 +117,7 @@
   #start(operation: Operation): Promise<void> {
     this.#pending.add(operation);
     return new Promise((resolve) => {
-      const syncMs = MIN_SYNC_MS + this.#random.below(MAX_SYNC_MS);
+      const syncMs = this.slownessMs + MIN_SYNC_MS + this.#random.below(MAX_SYNC_MS);
       this.#timer.after(syncMs, () => {
         if (!this.#pending.delete(operation)) return;
         operation.complete();
