--- a/packages/consensus/src/lib/Applier.ts
+++ b/packages/consensus/src/lib/Applier.ts
@@ -11,11 +11,11 @@
 
 interface Waiter {
   readonly index: number;
-  readonly resolve: () => void;
+  readonly resolve: (isApplied: boolean) => void;
 }
 
 /** Applies committed entries in order, and takes snapshots when the log has grown. @internal */
-export class Applier {
+export class Applier implements Disposable {
   /** Called after each applied entry, with the result of a command. */
   onEntry: (entry: Entry, result: Uint8Array) => void = () => {};
 
@@ -59,9 +59,9 @@
     });
   }
 
-  /** Resolves once an index is applied. */
-  waitFor(index: number): Promise<void> {
-    if (this.#applied >= index) return Promise.resolve();
+  /** Resolves once an index is applied; false if the replica stops before. */
+  waitFor(index: number): Promise<boolean> {
+    if (this.#applied >= index) return Promise.resolve(true);
     return new Promise((resolve) => {
       this.#waiters.push({ index, resolve });
     });
@@ -104,6 +104,13 @@
       });
   }
 
+  [Symbol.dispose](): void {
+    this.#continuation?.[Symbol.dispose]();
+    const waiters = this.#waiters;
+    this.#waiters = [];
+    waiters.forEach(({ resolve }) => resolve(false));
+  }
+
   #applyEntry(entry: Entry): boolean {
     try {
       const isCommand = entry.kind === EntryKind.Command;
@@ -128,6 +135,6 @@
     if (this.#waiters.length === 0) return;
     const due = this.#waiters.filter(({ index }) => index <= this.#applied);
     this.#waiters = this.#waiters.filter(({ index }) => index > this.#applied);
-    due.forEach(({ resolve }) => resolve());
+    due.forEach(({ resolve }) => resolve(true));
   }
 }
--- a/packages/consensus/src/lib/Follower.ts
+++ b/packages/consensus/src/lib/Follower.ts
@@ -33,7 +33,13 @@
 
   onAppend(message: Message<Append>): void {
     const core = this.#core;
-    if (!this.#follow(message) || core.installing) return;
+    if (!this.#follow(message)) return;
+    if (core.installing) {
+      // The log can't be compared now, but the lease is granted all the same.
+      const stamp = this.#stamp;
+      core.send(message.from, { type: 'snapshotReply', index: 0, nextOffset: 0, stamp });
+      return;
+    }
     const { prevIndex, prevTerm, entries, commitIndex } = message.body;
     const known = prevIndex < core.commitIndex ? prevTerm : core.store.term(prevIndex);
     if (known !== prevTerm) {
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -130,8 +130,9 @@
   override async barrier(): Promise<Result<number, Failure>> {
     if (!this.#leadership) return this.#refuse();
     const index = this.#leadership.leader.readIndex();
-    if (index.isOk()) await this.#applier.waitFor(index.value);
-    return index;
+    if (index.isErr()) return index;
+    const isApplied = await this.#applier.waitFor(index.value);
+    return isApplied ? index : this.#refuse();
   }
 
   override get holdsLease(): boolean {
@@ -139,7 +140,7 @@
   }
 
   override get leaseEndsAt(): number {
-    return this.#leadership?.leader.lease.endsAt ?? 0;
+    return this.holdsLease ? this.#ownLeaseEnd : 0;
   }
 
   override async transferLeadership(): Promise<void> {
@@ -174,10 +175,15 @@
   }
 
   override async close(): Promise<void> {
-    this.#actor.send({ type: 'stop' });
+    this.#core.sendRole({ type: 'stop' });
     await this.#core.store.close();
   }
 
+  /** End of the lease that a quorum has granted, also while it may not be used yet. */
+  get #ownLeaseEnd(): number {
+    return this.#leadership?.leader.lease.endsAt ?? 0;
+  }
+
   get #publicRole(): LogStatus['role'] {
     const { role } = this.#core;
     if (role === 'preCandidate') return 'candidate';
@@ -196,17 +202,20 @@
   #start(): void {
     const core = this.#core;
     const { timer, transport, heartbeatMs, journal } = core.settings;
-    core.sendRole = (event) => this.#actor.send(event);
+    core.sendRole = (event) => {
+      if (core.role !== 'stopped') this.#actor.send(event);
+    };
     core.onCommit = () => this.#onCommit();
     core.onFailure = (failure) => this.#stop(failure);
     core.store.onFailure = (failure) => this.#stop(failure);
     core.store.onSynced = () => this.#onSynced();
     core.store.onWriting = () => this.#leadership?.leader.replicator.replicate();
-    this.#elector.ownLeaseEnd = () => this.leaseEndsAt;
+    this.#elector.ownLeaseEnd = () => this.#ownLeaseEnd;
     this.#follower.onRestore = (snapshot) => this.#applier.restore(snapshot);
     this.#applier.onEntry = (entry, result) => this.#onEntry(entry, result);
     transport.onMessage = (message) => this.#receive(message);
     this.#store.add(timer.every(heartbeatMs / TICKS_PER_HEARTBEAT, () => this.#tick()));
+    this.#store.add(this.#applier);
     this.#store.defer(() => {
       transport.onMessage = () => {};
     });
@@ -226,7 +235,7 @@
       this.#tickTransfer();
     } else if (core.now >= core.electionDeadline && !core.installing) {
       core.resetElectionDeadline();
-      this.#actor.send({ type: 'electionTimeout' });
+      core.sendRole({ type: 'electionTimeout' });
     }
     this.#joiner.tick();
   }
@@ -322,6 +331,6 @@
       code: code.name,
       message,
     });
-    this.#actor.send({ type: 'stop' });
+    this.#core.sendRole({ type: 'stop' });
   }
 }
