--- /dev/null
+++ b/packages/policy/src/lib/FairScheduler.ts
@@ -0,0 +1,322 @@
+import {
+  requestCodes,
+  type CacheEvent,
+  type Configuration,
+  type EndpointId,
+  type RequestId,
+} from '@berylwood/schema';
+import type { Code } from '@berylwood/base';
+import type { Candidate, Decision, Ending, Job, LoadReport } from './Job';
+import { Scheduler } from './Scheduler';
+import { Ticket } from './fair/Ticket';
+import { WaitingPool } from './fair/WaitingPool';
+import { WorkEstimate } from './fair/WorkEstimate';
+import { poolName, Router, type RouterOptions } from './routing/Router';
+
+/** Options of a fair scheduler. @public */
+export interface FairSchedulerOptions extends RouterOptions {
+  /** Requests that may wait; above it the lowest are refused. Default 20000. */
+  readonly maxWaiting?: number;
+}
+
+const DEFAULT_MAX_WAITING = 20_000;
+
+/** Time between checks for overload, in milliseconds. */
+const OVERLOAD_INTERVAL_MS = 50;
+
+/** Longest time until the next decision while requests wait, in milliseconds. */
+const POLL_MS = 200;
+
+/** A dispatched job. */
+interface Run {
+  readonly ticket: Ticket;
+  readonly endpoint: EndpointId;
+  readonly sentAt: number;
+  /** Work charged to the workspace so far, in tokens. */
+  charged: number;
+  answerTokens: number;
+  progressedAt: number;
+}
+
+/**
+ * Tiers with a guaranteed minimum for each class, weighted fairness between workspaces counted in
+ * work, deadlines by class, early refusal under overload, and routing by prefix affinity and load.
+ * Requests are held here until an endpoint has room, so that the order is decided late.
+ * @public
+ */
+export class FairScheduler extends Scheduler {
+  readonly #router: Router;
+
+  readonly #maxWaiting: number;
+
+  readonly #estimate = new WorkEstimate();
+
+  readonly #pools = new Map<string, WaitingPool>();
+
+  readonly #tickets = new Map<RequestId, Ticket>();
+
+  readonly #runs = new Map<RequestId, Run>();
+
+  #configuration: Configuration | undefined;
+
+  #overloadCheckedAt = -Infinity;
+
+  constructor(options: FairSchedulerOptions = {}) {
+    super();
+    this.#router = new Router(options);
+    this.#maxWaiting = options.maxWaiting ?? DEFAULT_MAX_WAITING;
+  }
+
+  override configure(configuration: Configuration): void {
+    this.#configuration = configuration;
+    for (const pool of this.#pools.values()) pool.configure(configuration.classes);
+  }
+
+  override setCandidates(candidates: readonly Candidate[], now: number): void {
+    this.#router.setCandidates(candidates, now);
+  }
+
+  override reported(report: LoadReport): void {
+    this.#router.reported(report);
+  }
+
+  override cacheChanged(endpoint: EndpointId, events: readonly CacheEvent[]): void {
+    this.#router.cacheChanged(endpoint, events);
+  }
+
+  override offer(job: Job, now: number): void {
+    this.withdraw(job.request);
+    const pool = this.#poolOf(job);
+    const ticket = new Ticket(job, this.#estimate.of(job), job.targetAt - pool.leadMs.value);
+    this.#tickets.set(job.request, ticket);
+    pool.add(ticket, now);
+  }
+
+  override withdraw(request: RequestId): void {
+    const ticket = this.#tickets.get(request);
+    if (ticket) this.#take(ticket);
+  }
+
+  override progressed(request: RequestId, answerTokens: number, now: number): void {
+    const run = this.#runs.get(request);
+    if (!run || answerTokens <= run.answerTokens) return;
+    const { job } = run.ticket;
+    const pool = this.#poolOf(job);
+    if (run.answerTokens === 0) pool.leadMs.observe(now - run.sentAt);
+    else {
+      const msPerToken = (now - run.progressedAt) / (answerTokens - run.answerTokens);
+      this.#router.observed(job, run.endpoint, msPerToken, now);
+    }
+    run.answerTokens = answerTokens;
+    run.progressedAt = now;
+    const excess = job.promptTokens + answerTokens - run.charged;
+    if (excess > 0) FairScheduler.#charge(pool, run, excess);
+  }
+
+  override ended({ request, outcome, answerTokens }: Ending, now: number): void {
+    const run = this.#runs.get(request);
+    if (!run) return;
+    this.#runs.delete(request);
+    const { job } = run.ticket;
+    const done = outcome === 'refused' ? 0 : job.promptTokens + answerTokens;
+    FairScheduler.#charge(this.#poolOf(job), run, done - run.charged);
+    if (outcome === 'completed') {
+      this.#estimate.completed(job, answerTokens);
+      if (job.kind === 'service') this.#router.observed(job, run.endpoint, now - run.sentAt, now);
+    }
+    this.#router.ended(job, run.endpoint, outcome, now);
+  }
+
+  override decide(now: number): Decision[] {
+    const decisions: Decision[] = [];
+    this.#router.refresh(now);
+    const checksOverload = now - this.#overloadCheckedAt >= OVERLOAD_INTERVAL_MS;
+    if (checksOverload) this.#overloadCheckedAt = now;
+    for (const [name, pool] of this.#pools) {
+      if (pool.waiting === 0) {
+        pool.drainRate.setSaturated(false, now);
+        continue;
+      }
+      this.#sendToFree(name, pool, now, decisions);
+      this.#sendUrgent(pool, now, decisions);
+      this.#endWaits(pool, now, decisions);
+      pool.drainRate.setSaturated(pool.waiting > 0, now);
+      if (checksOverload) this.#shedOverload(pool, now, decisions);
+    }
+    if (this.#tickets.size > this.#maxWaiting) this.#shedExcess(now, decisions);
+    return decisions;
+  }
+
+  override nextAt(now: number): number | undefined {
+    if (this.#tickets.size === 0) return undefined;
+    let next = now + POLL_MS;
+    for (const pool of this.#pools.values()) {
+      if (pool.waiting > 0) next = Math.min(next, pool.nextAt(now));
+    }
+    return next;
+  }
+
+  override waitingByTier(): ReadonlyMap<number, number> {
+    const result = new Map<number, number>();
+    for (const pool of this.#pools.values()) {
+      for (const { tier, fair } of pool.tiers) {
+        if (fair.waiting > 0) result.set(tier, (result.get(tier) ?? 0) + fair.waiting);
+      }
+    }
+    return result;
+  }
+
+  /** Sends tickets to endpoints that have room; one that none may take is set aside meanwhile. */
+  #sendToFree(name: string, pool: WaitingPool, now: number, decisions: Decision[]): void {
+    const endpoints = this.#router.pool(name);
+    const parked: Ticket[] = [];
+    while (endpoints.hasFree) {
+      const selection = pool.next(now);
+      if (!selection) break;
+      const endpoint = this.#router.select(selection.ticket.job, now);
+      if (endpoint) this.#dispatch(pool, selection.ticket, endpoint, false, now, decisions);
+      else {
+        this.#take(selection.ticket);
+        parked.push(selection.ticket);
+      }
+    }
+    for (const ticket of parked) this.#return(pool, ticket, now);
+  }
+
+  /** Sends tickets that would miss their target to full endpoints that run lower work. */
+  #sendUrgent(pool: WaitingPool, now: number, decisions: Decision[]): void {
+    for (const queue of pool.tiers) {
+      for (;;) {
+        const ticket = pool.mostUrgent(queue, now);
+        const endpoint = ticket && this.#router.selectUrgent(ticket.job, now);
+        if (!endpoint) break;
+        this.#dispatch(pool, ticket, endpoint, true, now, decisions);
+      }
+    }
+  }
+
+  /** Ends the waits that have reached their limit: sends them on or refuses them. */
+  #endWaits(pool: WaitingPool, now: number, decisions: Decision[]): void {
+    const hasOpen = () => this.#router.pool(poolName(pool.lowest()?.job as Job)).hasOpen;
+    for (const queue of [...pool.tiers].reverse()) {
+      for (;;) {
+        const ticket = queue.firstToExpire();
+        if (!ticket || ticket.job.expiresAt > now) break;
+        const endpoint = this.#lastResort(pool, ticket, now);
+        if (endpoint) this.#dispatch(pool, ticket, endpoint, true, now, decisions);
+        else this.#refuse(pool, ticket, requestCodes.overloaded, now, decisions);
+      }
+    }
+    if (pool.waiting > 0 && !hasOpen()) this.#refuseUnserved(pool, now, decisions);
+  }
+
+  /** Endpoint for a ticket that may wait no longer while lower work waits or runs. */
+  #lastResort(pool: WaitingPool, { job }: Ticket, now: number): EndpointId | undefined {
+    const urgent = this.#router.selectUrgent(job, now);
+    if (urgent) return urgent;
+    if (!pool.hasLower(job.tier) && !this.#router.mayHaveLower(job, now)) return undefined;
+    return this.#router.selectQueue(job, now);
+  }
+
+  /** Without any open endpoint, refuses what has reached its target time, the lowest tier first. */
+  #refuseUnserved(pool: WaitingPool, now: number, decisions: Decision[]): void {
+    for (const queue of [...pool.tiers].reverse()) {
+      for (;;) {
+        const ticket = queue.fair.peekLate(now);
+        if (!ticket) break;
+        this.#refuse(pool, ticket, requestCodes.noEndpoint, now, decisions);
+      }
+    }
+  }
+
+  /** Refuses early what can not be served within its longest wait, the lowest tier first. */
+  #shedOverload(pool: WaitingPool, now: number, decisions: Decision[]): void {
+    while (pool.overloadedTier(now) !== undefined) {
+      const ticket = pool.lowest();
+      if (!ticket || pool.isProtected(ticket, now)) return;
+      this.#refuse(pool, ticket, requestCodes.overloaded, now, decisions);
+    }
+  }
+
+  #shedExcess(now: number, decisions: Decision[]): void {
+    while (this.#tickets.size > this.#maxWaiting) {
+      const [fullest] = [...this.#pools.values()].sort((a, b) => b.waiting - a.waiting);
+      const ticket = fullest?.lowest();
+      if (!fullest || !ticket) return;
+      this.#refuse(fullest, ticket, requestCodes.overloaded, now, decisions);
+    }
+  }
+
+  /** Refuses a ticket, and before it all of lower tiers that wait for the same endpoints. */
+  #refuse(pool: WaitingPool, ticket: Ticket, code: Code, now: number, decisions: Decision[]): void {
+    while (pool.hasLower(ticket.job.tier)) {
+      const lower = pool.lowest() as Ticket;
+      this.#refuseOne(pool, lower, code, now, decisions);
+    }
+    this.#refuseOne(pool, ticket, code, now, decisions);
+  }
+
+  #refuseOne(
+    pool: WaitingPool,
+    ticket: Ticket,
+    code: Code,
+    now: number,
+    decisions: Decision[],
+  ): void {
+    const { request, tier } = ticket.job;
+    this.#take(ticket);
+    decisions.push({ type: 'refuse', request, code, retryAfterMs: pool.retryAfterMs(tier, now) });
+  }
+
+  #dispatch(
+    pool: WaitingPool,
+    ticket: Ticket,
+    endpoint: EndpointId,
+    isUrgent: boolean,
+    now: number,
+    decisions: Decision[],
+  ): void {
+    const { job, work } = ticket;
+    this.#take(ticket);
+    pool.sent(ticket, now);
+    this.#router.sent(job, endpoint, isUrgent, now);
+    const run = {
+      ticket,
+      endpoint,
+      sentAt: now,
+      charged: work,
+      answerTokens: 0,
+      progressedAt: now,
+    };
+    this.#runs.set(job.request, run);
+    const decision = { type: 'dispatch', request: job.request, endpoint } as const;
+    decisions.push(isUrgent ? { ...decision, isUrgent } : decision);
+  }
+
+  #take(ticket: Ticket): void {
+    this.#tickets.delete(ticket.job.request);
+    this.#poolOf(ticket.job).remove(ticket);
+  }
+
+  /** Puts a ticket back that was taken; a new one, since queues drop the old one by its mark. */
+  #return(pool: WaitingPool, { job, work, startBy }: Ticket, now: number): void {
+    const ticket = new Ticket(job, work, startBy);
+    this.#tickets.set(job.request, ticket);
+    pool.add(ticket, now, false);
+  }
+
+  #poolOf(job: Job): WaitingPool {
+    const name = poolName(job);
+    const known = this.#pools.get(name);
+    if (known) return known;
+    const pool = new WaitingPool();
+    if (this.#configuration) pool.configure(this.#configuration.classes);
+    this.#pools.set(name, pool);
+    return pool;
+  }
+
+  static #charge(pool: WaitingPool, run: Run, work: number): void {
+    pool.charge(run.ticket, work);
+    run.charged += work;
+  }
+}
--- a/packages/policy/src/lib/Job.ts
+++ b/packages/policy/src/lib/Job.ts
@@ -61,7 +61,13 @@
 
 /** What the scheduler wants done. @public */
 export type Decision =
-  | { readonly type: 'dispatch'; readonly request: RequestId; readonly endpoint: EndpointId }
+  | {
+      readonly type: 'dispatch';
+      readonly request: RequestId;
+      readonly endpoint: EndpointId;
+      /** True when it goes to a full endpoint, which is to preempt lower work or to queue it. */
+      readonly isUrgent?: boolean;
+    }
   | {
       readonly type: 'refuse';
       readonly request: RequestId;
@@ -85,4 +91,10 @@
   readonly estimatedTokens: number;
   readonly arrivedAt: number;
   readonly deadlineAt: number;
+  /** Weight of the workspace; by default that of its plan in the configuration. */
+  readonly share?: number;
+  /** Part of the estimate that is the prompt, in tokens; lets the estimate be corrected. */
+  readonly promptTokens?: number;
+  /** False for work that can not be resumed, such as a call of a plain service. Default true. */
+  readonly isPreemptable?: boolean;
 }
--- /dev/null
+++ b/packages/policy/src/lib/LeastLoadScheduler.ts
@@ -0,0 +1,118 @@
+import {
+  requestCodes,
+  type Configuration,
+  type EndpointId,
+  type RequestId,
+} from '@berylwood/schema';
+import type { Candidate, Decision, Ending, Job, LoadReport } from './Job';
+import { Scheduler } from './Scheduler';
+
+const RETRY_AFTER_MS = 1_000;
+
+/**
+ * Baseline: strict priority by tier and order of arrival in a tier; the endpoint with the least
+ * reported load, among those where this entry runs fewer requests than there are slots.
+ * @public
+ */
+export class LeastLoadScheduler extends Scheduler {
+  readonly #tiers = new Map<number, Map<RequestId, Job>>();
+
+  readonly #running = new Map<RequestId, EndpointId>();
+
+  readonly #busy = new Map<EndpointId, number>();
+
+  readonly #load = new Map<EndpointId, number>();
+
+  #candidates: readonly Candidate[] = [];
+
+  override configure(_configuration: Configuration): void {
+    // Tiers come with the jobs; nothing else of a plan makes a difference.
+  }
+
+  override setCandidates(candidates: readonly Candidate[]): void {
+    this.#candidates = candidates;
+  }
+
+  override reported({ endpoint, load }: LoadReport): void {
+    this.#load.set(endpoint, (load.running + load.waiting) / Math.max(1, load.slots));
+  }
+
+  override cacheChanged(): void {
+    // Affinity makes no difference here.
+  }
+
+  override offer(job: Job): void {
+    const known = this.#tiers.get(job.tier);
+    if (known) known.set(job.request, job);
+    else this.#tiers.set(job.tier, new Map([[job.request, job]]));
+  }
+
+  override withdraw(request: RequestId): void {
+    for (const jobs of this.#tiers.values()) jobs.delete(request);
+  }
+
+  override progressed(): void {
+    // Nothing is learned from progress.
+  }
+
+  override ended(ending: Ending): void {
+    const endpoint = this.#running.get(ending.request);
+    if (endpoint === undefined) return;
+    this.#running.delete(ending.request);
+    this.#busy.set(endpoint, (this.#busy.get(endpoint) ?? 1) - 1);
+  }
+
+  override decide(now: number): Decision[] {
+    const decisions: Decision[] = [];
+    const tiers = [...this.#tiers].sort(([a], [b]) => a - b);
+    for (const [, jobs] of tiers) {
+      for (const job of jobs.values()) {
+        const decision = this.#decideOne(job, now);
+        if (!decision) continue;
+        jobs.delete(job.request);
+        decisions.push(decision);
+      }
+    }
+    return decisions;
+  }
+
+  override nextAt(): number | undefined {
+    let next = Infinity;
+    for (const jobs of this.#tiers.values()) {
+      for (const { expiresAt } of jobs.values()) next = Math.min(next, expiresAt);
+    }
+    return next === Infinity ? undefined : next;
+  }
+
+  override waitingByTier(): ReadonlyMap<number, number> {
+    const tiers = [...this.#tiers].filter(([, jobs]) => jobs.size > 0);
+    return new Map(tiers.map(([tier, jobs]) => [tier, jobs.size]));
+  }
+
+  #decideOne(job: Job, now: number): Decision | undefined {
+    const { request } = job;
+    if (now >= job.expiresAt) {
+      const code = requestCodes.overloaded;
+      return { type: 'refuse', request, code, retryAfterMs: RETRY_AFTER_MS };
+    }
+    const endpoint = this.#leastLoaded(job);
+    if (!endpoint) return undefined;
+    this.#busy.set(endpoint, (this.#busy.get(endpoint) ?? 0) + 1);
+    this.#running.set(request, endpoint);
+    return { type: 'dispatch', request, endpoint };
+  }
+
+  #leastLoaded(job: Job): EndpointId | undefined {
+    let best: EndpointId | undefined;
+    let bestLoad = Infinity;
+    for (const { endpoint, kind, targets, slots, isOpen } of this.#candidates) {
+      const load = this.#load.get(endpoint) ?? 0;
+      if (!isOpen || kind !== job.kind || !targets.includes(job.target) || load >= bestLoad)
+        continue;
+      if (job.avoid.includes(endpoint) || (this.#busy.get(endpoint) ?? 0) >= slots) continue;
+      best = endpoint;
+      bestLoad = load;
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/fair/MovingAverage.ts
@@ -0,0 +1,27 @@
+/** Exponential moving average of a figure. @internal */
+export class MovingAverage {
+  readonly #smoothing: number;
+
+  #value: number;
+
+  #samples = 0;
+
+  constructor(initial: number, smoothing = 0.1) {
+    this.#value = initial;
+    this.#smoothing = smoothing;
+  }
+
+  get value(): number {
+    return this.#value;
+  }
+
+  get samples(): number {
+    return this.#samples;
+  }
+
+  observe(figure: number): void {
+    this.#samples += 1;
+    // The first samples count as in a plain average, so that a wrong start is soon forgotten.
+    this.#value += Math.max(this.#smoothing, 1 / this.#samples) * (figure - this.#value);
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/fair/Ticket.ts
@@ -0,0 +1,31 @@
+import type { Job } from '../Job';
+import type { QueueItem } from '../queue/FairQueue';
+
+/** A job that waits in an entry. @internal */
+export class Ticket implements QueueItem {
+  readonly job: Job;
+
+  readonly work: number;
+
+  readonly startBy: number;
+
+  isWaiting = true;
+
+  /**
+   * @param work expected work, in tokens
+   * @param startBy time by which it must be sent to meet its target, in milliseconds
+   */
+  constructor(job: Job, work: number, startBy: number) {
+    this.job = job;
+    this.work = work;
+    this.startBy = startBy;
+  }
+
+  get workspace(): Job['workspace'] {
+    return this.job.workspace;
+  }
+
+  get share(): number {
+    return this.job.share;
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/fair/WaitingPool.ts
@@ -0,0 +1,220 @@
+import type { RequestClass } from '@berylwood/schema';
+import { DrainRate } from '../queue/DrainRate';
+import { FairQueue } from '../queue/FairQueue';
+import { MinimumShare } from '../queue/MinimumShare';
+import { MovingAverage } from './MovingAverage';
+import type { Ticket } from './Ticket';
+import { TierQueue } from './TierQueue';
+
+/** Time left to start at which a ticket goes before late ones of higher tiers, in milliseconds. */
+const URGENT_SLACK_MS = 250;
+
+/** Time before the end of the longest wait at which a ticket goes first, in milliseconds. */
+const RESCUE_MS = 1_000;
+
+/** Part of the longest wait that the rescue takes at most. */
+const RESCUE_PART = 0.25;
+
+/** Assumed time from the dispatch to the first token before any was seen, in milliseconds. */
+const INITIAL_LEAD_MS = 200;
+
+const MIN_RETRY_AFTER_MS = 100;
+
+const MAX_RETRY_AFTER_MS = 120_000;
+
+const DEFAULT_RETRY_AFTER_MS = 1_000;
+
+/** The next ticket to send. @internal */
+export interface Selection {
+  readonly ticket: Ticket;
+  /** Chosen on its class's guaranteed minimum, ahead of its tier. */
+  readonly isGuaranteed: boolean;
+}
+
+/**
+ * The requests that wait in an entry for one model or service. Order of service: classes below
+ * their guaranteed minimum; tickets about to reach the end of their longest wait; then by tier, in
+ * which late tickets give way to those that can still meet their target, also to urgent ones of
+ * lower tiers.
+ * @internal
+ */
+export class WaitingPool {
+  readonly drainRate = new DrainRate();
+
+  /** Time from the dispatch to the first token, in milliseconds. */
+  readonly leadMs = new MovingAverage(INITIAL_LEAD_MS);
+
+  readonly minimumShare = new MinimumShare();
+
+  /** Highest tier first. */
+  readonly #tiers: TierQueue[] = [];
+
+  readonly #classes = new Map<string, FairQueue<Ticket>>();
+
+  #waiting = 0;
+
+  get waiting(): number {
+    return this.#waiting;
+  }
+
+  /** Queues of the tiers, the highest first. */
+  get tiers(): readonly TierQueue[] {
+    return this.#tiers;
+  }
+
+  configure(classes: Readonly<Record<string, RequestClass>>): void {
+    this.minimumShare.configure(classes);
+  }
+
+  /** Adds a ticket; `isNew` counts as a demand of its class. */
+  add(ticket: Ticket, now: number, isNew = true): void {
+    this.#tierOf(ticket.job.tier).add(ticket);
+    this.#classOf(ticket.job.class).add(ticket);
+    this.#waiting += 1;
+    if (isNew) this.minimumShare.demanded(ticket.job.class, ticket.work, now);
+  }
+
+  remove(ticket: Ticket): void {
+    ticket.isWaiting = false;
+    this.#tierOf(ticket.job.tier).remove(ticket);
+    this.#classOf(ticket.job.class).remove(ticket);
+    this.#waiting -= 1;
+  }
+
+  /** The ticket to send next. */
+  next(now: number): Selection | undefined {
+    const due = this.#due(now);
+    if (due) return { ticket: due, isGuaranteed: true };
+    const ticket = this.#rescue(now) ?? this.#byTier(now);
+    return ticket && { ticket, isGuaranteed: false };
+  }
+
+  /** Counts a ticket as sent: its work, and its class's guaranteed minimum. */
+  sent(ticket: Ticket, now: number): void {
+    const { job, work } = ticket;
+    this.drainRate.served(work, now);
+    this.charge(ticket, work);
+    this.minimumShare.served(job.class, work, now, this.#classOf(job.class).waiting > 0);
+  }
+
+  /** Counts work against the workspace, in tokens; negative work corrects an estimate. */
+  charge({ job }: Ticket, work: number): void {
+    this.#tierOf(job.tier).fair.charge(job.workspace, job.share, work);
+    this.#classOf(job.class).charge(job.workspace, job.share, work);
+  }
+
+  /** Tickets of the tier that must be sent at once to meet their target, one for each call. */
+  mostUrgent(tier: TierQueue, now: number): Ticket | undefined {
+    const ticket = tier.mostUrgent(now);
+    return ticket && ticket.startBy - now <= URGENT_SLACK_MS ? ticket : undefined;
+  }
+
+  /** The youngest ticket of the lowest tier, of the workspace with the largest backlog. */
+  lowest(): Ticket | undefined {
+    for (let i = this.#tiers.length - 1; i >= 0; i -= 1) {
+      const ticket = (this.#tiers[i] as TierQueue).fair.youngest();
+      if (ticket) return ticket;
+    }
+    return undefined;
+  }
+
+  hasLower(tier: number): boolean {
+    return this.#tiers.some((queue) => queue.tier > tier && queue.fair.waiting > 0);
+  }
+
+  /** Whether the ticket is the last one of a class that is below its guaranteed minimum. */
+  isProtected(ticket: Ticket, now: number): boolean {
+    const { job, work } = ticket;
+    if (this.#classOf(job.class).waiting > 1) return false;
+    return this.minimumShare.isDue(job.class, work, now);
+  }
+
+  /** Highest tier whose youngest ticket can not be served within its longest wait. */
+  overloadedTier(now: number): number | undefined {
+    const rate = this.drainRate.get(now);
+    if (!rate) return undefined;
+    let backlog = 0;
+    for (const { tier, fair } of this.#tiers) {
+      backlog += fair.backlog;
+      const youngest = fair.youngest();
+      if (youngest && (backlog / rate) * 1000 > youngest.job.expiresAt - now) return tier;
+    }
+    return undefined;
+  }
+
+  /** Time in which the work that goes before a new ticket of the tier drains, in milliseconds. */
+  retryAfterMs(tier: number, now: number): number {
+    const rate = this.drainRate.get(now);
+    if (!rate) return DEFAULT_RETRY_AFTER_MS;
+    let backlog = 0;
+    for (const queue of this.#tiers) if (queue.tier <= tier) backlog += queue.fair.backlog;
+    const drainMs = Math.ceil((backlog / rate) * 1000);
+    return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, drainMs));
+  }
+
+  /** Next time at which the passing of time changes what is to be done, in milliseconds. */
+  nextAt(now: number): number {
+    let next = Infinity;
+    for (const queue of this.#tiers) {
+      const expiresAt = queue.firstToExpire()?.job.expiresAt ?? Infinity;
+      const urgentAt = (queue.mostUrgent(now)?.startBy ?? Infinity) - URGENT_SLACK_MS;
+      next = Math.min(next, expiresAt, urgentAt > now ? urgentAt : Infinity);
+    }
+    return next;
+  }
+
+  /** The fairest ticket of a class that is below its guaranteed minimum while higher work waits. */
+  #due(now: number): Ticket | undefined {
+    for (const [name, queue] of this.#classes) {
+      if (queue.waiting === 0 || queue.waiting === this.#waiting) continue;
+      const ticket = queue.peek(now);
+      if (ticket && this.minimumShare.isDue(name, ticket.work, now)) return ticket;
+    }
+    return undefined;
+  }
+
+  /** The highest ticket that is about to reach the end of its longest wait. */
+  #rescue(now: number): Ticket | undefined {
+    for (const queue of this.#tiers) {
+      const ticket = queue.firstToExpire();
+      if (!ticket) continue;
+      const { arrivedAt, expiresAt } = ticket.job;
+      const rescueMs = Math.min(RESCUE_MS, RESCUE_PART * (expiresAt - arrivedAt));
+      if (now >= expiresAt - rescueMs) return ticket;
+    }
+    return undefined;
+  }
+
+  #byTier(now: number): Ticket | undefined {
+    let late: Ticket | undefined;
+    for (const queue of this.#tiers) {
+      if (queue.fair.waiting === 0) continue;
+      if (late) {
+        const urgent = this.mostUrgent(queue, now);
+        if (urgent) return urgent;
+        continue;
+      }
+      const onTime = queue.fair.peekOnTime(now);
+      if (onTime) return onTime;
+      late = queue.fair.peekLate(now);
+    }
+    return late;
+  }
+
+  #tierOf(tier: number): TierQueue {
+    const known = this.#tiers.find((queue) => queue.tier === tier);
+    if (known) return known;
+    const queue = new TierQueue(tier);
+    this.#tiers.push(queue);
+    this.#tiers.sort((a, b) => a.tier - b.tier);
+    return queue;
+  }
+
+  #classOf(name: string): FairQueue<Ticket> {
+    const known = this.#classes.get(name);
+    if (known) return known;
+    const queue = new FairQueue<Ticket>();
+    this.#classes.set(name, queue);
+    return queue;
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/health/CircuitBreaker.ts
@@ -0,0 +1,99 @@
+import { createMachine, initialTransition, transition, type SnapshotFrom } from 'xstate';
+
+/** Options of a circuit breaker. @public */
+export interface BreakerOptions {
+  /** Failures in a row that open the breaker. Default 3. */
+  readonly failures?: number;
+  /** First time that it stays open, in milliseconds; doubles with each failed probe. Default 1000. */
+  readonly openMs?: number;
+  /** Longest time that it stays open, in milliseconds. Default 30000. */
+  readonly maxOpenMs?: number;
+}
+
+const defaults: Required<BreakerOptions> = { failures: 3, openMs: 1_000, maxOpenMs: 30_000 };
+
+/** Closed lets all through, open none, half open one probe. */
+const machine = createMachine({
+  types: {} as { events: { type: 'tripped' | 'elapsed' | 'succeeded' | 'failed' } },
+  initial: 'closed',
+  states: {
+    closed: { on: { tripped: 'open' } },
+    open: { on: { elapsed: 'halfOpen' } },
+    halfOpen: { on: { succeeded: 'closed', failed: 'open' } },
+  },
+});
+
+/**
+ * Circuit breaker for one endpoint. Failures in a row open it; after a time that doubles with each
+ * failed probe one request is let through, whose outcome closes or reopens it.
+ * @public
+ */
+export class CircuitBreaker {
+  readonly #options: Required<BreakerOptions>;
+
+  #snapshot: SnapshotFrom<typeof machine> = initialTransition(machine)[0];
+
+  #failures = 0;
+
+  #openMs: number;
+
+  #openUntil = -Infinity;
+
+  #isProbing = false;
+
+  constructor(options: BreakerOptions = {}) {
+    this.#options = { ...defaults, ...options };
+    this.#openMs = this.#options.openMs;
+  }
+
+  get state(): 'closed' | 'open' | 'halfOpen' {
+    return this.#snapshot.value as 'closed' | 'open' | 'halfOpen';
+  }
+
+  /** Whether a request may be sent now. */
+  allows(now: number): boolean {
+    if (this.state === 'closed') return true;
+    if (this.state === 'open' && now >= this.#openUntil) this.#send('elapsed');
+    return this.state === 'halfOpen' && !this.#isProbing;
+  }
+
+  /** A request was sent. */
+  sent(): void {
+    if (this.state === 'halfOpen') this.#isProbing = true;
+  }
+
+  /** A request succeeded. */
+  succeeded(): void {
+    this.#failures = 0;
+    if (this.state !== 'halfOpen') return;
+    this.#isProbing = false;
+    this.#openMs = this.#options.openMs;
+    this.#send('succeeded');
+  }
+
+  /** A request ended without saying anything on the endpoint's health. */
+  abandoned(): void {
+    this.#isProbing = false;
+  }
+
+  /** A request failed by the endpoint's fault. */
+  failed(now: number): void {
+    this.#failures += 1;
+    if (this.state === 'halfOpen') {
+      this.#isProbing = false;
+      this.#openMs = Math.min(this.#options.maxOpenMs, 2 * this.#openMs);
+      this.#open('failed', now);
+    } else if (this.state === 'closed' && this.#failures >= this.#options.failures) {
+      this.#open('tripped', now);
+    }
+  }
+
+  #open(event: 'tripped' | 'failed', now: number): void {
+    this.#openUntil = now + this.#openMs;
+    this.#send(event);
+  }
+
+  #send(type: 'tripped' | 'elapsed' | 'succeeded' | 'failed'): void {
+    [this.#snapshot] = transition(machine, this.#snapshot, { type });
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/queue/FairQueue.ts
@@ -0,0 +1,199 @@
+import type { WorkspaceId } from '@berylwood/schema';
+import { Heap } from './Heap';
+
+/** What a fair queue needs to know of an item. @internal */
+export interface QueueItem {
+  readonly workspace: WorkspaceId;
+  /** Weight of the workspace. */
+  readonly share: number;
+  /** Expected work, in tokens. */
+  readonly work: number;
+  /** Time by which the item should start, in milliseconds. */
+  readonly startBy: number;
+  /** False once it has left the queue, for whatever reason. */
+  isWaiting: boolean;
+}
+
+/** The items of one workspace. */
+interface Flow<T> {
+  readonly workspace: WorkspaceId;
+  share: number;
+  /** Work served so far per unit of share. */
+  virtualTime: number;
+  waiting: number;
+  backlog: number;
+  /** Items that can still start in time, earliest deadline first. */
+  readonly onTime: Heap<T>;
+  /** Items that have missed their time, in the order in which they did. */
+  late: T[];
+  lateHead: number;
+  /** All items in order of arrival, to find the youngest. */
+  arrivals: T[];
+}
+
+/** Dead items in a list before it is compacted. */
+const COMPACT_AT = 64;
+
+/**
+ * Start-time fair queueing between workspaces, weighted by share and counted in work; earliest
+ * deadline first within a workspace. Items that can no longer start in time give way to those that
+ * can. Selection scans the workspaces that have items waiting, so it is linear in their number and
+ * independent of the number of items.
+ * @internal
+ */
+export class FairQueue<T extends QueueItem> {
+  readonly #flows = new Map<WorkspaceId, Flow<T>>();
+
+  readonly #active: Flow<T>[] = [];
+
+  #virtualTime = 0;
+
+  #waiting = 0;
+
+  #backlog = 0;
+
+  /** Items that wait. */
+  get waiting(): number {
+    return this.#waiting;
+  }
+
+  /** Work that waits, in tokens. */
+  get backlog(): number {
+    return this.#backlog;
+  }
+
+  add(item: T): void {
+    const flow = this.#flowOf(item.workspace);
+    flow.share = item.share;
+    if (flow.waiting === 0) {
+      flow.virtualTime = Math.max(flow.virtualTime, this.#virtualTime);
+      this.#active.push(flow);
+    }
+    flow.waiting += 1;
+    flow.backlog += item.work;
+    flow.onTime.push(item);
+    flow.arrivals.push(item);
+    this.#waiting += 1;
+    this.#backlog += item.work;
+  }
+
+  /** Takes an item out; the caller has cleared or clears its `isWaiting`. */
+  remove(item: T): void {
+    const flow = this.#flowOf(item.workspace);
+    flow.waiting -= 1;
+    flow.backlog -= item.work;
+    this.#waiting -= 1;
+    this.#backlog -= item.work;
+    if (flow.waiting > 0) this.#compact(flow);
+    else this.#deactivate(flow);
+  }
+
+  /** The item to serve next, or undefined: of those in time if there are any, else a late one. */
+  peek(now: number): T | undefined {
+    return this.peekOnTime(now) ?? this.peekLate(now);
+  }
+
+  /** The item to serve next among those that can still start in time. */
+  peekOnTime(now: number): T | undefined {
+    let best: Flow<T> | undefined;
+    for (const flow of this.#active) {
+      if (best && flow.virtualTime >= best.virtualTime) continue;
+      if (FairQueue.#onTimeHead(flow, now)) best = flow;
+    }
+    return best && FairQueue.#onTimeHead(best, now);
+  }
+
+  /** The item to serve next among those that have missed their time. */
+  peekLate(now: number): T | undefined {
+    let best: Flow<T> | undefined;
+    for (const flow of this.#active) {
+      if (best && flow.virtualTime >= best.virtualTime) continue;
+      FairQueue.#onTimeHead(flow, now);
+      if (FairQueue.#lateHead(flow)) best = flow;
+    }
+    return best && FairQueue.#lateHead(best);
+  }
+
+  /** The youngest item of the workspace with the largest backlog for its share. */
+  youngest(): T | undefined {
+    let largest: Flow<T> | undefined;
+    for (const flow of this.#active) {
+      if (!largest || flow.backlog / flow.share > largest.backlog / largest.share) largest = flow;
+    }
+    if (!largest) return undefined;
+    while (largest.arrivals.at(-1)?.isWaiting === false) largest.arrivals.pop();
+    return largest.arrivals.at(-1);
+  }
+
+  /** Counts served work, in tokens, against a workspace; negative work corrects an estimate. */
+  charge(workspace: WorkspaceId, share: number, work: number): void {
+    const flow = this.#flowOf(workspace);
+    this.#virtualTime = Math.max(this.#virtualTime, this.#lowestVirtualTime(flow.virtualTime));
+    flow.virtualTime += work / share;
+  }
+
+  #lowestVirtualTime(otherwise: number): number {
+    let lowest = Infinity;
+    for (const flow of this.#active) lowest = Math.min(lowest, flow.virtualTime);
+    return lowest === Infinity ? otherwise : lowest;
+  }
+
+  #flowOf(workspace: WorkspaceId): Flow<T> {
+    const known = this.#flows.get(workspace);
+    if (known) return known;
+    const flow: Flow<T> = {
+      workspace,
+      share: 1,
+      virtualTime: this.#virtualTime,
+      waiting: 0,
+      backlog: 0,
+      onTime: new Heap<T>(
+        (item) => item.startBy,
+        (item) => item.isWaiting,
+      ),
+      late: [],
+      lateHead: 0,
+      arrivals: [],
+    };
+    this.#flows.set(workspace, flow);
+    return flow;
+  }
+
+  /** First item that can start in time; moves those before it to the late ones. */
+  static #onTimeHead<T extends QueueItem>(flow: Flow<T>, now: number): T | undefined {
+    for (;;) {
+      const head = flow.onTime.peek();
+      if (!head || head.startBy >= now) return head;
+      flow.onTime.pop();
+      flow.late.push(head);
+    }
+  }
+
+  static #lateHead<T extends QueueItem>(flow: Flow<T>): T | undefined {
+    while (flow.lateHead < flow.late.length) {
+      const head = flow.late[flow.lateHead] as T;
+      if (head.isWaiting) return head;
+      flow.lateHead += 1;
+    }
+    flow.late = [];
+    flow.lateHead = 0;
+    return undefined;
+  }
+
+  #deactivate(flow: Flow<T>): void {
+    const index = this.#active.indexOf(flow);
+    const last = this.#active.pop() as Flow<T>;
+    if (last !== flow) this.#active[index] = last;
+    Object.assign(flow, { backlog: 0, late: [], lateHead: 0, arrivals: [] });
+  }
+
+  #compact(flow: Flow<T>): void {
+    if (flow.arrivals.length < 2 * flow.waiting + COMPACT_AT) return;
+    Object.assign(flow, {
+      arrivals: flow.arrivals.filter((item) => item.isWaiting),
+      late: flow.late.slice(flow.lateHead).filter((item) => item.isWaiting),
+      lateHead: 0,
+    });
+    flow.onTime.compact();
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/queue/MinimumShare.ts
@@ -0,0 +1,108 @@
+import type { RequestClass } from '@berylwood/schema';
+
+/** Account of one class. */
+interface ClassAccount {
+  readonly minimumShare: number;
+  readonly maxWaitMs: number;
+  /** Guaranteed work that the class has not had yet, in tokens. */
+  deficit: number;
+  /** Largest deficit kept: the work of a few requests of the class. */
+  cap: number;
+  /** Time of the latest demand; undefined before the first. */
+  demandedAt: number | undefined;
+  /** Since when the class has had demand and no service; undefined when it has none. */
+  unservedSince: number | undefined;
+}
+
+/** Requests' worth of guaranteed work that a class may save up. */
+const SAVED_REQUESTS = 2;
+
+/** Part of the longest wait after which a class without any service is due. */
+const UNSERVED_PART = 0.5;
+
+const UNKNOWN_CLASS: Pick<RequestClass, 'minimumShare' | 'maxWaitMs'> = {
+  minimumShare: 0.01,
+  maxWaitMs: 60_000,
+};
+
+/**
+ * Guaranteed minimum of each class, as a deficit counter: while a class has demand, each unit of
+ * work served to any class adds its minimum share to its deficit. A class is due when the deficit
+ * covers its next request, or when it has had no service for half of its longest wait.
+ * @internal
+ */
+export class MinimumShare {
+  readonly #accounts = new Map<string, ClassAccount>();
+
+  #classes: Readonly<Record<string, RequestClass>> = {};
+
+  configure(classes: Readonly<Record<string, RequestClass>>): void {
+    this.#classes = classes;
+    for (const [name, account] of this.#accounts) {
+      this.#accounts.set(name, { ...account, ...this.#termsOf(name) });
+    }
+  }
+
+  /** A request of the class, with its expected work in tokens, has arrived. */
+  demanded(name: string, work: number, now: number): void {
+    const account = this.#accountOf(name);
+    account.demandedAt = now;
+    account.unservedSince ??= now;
+    account.cap = Math.max(
+      SAVED_REQUESTS * work,
+      Math.min(account.cap, SAVED_REQUESTS ** 2 * work),
+    );
+  }
+
+  /** A request of the class has been started with this expected work, in tokens. */
+  served(name: string, work: number, now: number, isStillWaiting: boolean): void {
+    for (const account of this.#accounts.values()) {
+      if (!MinimumShare.#hasDemand(account, now)) continue;
+      account.deficit = Math.min(account.cap, account.deficit + account.minimumShare * work);
+    }
+    const own = this.#accountOf(name);
+    own.deficit = Math.max(0, own.deficit - work);
+    own.unservedSince = isStillWaiting ? now : undefined;
+  }
+
+  /** Whether the class's next request, with this expected work in tokens, is due now. */
+  isDue(name: string, work: number, now: number): boolean {
+    const account = this.#accounts.get(name);
+    if (!account || account.minimumShare === 0) return false;
+    if (account.deficit >= work) return true;
+    return now >= MinimumShare.#dueAt(account);
+  }
+
+  /** Time at which a waiting class becomes due at the latest, in milliseconds. */
+  dueAt(name: string): number {
+    const account = this.#accounts.get(name);
+    return account && account.minimumShare > 0 ? MinimumShare.#dueAt(account) : Infinity;
+  }
+
+  static #dueAt(account: ClassAccount): number {
+    return (account.unservedSince ?? Infinity) + UNSERVED_PART * account.maxWaitMs;
+  }
+
+  static #hasDemand(account: ClassAccount, now: number): boolean {
+    return account.demandedAt !== undefined && now - account.demandedAt <= account.maxWaitMs;
+  }
+
+  #termsOf(name: string): Pick<RequestClass, 'minimumShare' | 'maxWaitMs'> {
+    const { minimumShare, maxWaitMs } = this.#classes[name] ?? UNKNOWN_CLASS;
+    return { minimumShare, maxWaitMs };
+  }
+
+  #accountOf(name: string): ClassAccount {
+    const known = this.#accounts.get(name);
+    if (known) return known;
+    const account: ClassAccount = {
+      ...this.#termsOf(name),
+      deficit: 0,
+      cap: 0,
+      demandedAt: undefined,
+      unservedSince: undefined,
+    };
+    this.#accounts.set(name, account);
+    return account;
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/routing/Endpoint.ts
@@ -0,0 +1,18 @@
+import type { EndpointId } from '@berylwood/schema';
+import { CircuitBreaker } from '../health/CircuitBreaker';
+import type { Candidate } from '../Job';
+import { EndpointLoad } from './EndpointLoad';
+
+/** An endpoint as one entry knows it. @internal */
+export class Endpoint {
+  readonly id: EndpointId;
+
+  readonly load: EndpointLoad;
+
+  readonly breaker = new CircuitBreaker();
+
+  constructor(candidate: Candidate) {
+    this.id = candidate.endpoint;
+    this.load = new EndpointLoad(candidate);
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/routing/EndpointPool.ts
@@ -0,0 +1,124 @@
+import type { Random } from '@berylwood/base';
+import type { DataCentreId } from '@berylwood/schema';
+import type { Job } from '../Job';
+import { OutlierDetector } from '../health/OutlierDetector';
+import type { Endpoint } from './Endpoint';
+import { HashRing } from './HashRing';
+import { SampledSet } from './SampledSet';
+
+/** Time between judgements of slow endpoints, in milliseconds. */
+const JUDGE_INTERVAL_MS = 500;
+
+/** Draws before all free endpoints are looked through. */
+const MAX_DRAWS = 6;
+
+/**
+ * The endpoints that serve one model or service, with an index of those that have room: a random
+ * one is drawn in O(1), separately for the entry's own data centre and the others.
+ * @internal
+ */
+export class EndpointPool {
+  readonly slow = new OutlierDetector<Endpoint>();
+
+  readonly #dataCentre: DataCentreId | undefined;
+
+  #members: readonly Endpoint[] = [];
+
+  #ring = new HashRing<Endpoint>([], () => '');
+
+  readonly #near = new SampledSet<Endpoint>();
+
+  readonly #far = new SampledSet<Endpoint>();
+
+  /** Slow endpoints that are due for a probe. */
+  readonly #probes = new SampledSet<Endpoint>();
+
+  #judgedAt = -Infinity;
+
+  constructor(dataCentre: DataCentreId | undefined) {
+    this.#dataCentre = dataCentre;
+  }
+
+  get members(): readonly Endpoint[] {
+    return this.#members;
+  }
+
+  /** Whether an endpoint has room. */
+  get hasFree(): boolean {
+    return this.#near.size + this.#far.size > 0;
+  }
+
+  get hasOpen(): boolean {
+    return this.#members.some(({ load }) => load.isOpen);
+  }
+
+  setMembers(members: readonly Endpoint[], now: number): void {
+    const present = new Set(members);
+    for (const old of this.#members) {
+      if (present.has(old)) continue;
+      this.slow.forget(old);
+      for (const set of [this.#near, this.#far, this.#probes]) set.set(old, false);
+    }
+    this.#members = members;
+    this.#ring = new HashRing(members, ({ id }) => id);
+    for (const member of members) this.update(member, now);
+  }
+
+  /** Brings the index up to date after a change of one endpoint. */
+  update(endpoint: Endpoint, now: number): void {
+    const hasRoom = endpoint.load.available(now) > 0 && endpoint.breaker.allows(now);
+    const isSlow = this.slow.isEjected(endpoint);
+    const isNear = this.isNear(endpoint);
+    this.#near.set(endpoint, hasRoom && !isSlow && isNear);
+    this.#far.set(endpoint, hasRoom && !isSlow && !isNear);
+    this.#probes.set(endpoint, hasRoom && isSlow && this.slow.isProbeDue(endpoint, now));
+  }
+
+  /** Brings the index up to date with the passing of time; called a few times a second. */
+  refresh(now: number): void {
+    if (now - this.#judgedAt >= JUDGE_INTERVAL_MS) {
+      this.#judgedAt = now;
+      this.slow.judge(now);
+    }
+    for (const member of this.#members) this.update(member, now);
+  }
+
+  isNear(endpoint: Endpoint): boolean {
+    return (
+      this.#dataCentre === undefined || endpoint.load.candidate.dataCentre === this.#dataCentre
+    );
+  }
+
+  /** Whether the job may go to the endpoint, which has room. */
+  accepts(endpoint: Endpoint, job: Job): boolean {
+    if (!this.#near.has(endpoint) && !this.#far.has(endpoint)) return false;
+    return isSuitable(endpoint, job);
+  }
+
+  /** The endpoint that all entries prefer for a prefix key. */
+  home(key: string): Endpoint | undefined {
+    return this.#ring.find(key);
+  }
+
+  /** A random endpoint with room that suits the job. */
+  draw(job: Job, isNear: boolean, random: Random): Endpoint | undefined {
+    const set = isNear ? this.#near : this.#far;
+    for (let i = 0; i < MAX_DRAWS; i += 1) {
+      const drawn = set.sample(random);
+      if (!drawn || isSuitable(drawn, job)) return drawn;
+    }
+    return [...set].find((endpoint) => isSuitable(endpoint, job));
+  }
+
+  /** A slow endpoint that is due for a probe and suits the job. */
+  drawProbe(job: Job, random: Random): Endpoint | undefined {
+    const drawn = this.#probes.sample(random);
+    return drawn && isSuitable(drawn, job) ? drawn : undefined;
+  }
+}
+
+/** Whether the job may go to the endpoint at all. @internal */
+export function isSuitable(endpoint: Endpoint, job: Job): boolean {
+  if (job.avoid.includes(endpoint.id)) return false;
+  return !job.isSuspect || endpoint.load.suspects === 0;
+}
