--- a/packages/policy/src/lib/FairScheduler.test.ts
+++ b/packages/policy/src/lib/FairScheduler.test.ts
@@ -9,7 +9,7 @@
   createConfiguration,
   createJob,
   createLoad,
-} from './fixtures';
+} from '../fixtures';
 
 function createScheduler(endpoints = 1, slots = 1): FairScheduler {
   const scheduler = new FairScheduler();
--- a/packages/policy/src/lib/FairScheduler.ts
+++ b/packages/policy/src/lib/FairScheduler.ts
@@ -27,6 +27,9 @@
 /** Longest time until the next decision while requests wait, in milliseconds. */
 const POLL_MS = 200;
 
+/** Tickets that find no suitable endpoint before the others wait for the next decision. */
+const MAX_PARKED = 8;
+
 /** A dispatched job. */
 interface Run {
   readonly ticket: Ticket;
@@ -87,7 +90,7 @@
   override offer(job: Job, now: number): void {
     this.withdraw(job.request);
     const pool = this.#poolOf(job);
-    const ticket = new Ticket(job, this.#estimate.of(job), job.targetAt - pool.leadMs.value);
+    const ticket = new Ticket(job, this.#estimate.of(job), job.targetAt - pool.leadMsOf(job));
     this.#tickets.set(job.request, ticket);
     pool.add(ticket, now);
   }
@@ -102,7 +105,7 @@
     if (!run || answerTokens <= run.answerTokens) return;
     const { job } = run.ticket;
     const pool = this.#poolOf(job);
-    if (run.answerTokens === 0) pool.leadMs.observe(now - run.sentAt);
+    if (run.answerTokens === 0) pool.observeLead(now - run.sentAt);
     else {
       const msPerToken = (now - run.progressedAt) / (answerTokens - run.answerTokens);
       this.#router.observed(job, run.endpoint, msPerToken, now);
@@ -140,6 +143,7 @@
       this.#sendToFree(name, pool, now, decisions);
       this.#sendUrgent(pool, now, decisions);
       this.#endWaits(pool, now, decisions);
+      if (!this.#router.pool(name).hasOpen) this.#refuseUnserved(pool, now, decisions);
       pool.drainRate.setSaturated(pool.waiting > 0, now);
       if (checksOverload) this.#shedOverload(pool, now, decisions);
     }
@@ -170,7 +174,7 @@
   #sendToFree(name: string, pool: WaitingPool, now: number, decisions: Decision[]): void {
     const endpoints = this.#router.pool(name);
     const parked: Ticket[] = [];
-    while (endpoints.hasFree) {
+    while (endpoints.hasFree && parked.length < MAX_PARKED) {
       const selection = pool.next(now);
       if (!selection) break;
       const endpoint = this.#router.select(selection.ticket.job, now);
@@ -197,7 +201,6 @@
 
   /** Ends the waits that have reached their limit: sends them on or refuses them. */
   #endWaits(pool: WaitingPool, now: number, decisions: Decision[]): void {
-    const hasOpen = () => this.#router.pool(poolName(pool.lowest()?.job as Job)).hasOpen;
     for (const queue of [...pool.tiers].reverse()) {
       for (;;) {
         const ticket = queue.firstToExpire();
@@ -207,7 +210,6 @@
         else this.#refuse(pool, ticket, requestCodes.overloaded, now, decisions);
       }
     }
-    if (pool.waiting > 0 && !hasOpen()) this.#refuseUnserved(pool, now, decisions);
   }
 
   /** Endpoint for a ticket that may wait no longer while lower work waits or runs. */
--- a/packages/policy/src/lib/fair/WaitingPool.ts
+++ b/packages/policy/src/lib/fair/WaitingPool.ts
@@ -1,4 +1,5 @@
 import type { RequestClass } from '@berylwood/schema';
+import type { Job } from '../Job';
 import { DrainRate } from '../queue/DrainRate';
 import { FairQueue } from '../queue/FairQueue';
 import { MinimumShare } from '../queue/MinimumShare';
@@ -9,15 +10,21 @@
 /** Time left to start at which a ticket goes before late ones of higher tiers, in milliseconds. */
 const URGENT_SLACK_MS = 250;
 
-/** Time before the end of the longest wait at which a ticket goes first, in milliseconds. */
-const RESCUE_MS = 1_000;
+/** Time before the end of the longest wait at which a late ticket gives way no more, in ms. */
+const EXPIRING_MS = 1_000;
 
-/** Part of the longest wait that the rescue takes at most. */
-const RESCUE_PART = 0.25;
+/** The same as a part of the longest wait, for short ones. */
+const EXPIRING_PART = 0.25;
 
 /** Assumed time from the dispatch to the first token before any was seen, in milliseconds. */
 const INITIAL_LEAD_MS = 200;
 
+/** Factor over the average up to which a time to the first token is counted. */
+const MAX_LEAD_GROWTH = 2;
+
+/** Part of a job's time to its target that the lead takes at most. */
+const MAX_LEAD_PART = 0.5;
+
 const MIN_RETRY_AFTER_MS = 100;
 
 const MAX_RETRY_AFTER_MS = 120_000;
@@ -33,8 +40,8 @@
 
 /**
  * The requests that wait in an entry for one model or service. Order of service: classes below
- * their guaranteed minimum; tickets about to reach the end of their longest wait; then by tier, in
- * which late tickets give way to those that can still meet their target, also to urgent ones of
+ * their guaranteed minimum; then by tier. Within a tier late tickets give way to those that can
+ * still meet their target, and until their longest wait is about to end also to urgent ones of
  * lower tiers.
  * @internal
  */
@@ -42,7 +49,7 @@
   readonly drainRate = new DrainRate();
 
   /** Time from the dispatch to the first token, in milliseconds. */
-  readonly leadMs = new MovingAverage(INITIAL_LEAD_MS);
+  readonly #leadMs = new MovingAverage(INITIAL_LEAD_MS);
 
   readonly minimumShare = new MinimumShare();
 
@@ -66,6 +73,17 @@
     this.minimumShare.configure(classes);
   }
 
+  /** A first token has come this long after the dispatch, in milliseconds. */
+  observeLead(leadMs: number): void {
+    // Clipped, since some of the time may have been spent in a sidecar's queue.
+    this.#leadMs.observe(Math.min(leadMs, MAX_LEAD_GROWTH * this.#leadMs.value));
+  }
+
+  /** Time before its target at which the job must be sent, in milliseconds. */
+  leadMsOf(job: Job): number {
+    return Math.min(this.#leadMs.value, MAX_LEAD_PART * (job.targetAt - job.arrivedAt));
+  }
+
   /** Adds a ticket; `isNew` counts as a demand of its class. */
   add(ticket: Ticket, now: number, isNew = true): void {
     this.#tierOf(ticket.job.tier).add(ticket);
@@ -85,7 +103,7 @@
   next(now: number): Selection | undefined {
     const due = this.#due(now);
     if (due) return { ticket: due, isGuaranteed: true };
-    const ticket = this.#rescue(now) ?? this.#byTier(now);
+    const ticket = this.#byTier(now);
     return ticket && { ticket, isGuaranteed: false };
   }
 
@@ -167,35 +185,22 @@
   #due(now: number): Ticket | undefined {
     for (const [name, queue] of this.#classes) {
       if (queue.waiting === 0 || queue.waiting === this.#waiting) continue;
-      const ticket = queue.peek(now);
-      if (ticket && this.minimumShare.isDue(name, ticket.work, now)) return ticket;
-    }
-    return undefined;
-  }
-
-  /** The highest ticket that is about to reach the end of its longest wait. */
-  #rescue(now: number): Ticket | undefined {
-    for (const queue of this.#tiers) {
-      const ticket = queue.firstToExpire();
-      if (!ticket) continue;
-      const { arrivedAt, expiresAt } = ticket.job;
-      const rescueMs = Math.min(RESCUE_MS, RESCUE_PART * (expiresAt - arrivedAt));
-      if (now >= expiresAt - rescueMs) return ticket;
+      const meanWork = queue.backlog / queue.waiting;
+      if (this.minimumShare.isDue(name, meanWork, now)) return queue.peek(now);
     }
     return undefined;
   }
 
+  /** Highest tier first; a late ticket lets urgent ones of lower tiers go before it. */
   #byTier(now: number): Ticket | undefined {
     let late: Ticket | undefined;
     for (const queue of this.#tiers) {
       if (queue.fair.waiting === 0) continue;
-      if (late) {
-        const urgent = this.mostUrgent(queue, now);
-        if (urgent) return urgent;
-        continue;
-      }
-      const onTime = queue.fair.peekOnTime(now);
-      if (onTime) return onTime;
+      const first = late ? this.mostUrgent(queue, now) : queue.fair.peekOnTime(now);
+      if (first) return first;
+      if (late) continue;
+      const expiring = queue.firstToExpire();
+      if (expiring && isExpiring(expiring, now)) return expiring;
       late = queue.fair.peekLate(now);
     }
     return late;
@@ -218,3 +223,9 @@
     return queue;
   }
 }
+
+/** Whether the longest wait of a ticket is about to end. */
+function isExpiring({ job }: Ticket, now: number): boolean {
+  const lastMs = Math.min(EXPIRING_MS, EXPIRING_PART * (job.expiresAt - job.arrivedAt));
+  return now >= job.expiresAt - lastMs;
+}
--- a/packages/policy/src/lib/local/AttemptItem.ts
+++ b/packages/policy/src/lib/local/AttemptItem.ts
@@ -66,6 +66,12 @@
     return promptTokens === undefined ? this.work : promptTokens + this.answerTokens;
   }
 
+  /** Whether it may be stopped for work of a higher tier. */
+  isPreemptable(maxPreemptions: number): boolean {
+    if (this.phase !== 'running' || this.isGuaranteed) return false;
+    return this.attempt.isPreemptable !== false && this.preemptions < maxPreemptions;
+  }
+
   /** Moves to the next phase. */
   enter(phase: AttemptPhase): void {
     assert(this.phase !== 'gone', 'an attempt that has left the queue does not change');
--- a/packages/policy/src/lib/local/FairLocalQueue.test.ts
+++ b/packages/policy/src/lib/local/FairLocalQueue.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import { createAttempt } from '../fixtures';
+import { createAttempt } from '../../fixtures';
 import { FairLocalQueue } from './FairLocalQueue';
 
 const createQueue = (slots: number, capacity = 8) => new FairLocalQueue({ slots, capacity });
--- a/packages/policy/src/lib/local/FairLocalQueue.ts
+++ b/packages/policy/src/lib/local/FairLocalQueue.ts
@@ -126,16 +126,17 @@
     for (const item of this.#items.values()) {
       if (item.holdsSlot) {
         running += 1;
-        runningTier = Math.max(runningTier, item.tier);
+        if (item.isPreemptable(this.#options.maxPreemptions)) {
+          runningTier = Math.max(runningTier, item.tier);
+        }
       } else if (waitingTier === 0 || item.tier < waitingTier) waitingTier = item.tier;
     }
     const { slots, lookahead } = this.#options;
     const waiting = this.#items.size - running;
     const credits = Math.max(0, slots + lookahead - running - waiting);
-    const { length } = this.#running();
     return {
       slots,
-      running: length,
+      running,
       waiting,
       waitingTier,
       runningTier,
@@ -181,12 +182,13 @@
 
   /** The oldest attempt of a class that has not had its guaranteed minimum. */
   #takeDue(now: number): AttemptItem | undefined {
-    for (const item of this.#items.values()) {
-      if (item.holdsSlot || !this.#minimumShare.isDue(item.attempt.class, item.work, now)) continue;
-      item.isGuaranteed = true;
-      return item;
-    }
-    return undefined;
+    const waiting = [...this.#items.values()].filter(({ holdsSlot }) => !holdsSlot);
+    const due = waiting.find(({ attempt, work }) =>
+      this.#minimumShare.isDue(attempt.class, work, now),
+    );
+    if (!due) return undefined;
+    due.isGuaranteed = waiting.some(({ tier }) => tier < due.tier);
+    return due;
   }
 
   /** The next attempt of the highest tier that waits; suspended ones go first in their tier. */
--- a/packages/policy/src/lib/local/selectVictim.ts
+++ b/packages/policy/src/lib/local/selectVictim.ts
@@ -13,9 +13,7 @@
 ): AttemptItem | undefined {
   let victim: AttemptItem | undefined;
   for (const item of running) {
-    if (item.tier <= tier || item.phase !== 'running') continue;
-    if (item.attempt.isPreemptable === false || item.isGuaranteed) continue;
-    if (item.preemptions >= maxPreemptions) continue;
+    if (item.tier <= tier || !item.isPreemptable(maxPreemptions)) continue;
     if (!victim || isBetterVictim(item, victim)) victim = item;
   }
   return victim;
--- a/packages/policy/src/lib/routing/EndpointLoad.ts
+++ b/packages/policy/src/lib/routing/EndpointLoad.ts
@@ -29,13 +29,16 @@
 
   reportedAt = -Infinity;
 
-  /** Times of sends that the latest report can not contain, oldest first. */
-  #unseen: number[] = [];
+  /** Sends that the latest report does not contain. */
+  #unseen = 0;
+
+  /** Times of the latest sends, which a report that arrives now may not contain yet. */
+  #inTransit: number[] = [];
 
   #endedSince = 0;
 
-  /** Sends beyond the credits since the latest report. */
-  urgentSends = 0;
+  /** Sends beyond the credits since the latest report, by tier. */
+  readonly #urgentSends = new Uint32Array(LAST_TIER + 1);
 
   /** Tiers of this entry's own requests there. */
   readonly #running = new Map<RequestId, number>();
@@ -63,15 +66,19 @@
   reported(load: Load, at: number): void {
     this.load = load;
     this.reportedAt = at;
-    this.#unseen = this.#unseen.filter((sentAt) => sentAt > at - TRANSIT_MS);
+    this.#inTransit = this.#inTransit.filter((sentAt) => sentAt > at - TRANSIT_MS);
+    this.#unseen = this.#inTransit.length;
     this.#endedSince = 0;
-    this.urgentSends = 0;
+    this.#urgentSends.fill(0);
   }
 
-  sent(request: RequestId, tier: number, now: number): void {
+  sent(request: RequestId, tier: number, isUrgent: boolean, now: number): void {
+    if (isUrgent) this.#urgentSends[tier] = (this.#urgentSends[tier] ?? 0) + 1;
     this.#running.set(request, tier);
     this.#runningByTier[tier] = (this.#runningByTier[tier] ?? 0) + 1;
-    this.#unseen.push(now);
+    this.#unseen += 1;
+    while ((this.#inTransit[0] ?? now) < now - TRANSIT_MS) this.#inTransit.shift();
+    this.#inTransit.push(now);
   }
 
   ended(request: RequestId, outcome: 'completed' | 'cancelled' | 'refused' | 'failed'): void {
@@ -90,12 +97,18 @@
     return now - this.reportedAt > STALE_MS;
   }
 
-  /** Requests that may be sent now without exceeding the endpoint's slots. */
-  available(now: number): number {
+  /**
+   * Requests of the tier that may be sent now without exceeding the endpoint's slots. What waits
+   * there in lower tiers does not count, since the sidecar lets the request go before it.
+   */
+  room(tier: number, now: number): number {
     if (!this.isOpen) return 0;
     const own = this.#running.size;
     if (!this.load || this.isStale(now)) return Math.floor(this.#window) - own;
-    return Math.min(this.load.credits - this.#unseen.length + this.#endedSince, this.slots - own);
+    const { running, waiting, waitingTier, credits } = this.load;
+    const ahead = waitingTier > tier ? 0 : waiting;
+    const free = waiting > 0 ? this.slots - running - ahead : credits;
+    return Math.min(free - this.#unseen + this.#endedSince, this.slots - own);
   }
 
   /** Expected requests there, running and waiting, per slot. */
@@ -103,17 +116,36 @@
     const own = this.#running.size;
     if (!this.load) return own / this.slots;
     const { running, waiting } = this.load;
-    const all = running + waiting + this.#unseen.length - this.#endedSince;
+    const all = running + waiting + this.#unseen - this.#endedSince;
     return Math.max(own, all) / this.slots;
   }
 
-  /** Lowest (least important) tier known to run there, or 0 when none does. */
+  /** Lowest (least important) tier known to run there and to be preemptable, or 0. */
   lowestRunningTier(now: number): number {
-    const lowest = this.load && !this.isStale(now) ? this.load.runningTier : 0;
-    for (let tier = LAST_TIER; tier > lowest; tier -= 1) {
+    // The sidecar knows which attempts may be preempted, this entry only which ones it has sent.
+    if (this.load && !this.isStale(now)) return this.load.runningTier;
+    for (let tier = LAST_TIER; tier > 0; tier -= 1) {
       if ((this.#runningByTier[tier] ?? 0) > 0) return tier;
     }
-    return lowest;
+    return 0;
+  }
+
+  /** Whether something waits there, or was sent beyond the credits since the report. */
+  get hasQueue(): boolean {
+    return (this.load?.waiting ?? 0) > 0 || this.urgentSends(LAST_TIER) > 0;
+  }
+
+  /** Sends of the tier and higher ones beyond the credits since the latest report. */
+  urgentSends(tier: number): number {
+    let sum = 0;
+    for (let other = 1; other <= tier; other += 1) sum += this.#urgentSends[other] ?? 0;
+    return sum;
+  }
+
+  /** Whether work of the tier or a higher one waits there already, for the next slot. */
+  isClaimed(tier: number): boolean {
+    const waitingTier = this.load?.waitingTier ?? 0;
+    return waitingTier > 0 && waitingTier <= tier;
   }
 
   /** Whether lower work than the tier is known to run or wait there. */
--- a/packages/policy/src/lib/routing/EndpointPool.ts
+++ b/packages/policy/src/lib/routing/EndpointPool.ts
@@ -12,6 +12,14 @@
 /** Draws before all free endpoints are looked through. */
 const MAX_DRAWS = 6;
 
+const HIGHEST_TIER = 1;
+
+/** Lowest tier of the configuration's schema. */
+const LOWEST_TIER = 9;
+
+/** Endpoints looked at for each running tier when lower work is to make room. */
+const MAX_URGENT_DRAWS = 4;
+
 /**
  * The endpoints that serve one model or service, with an index of those that have room: a random
  * one is drawn in O(1), separately for the entry's own data centre and the others.
@@ -33,6 +41,15 @@
   /** Slow endpoints that are due for a probe. */
   readonly #probes = new SampledSet<Endpoint>();
 
+  /** Open endpoints by the lowest tier that runs there. */
+  readonly #byRunningTier = Array.from(
+    { length: LOWEST_TIER + 1 },
+    () => new SampledSet<Endpoint>(),
+  );
+
+  /** Index in `byRunningTier` of each endpoint. */
+  readonly #runningTiers = new Map<Endpoint, number>();
+
   #judgedAt = -Infinity;
 
   constructor(dataCentre: DataCentreId | undefined) {
@@ -58,6 +75,8 @@
       if (present.has(old)) continue;
       this.slow.forget(old);
       for (const set of [this.#near, this.#far, this.#probes]) set.set(old, false);
+      this.#setRunningTier(old, 0);
+      this.#runningTiers.delete(old);
     }
     this.#members = members;
     this.#ring = new HashRing(members, ({ id }) => id);
@@ -66,12 +85,13 @@
 
   /** Brings the index up to date after a change of one endpoint. */
   update(endpoint: Endpoint, now: number): void {
-    const hasRoom = endpoint.load.available(now) > 0 && endpoint.breaker.allows(now);
+    const hasRoom = endpoint.load.room(HIGHEST_TIER, now) > 0 && endpoint.breaker.allows(now);
     const isSlow = this.slow.isEjected(endpoint);
     const isNear = this.isNear(endpoint);
     this.#near.set(endpoint, hasRoom && !isSlow && isNear);
     this.#far.set(endpoint, hasRoom && !isSlow && !isNear);
     this.#probes.set(endpoint, hasRoom && isSlow && this.slow.isProbeDue(endpoint, now));
+    this.#setRunningTier(endpoint, endpoint.load.isOpen ? endpoint.load.lowestRunningTier(now) : 0);
   }
 
   /** Brings the index up to date with the passing of time; called a few times a second. */
@@ -90,9 +110,9 @@
   }
 
   /** Whether the job may go to the endpoint, which has room. */
-  accepts(endpoint: Endpoint, job: Job): boolean {
+  accepts(endpoint: Endpoint, job: Job, now: number): boolean {
     if (!this.#near.has(endpoint) && !this.#far.has(endpoint)) return false;
-    return isSuitable(endpoint, job);
+    return isSuitable(endpoint, job) && endpoint.load.room(job.tier, now) > 0;
   }
 
   /** The endpoint that all entries prefer for a prefix key. */
@@ -101,13 +121,35 @@
   }
 
   /** A random endpoint with room that suits the job. */
-  draw(job: Job, isNear: boolean, random: Random): Endpoint | undefined {
+  draw(job: Job, isNear: boolean, random: Random, now: number): Endpoint | undefined {
     const set = isNear ? this.#near : this.#far;
     for (let i = 0; i < MAX_DRAWS; i += 1) {
       const drawn = set.sample(random);
-      if (!drawn || isSuitable(drawn, job)) return drawn;
+      if (!drawn || this.accepts(drawn, job, now)) return drawn;
     }
-    return [...set].find((endpoint) => isSuitable(endpoint, job));
+    for (const endpoint of set) if (this.accepts(endpoint, job, now)) return endpoint;
+    return undefined;
+  }
+
+  /**
+   * An endpoint that runs lower work than the tier, the lowest first; a few random ones are looked
+   * at for each running tier.
+   */
+  drawLower(
+    tier: number,
+    isAcceptable: (endpoint: Endpoint) => boolean,
+    random: Random,
+  ): Endpoint | undefined {
+    for (let lower = LOWEST_TIER; lower > tier; lower -= 1) {
+      const set = this.#byRunningTier[lower] as SampledSet<Endpoint>;
+      const few = set.size <= MAX_URGENT_DRAWS;
+      const drawn = few
+        ? [...set]
+        : Array.from({ length: MAX_URGENT_DRAWS }, () => set.sample(random) as Endpoint);
+      const best = leastLoaded(drawn.filter(isAcceptable));
+      if (best) return best;
+    }
+    return undefined;
   }
 
   /** A slow endpoint that is due for a probe and suits the job. */
@@ -115,6 +157,22 @@
     const drawn = this.#probes.sample(random);
     return drawn && isSuitable(drawn, job) ? drawn : undefined;
   }
+
+  #setRunningTier(endpoint: Endpoint, tier: number): void {
+    const known = this.#runningTiers.get(endpoint) ?? 0;
+    if (known === tier) return;
+    this.#byRunningTier[known]?.set(endpoint, false);
+    if (tier > 0) this.#byRunningTier[tier]?.set(endpoint, true);
+    this.#runningTiers.set(endpoint, tier);
+  }
+}
+
+function leastLoaded(endpoints: readonly Endpoint[]): Endpoint | undefined {
+  let best: Endpoint | undefined;
+  for (const endpoint of endpoints) {
+    if (!best || endpoint.load.perSlot() < best.load.perSlot()) best = endpoint;
+  }
+  return best;
 }
 
 /** Whether the job may go to the endpoint at all. @internal */
--- a/packages/policy/src/lib/routing/PrefixIndex.ts
+++ b/packages/policy/src/lib/routing/PrefixIndex.ts
@@ -6,14 +6,22 @@
 /** Endpoints remembered for a block. */
 const ENDPOINTS_PER_BLOCK = 4;
 
-/** Blocks of a prompt that are looked up; a match is searched by bisection. */
-const MAX_BLOCKS = 1_024;
+/** Blocks at the beginning of a prompt that are all remembered. */
+const DENSE_DEPTHS = 32;
 
-/** Can not occur in the name of a workspace. */
-const SEPARATOR = ' ';
+/**
+ * Blocks of a prompt that are remembered, counted from 1: all of the first ones, then ever fewer.
+ * It bounds the work for a long prompt.
+ */
+const DEPTHS = [
+  ...Array.from({ length: DENSE_DEPTHS }, (_, i) => i + 1),
+  ...Array.from({ length: 12 }, (_, i) => 32 + 8 * (i + 1)),
+  ...Array.from({ length: 28 }, (_, i) => 128 + 32 * (i + 1)),
+];
 
 /** Endpoints that are thought to hold the longest prefix of a prompt. @internal */
 export interface PrefixMatch {
+  /** The one that got the prefix last comes first. */
   readonly endpoints: readonly EndpointId[];
   /** Blocks of the prefix that they hold. */
   readonly length: number;
@@ -21,99 +29,145 @@
 
 const noMatch: PrefixMatch = { endpoints: [], length: 0 };
 
+/** A block of one workspace, linked into the order of use. */
+interface Block {
+  readonly workspace: WorkspaceId;
+  readonly digest: string;
+  readonly endpoints: EndpointId[];
+  older: Block | undefined;
+  newer: Block | undefined;
+}
+
 /**
  * Which endpoint is thought to hold which prompt blocks of which workspace. It learns from what was
  * sent and from cache events, both of which are hints: events come late and with gaps, so a wrong
- * entry costs a cache miss and nothing else. Keys contain the workspace, so that a workspace can
+ * entry costs a cache miss and nothing else. Blocks belong to a workspace, so that a workspace can
  * not learn by timing what another one has asked.
  * @internal
  */
 export class PrefixIndex {
   readonly #capacity: number;
 
-  /** In order of use, the least recently used first. */
-  readonly #blocks = new Map<string, EndpointId[]>();
+  /** Nearly always one block per digest; equal prompts of several workspaces make more. */
+  readonly #blocks = new Map<string, Block[]>();
 
-  /** Workspace keys under which a digest is known, to apply events that name no workspace. */
-  readonly #keysOf = new Map<string, Set<string>>();
+  #size = 0;
+
+  #oldest: Block | undefined;
+
+  #newest: Block | undefined;
 
   constructor(capacity = DEFAULT_CAPACITY) {
     this.#capacity = capacity;
   }
 
+  /** Blocks remembered. */
   get size(): number {
-    return this.#blocks.size;
+    return this.#size;
   }
 
   /** Endpoints with the longest known prefix; block digests are chained, so bisection finds it. */
   find(workspace: WorkspaceId, blocks: readonly string[]): PrefixMatch {
     let low = 0;
-    let high = Math.min(blocks.length, MAX_BLOCKS);
-    let endpoints: readonly EndpointId[] = [];
+    let high = countDepths(blocks);
+    let match = noMatch;
     while (low < high) {
       const middle = Math.ceil((low + high) / 2);
-      const found = this.#blocks.get(keyOf(workspace, blocks[middle - 1] as string));
-      if (found) {
+      const length = DEPTHS[middle - 1] as number;
+      const block = this.#get(workspace, blocks[length - 1] as string);
+      if (block) {
         low = middle;
-        endpoints = found;
+        match = { endpoints: block.endpoints, length };
       } else high = middle - 1;
     }
-    return low === 0 ? noMatch : { endpoints, length: low };
+    return match;
   }
 
   /** A prompt was sent to the endpoint, which will hold its blocks. */
   sent(workspace: WorkspaceId, blocks: readonly string[], endpoint: EndpointId): void {
-    const count = Math.min(blocks.length, MAX_BLOCKS);
+    const count = countDepths(blocks);
     for (let i = 0; i < count; i += 1) {
-      const digest = blocks[i] as string;
-      this.#add(keyOf(workspace, digest), digest, endpoint);
+      const digest = blocks[(DEPTHS[i] as number) - 1] as string;
+      const block = this.#get(workspace, digest) ?? this.#create(workspace, digest);
+      this.#touch(block);
+      addEndpoint(block, endpoint);
     }
-    this.#trim();
+    while (this.#size > this.#capacity) this.#forget(this.#oldest as Block);
   }
 
   /** Takes in cache events; digests that no workspace of this entry has sent are left out. */
   changed(endpoint: EndpointId, events: readonly CacheEvent[]): void {
     for (const { kind, blocks } of events) {
-      for (const digest of blocks) {
-        for (const key of [...(this.#keysOf.get(digest) ?? [])]) {
-          if (kind === 'stored') this.#add(key, digest, endpoint);
-          else this.#remove(key, digest, endpoint);
-        }
+      for (const block of blocks.flatMap((digest) => [...(this.#blocks.get(digest) ?? [])])) {
+        if (kind === 'stored') addEndpoint(block, endpoint);
+        else this.#removeEndpoint(block, endpoint);
       }
     }
   }
 
-  #add(key: string, digest: string, endpoint: EndpointId): void {
-    const known = this.#blocks.get(key) ?? [];
-    this.#blocks.delete(key);
-    const others = known[0] === endpoint ? known.slice(1) : known.filter((id) => id !== endpoint);
-    this.#blocks.set(key, [endpoint, ...others.slice(0, ENDPOINTS_PER_BLOCK - 1)]);
-    const keys = this.#keysOf.get(digest);
-    if (keys) keys.add(key);
-    else this.#keysOf.set(digest, new Set([key]));
+  #get(workspace: WorkspaceId, digest: string): Block | undefined {
+    const blocks = this.#blocks.get(digest);
+    if (!blocks) return undefined;
+    if (blocks[0]?.workspace === workspace) return blocks[0];
+    return blocks.find((block) => block.workspace === workspace);
   }
 
-  #remove(key: string, digest: string, endpoint: EndpointId): void {
-    const left = (this.#blocks.get(key) ?? []).filter((id) => id !== endpoint);
-    if (left.length > 0) this.#blocks.set(key, left);
-    else this.#forget(key, digest);
+  #create(workspace: WorkspaceId, digest: string): Block {
+    const block = { workspace, digest, endpoints: [], older: undefined, newer: undefined };
+    const others = this.#blocks.get(digest);
+    if (others) others.push(block);
+    else this.#blocks.set(digest, [block]);
+    this.#size += 1;
+    return block;
   }
 
-  #forget(key: string, digest: string): void {
-    this.#blocks.delete(key);
-    const keys = this.#keysOf.get(digest);
-    keys?.delete(key);
-    if (keys?.size === 0) this.#keysOf.delete(digest);
+  #removeEndpoint(block: Block, endpoint: EndpointId): void {
+    const index = block.endpoints.indexOf(endpoint);
+    if (index < 0) return;
+    block.endpoints.splice(index, 1);
+    if (block.endpoints.length === 0) this.#forget(block);
   }
 
-  #trim(): void {
-    for (const key of this.#blocks.keys()) {
-      if (this.#blocks.size <= this.#capacity) return;
-      this.#forget(key, key.slice(key.indexOf(SEPARATOR) + 1));
-    }
+  #forget(block: Block): void {
+    this.#unlink(block);
+    this.#size -= 1;
+    const others = (this.#blocks.get(block.digest) ?? []).filter((other) => other !== block);
+    if (others.length > 0) this.#blocks.set(block.digest, others);
+    else this.#blocks.delete(block.digest);
   }
+
+  /** Makes the block the newest in the order of use. */
+  #touch(block: Block): void {
+    if (this.#newest === block) return;
+    this.#unlink(block);
+    block.older = this.#newest;
+    if (this.#newest) this.#newest.newer = block;
+    this.#newest = block;
+    this.#oldest ??= block;
+  }
+
+  #unlink(block: Block): void {
+    if (block.older) block.older.newer = block.newer;
+    else if (this.#oldest === block) this.#oldest = block.newer;
+    if (block.newer) block.newer.older = block.older;
+    else if (this.#newest === block) this.#newest = block.older;
+    block.older = undefined;
+    block.newer = undefined;
+  }
+}
+
+/** How many of the depths lie within the prompt. */
+function countDepths(blocks: readonly string[]): number {
+  if (blocks.length <= DENSE_DEPTHS) return blocks.length;
+  const beyond = DEPTHS.findIndex((depth) => depth > blocks.length);
+  return beyond < 0 ? DEPTHS.length : beyond;
 }
 
-function keyOf(workspace: WorkspaceId, digest: string): string {
-  return workspace + SEPARATOR + digest;
+/** Puts the endpoint first and drops the last one when there are too many. */
+function addEndpoint({ endpoints }: Block, endpoint: EndpointId): void {
+  if (endpoints[0] === endpoint) return;
+  const index = endpoints.indexOf(endpoint);
+  if (index >= 0) endpoints.splice(index, 1);
+  else if (endpoints.length >= ENDPOINTS_PER_BLOCK) endpoints.pop();
+  endpoints.unshift(endpoint);
 }
--- a/packages/policy/src/lib/routing/Router.ts
+++ b/packages/policy/src/lib/routing/Router.ts
@@ -117,16 +117,16 @@
     };
     for (const id of match.endpoints) {
       const endpoint = this.#endpoints.get(id);
-      if (endpoint && pool.accepts(endpoint, job)) consider(endpoint, matchedPart);
+      if (endpoint && pool.accepts(endpoint, job, now)) consider(endpoint, matchedPart);
     }
     if (match.length === 0 && job.blocks.length > 0) {
       const home = pool.home(`${job.workspace} ${job.blocks[0]}`);
-      if (home && pool.accepts(home, job)) consider(home, HOME_PART);
+      if (home && pool.accepts(home, job, now)) consider(home, HOME_PART);
     }
-    consider(pool.draw(job, true, this.#random), 0);
-    consider(pool.draw(job, true, this.#random), 0);
-    consider(pool.draw(job, false, this.#random), 0);
-    if (!best) consider(pool.draw(job, false, this.#random), 0);
+    consider(pool.draw(job, true, this.#random, now), 0);
+    consider(pool.draw(job, true, this.#random, now), 0);
+    consider(pool.draw(job, false, this.#random, now), 0);
+    if (!best) consider(pool.draw(job, false, this.#random, now), 0);
     return best?.id;
   }
 
@@ -135,25 +135,16 @@
    * is too old to tell; undefined when none is known.
    */
   selectUrgent(job: Job, now: number): EndpointId | undefined {
-    const pool = this.pool(poolName(job));
-    let best: Endpoint | undefined;
-    let bestTier = job.tier;
-    for (const endpoint of pool.members) {
-      if (!this.#mayForce(endpoint, job, now)) continue;
-      const lowest = endpoint.load.lowestRunningTier(now);
-      if (lowest < bestTier || lowest <= job.tier) continue;
-      if (best && lowest === bestTier && endpoint.load.perSlot() >= best.load.perSlot()) continue;
-      best = endpoint;
-      bestTier = lowest;
-    }
-    return best?.id;
+    const isAcceptable = (endpoint: Endpoint) =>
+      this.#mayForce(endpoint, job, now) && !endpoint.load.isClaimed(job.tier);
+    return this.pool(poolName(job)).drawLower(job.tier, isAcceptable, this.#random)?.id;
   }
 
-  /** The least loaded open endpoint, for a job that is to wait in a sidecar's queue. */
+  /** The least loaded full endpoint where nothing waits, so that the job gets its next slot. */
   selectQueue(job: Job, now: number): EndpointId | undefined {
     let best: Endpoint | undefined;
     for (const endpoint of this.pool(poolName(job)).members) {
-      if (!this.#mayForce(endpoint, job, now)) continue;
+      if (!this.#mayForce(endpoint, job, now) || endpoint.load.hasQueue) continue;
       if (!best || endpoint.load.perSlot() < best.load.perSlot()) best = endpoint;
     }
     return best?.id;
@@ -170,8 +161,7 @@
   sent(job: Job, id: EndpointId, isUrgent: boolean, now: number): void {
     const endpoint = this.#endpoints.get(id);
     if (!endpoint) return;
-    endpoint.load.sent(job.request, job.tier, now);
-    if (isUrgent) endpoint.load.urgentSends += 1;
+    endpoint.load.sent(job.request, job.tier, isUrgent, now);
     if (job.isSuspect) endpoint.load.suspects += 1;
     endpoint.breaker.sent();
     this.#prefixes.sent(job.workspace, job.blocks, id);
@@ -207,7 +197,7 @@
   #mayForce(endpoint: Endpoint, job: Job, now: number): boolean {
     const { load, breaker } = endpoint;
     if (!load.isOpen || !isSuitable(endpoint, job) || !breaker.allows(now)) return false;
-    return load.urgentSends < Math.ceil(URGENT_PART * load.slots);
+    return load.urgentSends(job.tier) < Math.ceil(URGENT_PART * load.slots);
   }
 
   /** Expected time to the first token, in milliseconds. */
