--- a/packages/policy/src/lib/FairScheduler.ts
+++ b/packages/policy/src/lib/FairScheduler.ts
@@ -11,7 +11,8 @@
 import { Ticket } from './fair/Ticket';
 import { WaitingPool } from './fair/WaitingPool';
 import { WorkEstimate } from './fair/WorkEstimate';
-import { poolName, Router, type RouterOptions } from './routing/Router';
+import { PoolMap, type PoolKey } from './PoolMap';
+import { Router, type RouterOptions } from './routing/Router';
 
 /** Options of a fair scheduler. @public */
 export interface FairSchedulerOptions extends RouterOptions {
@@ -54,7 +55,7 @@
 
   readonly #estimate = new WorkEstimate();
 
-  readonly #pools = new Map<string, WaitingPool>();
+  readonly #pools = new PoolMap((key) => this.#createPool(key));
 
   readonly #tickets = new Map<RequestId, Ticket>();
 
@@ -89,8 +90,8 @@
 
   override offer(job: Job, now: number): void {
     this.withdraw(job.request);
-    const pool = this.#poolOf(job);
-    const ticket = new Ticket(job, this.#estimate.of(job), job.targetAt - pool.leadMsOf(job));
+    const pool = this.#pools.get(job);
+    const ticket = new Ticket(job, pool, this.#estimate.of(job), job.targetAt - pool.leadMsOf(job));
     this.#tickets.set(job.request, ticket);
     pool.add(ticket, now);
   }
@@ -104,7 +105,7 @@
     const run = this.#runs.get(request);
     if (!run || answerTokens <= run.answerTokens) return;
     const { job } = run.ticket;
-    const pool = this.#poolOf(job);
+    const { pool } = run.ticket;
     if (run.answerTokens === 0) pool.observeLead(now - run.sentAt);
     else {
       const msPerToken = (now - run.progressedAt) / (answerTokens - run.answerTokens);
@@ -113,7 +114,7 @@
     run.answerTokens = answerTokens;
     run.progressedAt = now;
     const excess = job.promptTokens + answerTokens - run.charged;
-    if (excess > 0) FairScheduler.#charge(pool, run, excess);
+    if (excess > 0) FairScheduler.#charge(run, excess);
   }
 
   override ended({ request, outcome, answerTokens }: Ending, now: number): void {
@@ -122,7 +123,7 @@
     this.#runs.delete(request);
     const { job } = run.ticket;
     const done = outcome === 'refused' ? 0 : job.promptTokens + answerTokens;
-    FairScheduler.#charge(this.#poolOf(job), run, done - run.charged);
+    FairScheduler.#charge(run, done - run.charged);
     if (outcome === 'completed') {
       this.#estimate.completed(job, answerTokens);
       if (job.kind === 'service') this.#router.observed(job, run.endpoint, now - run.sentAt, now);
@@ -135,15 +136,15 @@
     this.#router.refresh(now);
     const checksOverload = now - this.#overloadCheckedAt >= OVERLOAD_INTERVAL_MS;
     if (checksOverload) this.#overloadCheckedAt = now;
-    for (const [name, pool] of this.#pools) {
+    for (const pool of this.#pools.values()) {
       if (pool.waiting === 0) {
         pool.drainRate.setSaturated(false, now);
         continue;
       }
-      this.#sendToFree(name, pool, now, decisions);
+      this.#sendToFree(pool, now, decisions);
       this.#sendUrgent(pool, now, decisions);
       this.#endWaits(pool, now, decisions);
-      if (!this.#router.pool(name).hasOpen) this.#refuseUnserved(pool, now, decisions);
+      if (!this.#router.pool(pool.key).hasOpen) this.#refuseUnserved(pool, now, decisions);
       pool.drainRate.setSaturated(pool.waiting > 0, now);
       if (checksOverload) this.#shedOverload(pool, now, decisions);
     }
@@ -171,8 +172,8 @@
   }
 
   /** Sends tickets to endpoints that have room; one that none may take is set aside meanwhile. */
-  #sendToFree(name: string, pool: WaitingPool, now: number, decisions: Decision[]): void {
-    const endpoints = this.#router.pool(name);
+  #sendToFree(pool: WaitingPool, now: number, decisions: Decision[]): void {
+    const endpoints = this.#router.pool(pool.key);
     const parked: Ticket[] = [];
     while (endpoints.hasFree && parked.length < MAX_PARKED) {
       const selection = pool.next(now);
@@ -184,7 +185,7 @@
         parked.push(selection.ticket);
       }
     }
-    for (const ticket of parked) this.#return(pool, ticket, now);
+    for (const ticket of parked) this.#return(ticket, now);
   }
 
   /** Sends tickets that would miss their target to full endpoints that run lower work. */
@@ -297,28 +298,24 @@
 
   #take(ticket: Ticket): void {
     this.#tickets.delete(ticket.job.request);
-    this.#poolOf(ticket.job).remove(ticket);
+    ticket.pool.remove(ticket);
   }
 
   /** Puts a ticket back that was taken; a new one, since queues drop the old one by its mark. */
-  #return(pool: WaitingPool, { job, work, startBy }: Ticket, now: number): void {
-    const ticket = new Ticket(job, work, startBy);
+  #return({ job, pool, work, startBy }: Ticket, now: number): void {
+    const ticket = new Ticket(job, pool, work, startBy);
     this.#tickets.set(job.request, ticket);
     pool.add(ticket, now, false);
   }
 
-  #poolOf(job: Job): WaitingPool {
-    const name = poolName(job);
-    const known = this.#pools.get(name);
-    if (known) return known;
-    const pool = new WaitingPool();
+  #createPool(key: PoolKey): WaitingPool {
+    const pool = new WaitingPool(key);
     if (this.#configuration) pool.configure(this.#configuration.classes);
-    this.#pools.set(name, pool);
     return pool;
   }
 
-  static #charge(pool: WaitingPool, run: Run, work: number): void {
-    pool.charge(run.ticket, work);
+  static #charge(run: Run, work: number): void {
+    run.ticket.pool.charge(run.ticket, work);
     run.charged += work;
   }
 }
--- a/packages/policy/src/lib/fair/Ticket.ts
+++ b/packages/policy/src/lib/fair/Ticket.ts
@@ -1,10 +1,13 @@
 import type { Job } from '../Job';
 import type { QueueItem } from '../queue/FairQueue';
+import type { WaitingPool } from './WaitingPool';
 
 /** A job that waits in an entry. @internal */
 export class Ticket implements QueueItem {
   readonly job: Job;
 
+  readonly pool: WaitingPool;
+
   readonly work: number;
 
   readonly startBy: number;
@@ -15,8 +18,9 @@
    * @param work expected work, in tokens
    * @param startBy time by which it must be sent to meet its target, in milliseconds
    */
-  constructor(job: Job, work: number, startBy: number) {
+  constructor(job: Job, pool: WaitingPool, work: number, startBy: number) {
     this.job = job;
+    this.pool = pool;
     this.work = work;
     this.startBy = startBy;
   }
--- a/packages/policy/src/lib/fair/WaitingPool.ts
+++ b/packages/policy/src/lib/fair/WaitingPool.ts
@@ -1,5 +1,6 @@
 import type { RequestClass } from '@berylwood/schema';
 import type { Job } from '../Job';
+import type { PoolKey } from '../PoolMap';
 import { DrainRate } from '../queue/DrainRate';
 import { FairQueue } from '../queue/FairQueue';
 import { MinimumShare } from '../queue/MinimumShare';
@@ -46,6 +47,9 @@
  * @internal
  */
 export class WaitingPool {
+  /** The model or service. */
+  readonly key: PoolKey;
+
   readonly drainRate = new DrainRate();
 
   /** Time from the dispatch to the first token, in milliseconds. */
@@ -60,6 +64,10 @@
 
   #waiting = 0;
 
+  constructor(key: PoolKey) {
+    this.key = key;
+  }
+
   get waiting(): number {
     return this.#waiting;
   }
--- a/packages/policy/src/lib/routing/Endpoint.ts
+++ b/packages/policy/src/lib/routing/Endpoint.ts
@@ -2,6 +2,7 @@
 import { CircuitBreaker } from '../health/CircuitBreaker';
 import type { Candidate } from '../Job';
 import { EndpointLoad } from './EndpointLoad';
+import type { EndpointPool } from './EndpointPool';
 
 /** An endpoint as one entry knows it. @internal */
 export class Endpoint {
@@ -11,6 +12,9 @@
 
   readonly breaker = new CircuitBreaker();
 
+  /** Pools that it belongs to, one for each model or service that it serves. */
+  pools: readonly EndpointPool[] = [];
+
   constructor(candidate: Candidate) {
     this.id = candidate.endpoint;
     this.load = new EndpointLoad(candidate);
--- a/packages/policy/src/lib/routing/PrefixIndex.ts
+++ b/packages/policy/src/lib/routing/PrefixIndex.ts
@@ -1,23 +1,21 @@
 import type { CacheEvent, EndpointId, WorkspaceId } from '@berylwood/schema';
+import { BlockTable } from './BlockTable';
 
-/** Blocks remembered; the least recently used are forgotten first. */
-const DEFAULT_CAPACITY = 50_000;
-
-/** Endpoints remembered for a block. */
-const ENDPOINTS_PER_BLOCK = 4;
+/** Places of the block table: 65,536 blocks in all. */
+const DEFAULT_PLACES = 16_384;
 
 /** Blocks at the beginning of a prompt that are all remembered. */
-const DENSE_DEPTHS = 32;
+const DENSE_DEPTHS = 8;
 
-/**
- * Blocks of a prompt that are remembered, counted from 1: all of the first ones, then ever fewer.
- * It bounds the work for a long prompt.
- */
-const DEPTHS = [
-  ...Array.from({ length: DENSE_DEPTHS }, (_, i) => i + 1),
-  ...Array.from({ length: 12 }, (_, i) => 32 + 8 * (i + 1)),
-  ...Array.from({ length: 28 }, (_, i) => 128 + 32 * (i + 1)),
-];
+/** Deeper blocks are remembered at these intervals, each up to this depth. */
+const SPARSE_DEPTHS = [
+  { interval: 4, end: 64 },
+  { interval: 16, end: 256 },
+  { interval: 64, end: 1_024 },
+] as const;
+
+/** Blocks of a prompt that are remembered, counted from 1; bounds the work for a long prompt. */
+const DEPTHS = listDepths();
 
 /** Endpoints that are thought to hold the longest prefix of a prompt. @internal */
 export interface PrefixMatch {
@@ -29,13 +27,23 @@
 
 const noMatch: PrefixMatch = { endpoints: [], length: 0 };
 
-/** A block of one workspace, linked into the order of use. */
-interface Block {
-  readonly workspace: WorkspaceId;
-  readonly digest: string;
-  readonly endpoints: EndpointId[];
-  older: Block | undefined;
-  newer: Block | undefined;
+/** Small numbers for ids, from 1, in order of first use. */
+class Numbering<Key> {
+  readonly #numbers = new Map<Key, number>();
+
+  readonly #keys: Key[] = [];
+
+  numberOf(key: Key): number {
+    const known = this.#numbers.get(key);
+    if (known !== undefined) return known;
+    this.#keys.push(key);
+    this.#numbers.set(key, this.#keys.length);
+    return this.#keys.length;
+  }
+
+  keyOf(number: number): Key {
+    return this.#keys[number - 1] as Key;
+  }
 }
 
 /**
@@ -46,114 +54,65 @@
  * @internal
  */
 export class PrefixIndex {
-  readonly #capacity: number;
-
-  /** Nearly always one block per digest; equal prompts of several workspaces make more. */
-  readonly #blocks = new Map<string, Block[]>();
-
-  #size = 0;
+  readonly #table: BlockTable;
 
-  #oldest: Block | undefined;
+  readonly #workspaces = new Numbering<WorkspaceId>();
 
-  #newest: Block | undefined;
+  readonly #endpoints = new Numbering<EndpointId>();
 
-  constructor(capacity = DEFAULT_CAPACITY) {
-    this.#capacity = capacity;
-  }
-
-  /** Blocks remembered. */
-  get size(): number {
-    return this.#size;
+  /** @param places size of the table, a power of 2; each place holds four blocks */
+  constructor(places = DEFAULT_PLACES) {
+    this.#table = new BlockTable(places);
   }
 
   /** Endpoints with the longest known prefix; block digests are chained, so bisection finds it. */
   find(workspace: WorkspaceId, blocks: readonly string[]): PrefixMatch {
+    const owner = this.#workspaces.numberOf(workspace);
     let low = 0;
     let high = countDepths(blocks);
-    let match = noMatch;
     while (low < high) {
       const middle = Math.ceil((low + high) / 2);
-      const length = DEPTHS[middle - 1] as number;
-      const block = this.#get(workspace, blocks[length - 1] as string);
-      if (block) {
-        low = middle;
-        match = { endpoints: block.endpoints, length };
-      } else high = middle - 1;
+      if (this.#table.has(owner, blockAt(blocks, middle))) low = middle;
+      else high = middle - 1;
     }
-    return match;
+    if (low === 0) return noMatch;
+    const numbers = this.#table.get(owner, blockAt(blocks, low));
+    const endpoints = numbers.map((number) => this.#endpoints.keyOf(number));
+    return { endpoints, length: DEPTHS[low - 1] as number };
   }
 
   /** A prompt was sent to the endpoint, which will hold its blocks. */
   sent(workspace: WorkspaceId, blocks: readonly string[], endpoint: EndpointId): void {
+    const owner = this.#workspaces.numberOf(workspace);
+    const holder = this.#endpoints.numberOf(endpoint);
     const count = countDepths(blocks);
-    for (let i = 0; i < count; i += 1) {
-      const digest = blocks[(DEPTHS[i] as number) - 1] as string;
-      const block = this.#get(workspace, digest) ?? this.#create(workspace, digest);
-      this.#touch(block);
-      addEndpoint(block, endpoint);
-    }
-    while (this.#size > this.#capacity) this.#forget(this.#oldest as Block);
+    for (let i = 1; i <= count; i += 1) this.#table.add(owner, blockAt(blocks, i), holder);
   }
 
   /** Takes in cache events; digests that no workspace of this entry has sent are left out. */
   changed(endpoint: EndpointId, events: readonly CacheEvent[]): void {
+    const holder = this.#endpoints.numberOf(endpoint);
     for (const { kind, blocks } of events) {
-      for (const block of blocks.flatMap((digest) => [...(this.#blocks.get(digest) ?? [])])) {
-        if (kind === 'stored') addEndpoint(block, endpoint);
-        else this.#removeEndpoint(block, endpoint);
-      }
+      for (const digest of blocks) this.#table.change(digest, holder, kind === 'stored');
     }
   }
+}
 
-  #get(workspace: WorkspaceId, digest: string): Block | undefined {
-    const blocks = this.#blocks.get(digest);
-    if (!blocks) return undefined;
-    if (blocks[0]?.workspace === workspace) return blocks[0];
-    return blocks.find((block) => block.workspace === workspace);
-  }
-
-  #create(workspace: WorkspaceId, digest: string): Block {
-    const block = { workspace, digest, endpoints: [], older: undefined, newer: undefined };
-    const others = this.#blocks.get(digest);
-    if (others) others.push(block);
-    else this.#blocks.set(digest, [block]);
-    this.#size += 1;
-    return block;
-  }
-
-  #removeEndpoint(block: Block, endpoint: EndpointId): void {
-    const index = block.endpoints.indexOf(endpoint);
-    if (index < 0) return;
-    block.endpoints.splice(index, 1);
-    if (block.endpoints.length === 0) this.#forget(block);
-  }
-
-  #forget(block: Block): void {
-    this.#unlink(block);
-    this.#size -= 1;
-    const others = (this.#blocks.get(block.digest) ?? []).filter((other) => other !== block);
-    if (others.length > 0) this.#blocks.set(block.digest, others);
-    else this.#blocks.delete(block.digest);
-  }
-
-  /** Makes the block the newest in the order of use. */
-  #touch(block: Block): void {
-    if (this.#newest === block) return;
-    this.#unlink(block);
-    block.older = this.#newest;
-    if (this.#newest) this.#newest.newer = block;
-    this.#newest = block;
-    this.#oldest ??= block;
+function listDepths(): number[] {
+  const depths = Array.from({ length: DENSE_DEPTHS }, (_, i) => i + 1);
+  for (const { interval, end } of SPARSE_DEPTHS) {
+    let depth = (depths.at(-1) as number) + interval;
+    while (depth <= end) {
+      depths.push(depth);
+      depth += interval;
+    }
   }
+  return depths;
+}
 
-  #unlink(block: Block): void {
-    if (block.older) block.older.newer = block.newer;
-    else if (this.#oldest === block) this.#oldest = block.newer;
-    if (block.newer) block.newer.older = block.older;
-    else if (this.#newest === block) this.#newest = block.older;
-    block.older = undefined;
-    block.newer = undefined;
-  }
+/** Block of a prompt at the remembered depth with this number, from 1. */
+function blockAt(blocks: readonly string[], number: number): string {
+  return blocks[(DEPTHS[number - 1] as number) - 1] as string;
 }
 
 /** How many of the depths lie within the prompt. */
@@ -162,12 +121,3 @@
   const beyond = DEPTHS.findIndex((depth) => depth > blocks.length);
   return beyond < 0 ? DEPTHS.length : beyond;
 }
-
-/** Puts the endpoint first and drops the last one when there are too many. */
-function addEndpoint({ endpoints }: Block, endpoint: EndpointId): void {
-  if (endpoints[0] === endpoint) return;
-  const index = endpoints.indexOf(endpoint);
-  if (index >= 0) endpoints.splice(index, 1);
-  else if (endpoints.length >= ENDPOINTS_PER_BLOCK) endpoints.pop();
-  endpoints.unshift(endpoint);
-}
--- a/packages/policy/src/lib/routing/Router.ts
+++ b/packages/policy/src/lib/routing/Router.ts
@@ -1,6 +1,7 @@
 import { Random } from '@berylwood/base';
 import type { CacheEvent, DataCentreId, EndpointId } from '@berylwood/schema';
 import type { Candidate, Ending, Job, LoadReport } from '../Job';
+import { PoolMap, type PoolKey } from '../PoolMap';
 import { Endpoint } from './Endpoint';
 import { EndpointPool, isSuitable } from './EndpointPool';
 import { PrefixIndex } from './PrefixIndex';
@@ -30,11 +31,6 @@
 /** Urgent sends beyond the credits between two reports, as a part of the endpoint's slots. */
 const URGENT_PART = 0.25;
 
-/** Name of the pool of endpoints that a job can use. @internal */
-export function poolName({ kind, target }: Pick<Job, 'kind' | 'target'>): string {
-  return `${kind}:${target}`;
-}
-
 /**
  * Chooses endpoints: the cheapest of two random ones with room, of those thought to hold the prompt's
  * prefix, and of the prefix's home. The cost is the expected time to the first token.
@@ -47,7 +43,7 @@
 
   readonly #endpoints = new Map<EndpointId, Endpoint>();
 
-  readonly #pools = new Map<string, EndpointPool>();
+  readonly #pools: PoolMap<EndpointPool>;
 
   readonly #prefixes = new PrefixIndex();
 
@@ -56,6 +52,7 @@
   constructor(options: RouterOptions = {}) {
     this.#options = { ...defaults, ...options };
     this.#random = new Random(this.#options.seed);
+    this.#pools = new PoolMap(() => new EndpointPool(this.#options.dataCentre));
   }
 
   /** Takes in the present endpoints; a new incarnation starts with a clean record. */
@@ -83,13 +80,9 @@
     this.#prefixes.changed(endpoint, events);
   }
 
-  /** Pool of the endpoints for a model or service; empty when none serves it. */
-  pool(name: string): EndpointPool {
-    const known = this.#pools.get(name);
-    if (known) return known;
-    const pool = new EndpointPool(this.#options.dataCentre);
-    this.#pools.set(name, pool);
-    return pool;
+  /** Endpoints for a model or service; empty when none serves it. */
+  pool(key: PoolKey): EndpointPool {
+    return this.#pools.get(key);
   }
 
   /** Brings the state up to date with the passing of time. */
@@ -101,7 +94,7 @@
 
   /** The best endpoint with room, or undefined when the job has to wait. */
   select(job: Job, now: number): EndpointId | undefined {
-    const pool = this.pool(poolName(job));
+    const pool = this.pool(job);
     const probe = this.#selectProbe(pool, job, now);
     if (probe) return probe.id;
     const match = this.#prefixes.find(job.workspace, job.blocks);
@@ -137,13 +130,13 @@
   selectUrgent(job: Job, now: number): EndpointId | undefined {
     const isAcceptable = (endpoint: Endpoint) =>
       this.#mayForce(endpoint, job, now) && !endpoint.load.isClaimed(job.tier);
-    return this.pool(poolName(job)).drawLower(job.tier, isAcceptable, this.#random)?.id;
+    return this.pool(job).drawLower(job.tier, isAcceptable, this.#random)?.id;
   }
 
   /** The least loaded full endpoint where nothing waits, so that the job gets its next slot. */
   selectQueue(job: Job, now: number): EndpointId | undefined {
     let best: Endpoint | undefined;
-    for (const endpoint of this.pool(poolName(job)).members) {
+    for (const endpoint of this.pool(job).members) {
       if (!this.#mayForce(endpoint, job, now) || endpoint.load.hasQueue) continue;
       if (!best || endpoint.load.perSlot() < best.load.perSlot()) best = endpoint;
     }
@@ -152,7 +145,7 @@
 
   /** Whether lower work than the job's is known to run or wait, or can not be ruled out. */
   mayHaveLower(job: Job, now: number): boolean {
-    return this.pool(poolName(job)).members.some(
+    return this.pool(job).members.some(
       ({ load }) => load.isOpen && (load.isStale(now) || load.hasLower(job.tier, now)),
     );
   }
@@ -183,7 +176,7 @@
   /** Takes in the cost of a piece of work, such as milliseconds per token, to find slow endpoints. */
   observed(job: Job, id: EndpointId, cost: number, now: number): void {
     const endpoint = this.#endpoints.get(id);
-    if (endpoint) this.pool(poolName(job)).slow.observe(endpoint, cost, now);
+    if (endpoint) this.pool(job).slow.observe(endpoint, cost, now);
   }
 
   #selectProbe(pool: EndpointPool, job: Job, now: number): Endpoint | undefined {
@@ -209,22 +202,21 @@
   }
 
   #update(endpoint: Endpoint, now: number): void {
-    const { kind, targets } = endpoint.load.candidate;
-    for (const target of targets) this.pool(poolName({ kind, target })).update(endpoint, now);
+    for (const pool of endpoint.pools) pool.update(endpoint, now);
   }
 
   #rebuildPools(now: number): void {
-    const members = new Map<string, Endpoint[]>();
+    const members = new Map<EndpointPool, Endpoint[]>();
+    for (const pool of this.#pools.values()) members.set(pool, []);
     for (const endpoint of this.#endpoints.values()) {
       const { kind, targets } = endpoint.load.candidate;
-      for (const target of targets) {
-        const name = poolName({ kind, target });
-        const serving = members.get(name);
+      endpoint.pools = targets.map((target) => this.#pools.get({ kind, target }));
+      for (const pool of endpoint.pools) {
+        const serving = members.get(pool);
         if (serving) serving.push(endpoint);
-        else members.set(name, [endpoint]);
+        else members.set(pool, [endpoint]);
       }
     }
-    for (const name of members.keys()) this.pool(name);
-    for (const [name, pool] of this.#pools) pool.setMembers(members.get(name) ?? [], now);
+    for (const [pool, serving] of members) pool.setMembers(serving, now);
   }
 }
