Shrink an endpoint's window when requests wait there in spite of its credits

Cause: with load reports that come 5 s late the credits are old, and each entry sends more than there is room for. A first token after more than three times the usual time shows the queue; the window shrinks to 0.7 of itself and grows again with completed requests.

--- a/packages/policy/src/lib/FairScheduler.ts
+++ b/packages/policy/src/lib/FairScheduler.ts
@@ -36,6 +36,7 @@
   readonly ticket: Ticket;
   readonly endpoint: EndpointId;
   readonly sentAt: number;
+  readonly isUrgent: boolean;
   /** Work charged to the workspace so far, in tokens. */
   charged: number;
   answerTokens: number;
@@ -106,8 +107,10 @@
     if (!run || answerTokens <= run.answerTokens) return;
     const { job } = run.ticket;
     const { pool } = run.ticket;
-    if (run.answerTokens === 0) pool.observeLead(now - run.sentAt);
-    else {
+    if (run.answerTokens === 0) {
+      if (!run.isUrgent && pool.isDelayed(now - run.sentAt)) this.#router.queued(run.endpoint);
+      pool.observeLead(now - run.sentAt);
+    } else {
       const msPerToken = (now - run.progressedAt) / (answerTokens - run.answerTokens);
       this.#router.observed(job, run.endpoint, msPerToken, now);
     }
@@ -287,6 +290,7 @@
       ticket,
       endpoint,
       sentAt: now,
+      isUrgent,
       charged: work,
       answerTokens: 0,
       progressedAt: now,
--- a/packages/policy/src/lib/fair/WaitingPool.ts
+++ b/packages/policy/src/lib/fair/WaitingPool.ts
@@ -23,6 +23,9 @@
 /** Factor over the average up to which a time to the first token is counted. */
 const MAX_LEAD_GROWTH = 2;
 
+/** Factor over the average from which a time to the first token shows a queue. */
+const DELAYED_FACTOR = 3;
+
 /** Part of a job's time to its target that the lead takes at most. */
 const MAX_LEAD_PART = 0.5;
 
@@ -87,6 +90,11 @@
     this.#leadMs.observe(Math.min(leadMs, MAX_LEAD_GROWTH * this.#leadMs.value));
   }
 
+  /** Whether a first token took so long after the dispatch that it must have waited. */
+  isDelayed(leadMs: number): boolean {
+    return leadMs > DELAYED_FACTOR * this.#leadMs.value;
+  }
+
   /** Time before its target at which the job must be sent, in milliseconds. */
   leadMsOf(job: Job): number {
     return Math.min(this.#leadMs.value, MAX_LEAD_PART * (job.targetAt - job.arrivedAt));
--- a/packages/policy/src/lib/routing/EndpointLoad.ts
+++ b/packages/policy/src/lib/routing/EndpointLoad.ts
@@ -13,6 +13,9 @@
 /** Part of the window that is kept when an endpoint refuses. */
 const WINDOW_DECREASE = 0.5;
 
+/** Part of the window that is kept when a request has waited at the endpoint. */
+const WINDOW_DELAY_DECREASE = 0.7;
+
 /** Lowest tier of the configuration's schema. */
 const LAST_TIER = 9;
 
@@ -93,6 +96,11 @@
     }
   }
 
+  /** A request has waited there although there should have been room for it. */
+  queued(): void {
+    this.#window = Math.max(1, this.#window * WINDOW_DELAY_DECREASE);
+  }
+
   isStale(now: number): boolean {
     return now - this.reportedAt > STALE_MS;
   }
@@ -108,7 +116,7 @@
     const { running, waiting, waitingTier, credits } = this.load;
     const ahead = waitingTier > tier ? 0 : waiting;
     const free = waiting > 0 ? this.slots - running - ahead : credits;
-    return Math.min(free - this.#unseen + this.#endedSince, this.slots - own);
+    return Math.min(free - this.#unseen + this.#endedSince, Math.ceil(this.#window) - own);
   }
 
   /** Expected requests there, running and waiting, per slot. */
--- a/packages/policy/src/lib/routing/Router.ts
+++ b/packages/policy/src/lib/routing/Router.ts
@@ -179,6 +179,11 @@
     if (endpoint) this.pool(job).slow.observe(endpoint, cost, now);
   }
 
+  /** A request that was sent because there was room has waited at the endpoint all the same. */
+  queued(id: EndpointId): void {
+    this.#endpoints.get(id)?.load.queued();
+  }
+
   #selectProbe(pool: EndpointPool, job: Job, now: number): Endpoint | undefined {
     if (!job.idempotent || job.isSuspect) return undefined;
     const probe = pool.drawProbe(job, this.#random);
