--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -15,3 +15,28 @@
 export { FifoLocalQueue } from './lib/local/FifoLocalQueue';
 export { OutlierDetector, type OutlierOptions } from './lib/health/OutlierDetector';
 export { CircuitBreaker, type BreakerOptions } from './lib/health/CircuitBreaker';
+export { Quarantine, type QuarantineOptions, type Standing } from './lib/health/Quarantine';
+export {
+  GRANT_TERM_MS,
+  type LimitGrant,
+  type LimitGrants,
+  type LimitUse,
+} from './lib/limits/LimitGrant';
+export { WorkspaceLimiter } from './lib/limits/WorkspaceLimiter';
+export { LimitDivider } from './lib/limits/LimitDivider';
+export { RetryBudget, type RetryBudgetOptions } from './lib/limits/RetryBudget';
+export type {
+  ClassDemand,
+  ScaledEndpoint,
+  ScalingDecision,
+  ScalingInput,
+  ScalingOptions,
+} from './lib/scaling/ScalingTypes';
+export { ScalingPolicy } from './lib/scaling/ScalingPolicy';
+export {
+  RolloutPolicy,
+  type EngineSetup,
+  type RolloutDecision,
+  type RolloutEndpoint,
+  type RolloutOptions,
+} from './lib/scaling/RolloutPolicy';
--- /dev/null
+++ b/packages/policy/src/lib/health/Quarantine.ts
@@ -0,0 +1,152 @@
+import type { EndpointId } from '@berylwood/schema';
+
+/** Options of a quarantine. @public */
+export interface QuarantineOptions {
+  /** Time that a fingerprint is held back after its second crash, in ms. Default 600000. */
+  readonly holdMs?: number;
+  /** Time after which a suspicion without another crash lapses, in ms. Default 600000. */
+  readonly suspectMs?: number;
+  /** Fingerprints remembered. Default 10000. */
+  readonly capacity?: number;
+}
+
+/** What is known of a fingerprint. @public */
+export type Standing = 'unknown' | 'cleared' | 'suspect' | 'quarantined';
+
+const defaults: Required<QuarantineOptions> = {
+  holdMs: 600_000,
+  suspectMs: 600_000,
+  capacity: 10_000,
+};
+
+/** Crashes that quarantine a fingerprint; also the most endpoints that it may ever crash. */
+const MAX_CRASHES = 2;
+
+interface Case {
+  standing: Standing;
+  crashes: number;
+  /** End of the suspicion or quarantine, in milliseconds. */
+  until: number;
+  /** Attempts in flight by endpoint. */
+  readonly running: Map<EndpointId, number>;
+}
+
+/**
+ * Holds back requests that crash endpoints, by a fingerprint of their content. Requests in flight at
+ * a crash become suspects. A suspect's second crash quarantines it; one whole run clears it. A
+ * fingerprint that has never run whole is in flight at two endpoints at most, one less for each
+ * crash, so that it can crash no more than two endpoints.
+ * @public
+ */
+export class Quarantine {
+  readonly #options: Required<QuarantineOptions>;
+
+  readonly #cases = new Map<string, Case>();
+
+  constructor(options: QuarantineOptions = {}) {
+    this.#options = { ...defaults, ...options };
+  }
+
+  /** Fingerprints remembered. */
+  get size(): number {
+    return this.#cases.size;
+  }
+
+  standing(fingerprint: string, now: number): Standing {
+    const known = this.#cases.get(fingerprint);
+    if (!known) return 'unknown';
+    if ((known.standing === 'suspect' || known.standing === 'quarantined') && now >= known.until) {
+      known.standing = 'unknown';
+      known.crashes = 0;
+    }
+    return known.standing;
+  }
+
+  /** Time left of a quarantine, in milliseconds; 0 when there is none. */
+  holdMs(fingerprint: string, now: number): number {
+    if (this.standing(fingerprint, now) !== 'quarantined') return 0;
+    return (this.#cases.get(fingerprint)?.until ?? now) - now;
+  }
+
+  /** Whether an attempt may be sent to the endpoint now. */
+  mayRun(fingerprint: string, endpoint: EndpointId, now: number): boolean {
+    const standing = this.standing(fingerprint, now);
+    if (standing === 'cleared') return true;
+    if (standing === 'quarantined') return false;
+    const known = this.#cases.get(fingerprint);
+    if (!known) return this.#hasRoom(now);
+    if (known.running.has(endpoint)) return true;
+    return known.crashes + known.running.size < MAX_CRASHES;
+  }
+
+  /** An attempt was sent to the endpoint. */
+  sent(fingerprint: string, endpoint: EndpointId, now: number): void {
+    const { running } = this.#caseOf(fingerprint, now);
+    running.set(endpoint, (running.get(endpoint) ?? 0) + 1);
+  }
+
+  /** An attempt has ended without a crash; `isWhole` when the endpoint has run it to its end. */
+  ended(fingerprint: string, endpoint: EndpointId, isWhole: boolean): void {
+    const known = this.#cases.get(fingerprint);
+    if (!known) return;
+    Quarantine.#release(known, endpoint);
+    if (isWhole && known.standing !== 'quarantined') {
+      known.standing = 'cleared';
+      known.crashes = 0;
+    } else if (known.standing === 'unknown' && known.running.size === 0) {
+      this.#cases.delete(fingerprint);
+    }
+  }
+
+  /** The endpoint has crashed while these were in flight there. */
+  crashed(endpoint: EndpointId, fingerprints: readonly string[], now: number): void {
+    for (const fingerprint of new Set(fingerprints)) {
+      const known = this.#caseOf(fingerprint, now);
+      known.running.delete(endpoint);
+      this.#raise(known, known.crashes + 1, now);
+    }
+  }
+
+  /** Another process reports crashes of the fingerprint, until a time of this process's clock. */
+  learned(fingerprint: string, crashes: number, until: number, now: number): void {
+    if (until <= now) return;
+    const known = this.#caseOf(fingerprint, now);
+    if (crashes <= known.crashes) return;
+    this.#raise(known, crashes, now);
+    known.until = until;
+  }
+
+  #raise(known: Case, crashes: number, now: number): void {
+    const isQuarantined = crashes >= MAX_CRASHES;
+    known.crashes = crashes;
+    known.standing = isQuarantined ? 'quarantined' : 'suspect';
+    known.until = now + (isQuarantined ? this.#options.holdMs : this.#options.suspectMs);
+  }
+
+  #caseOf(fingerprint: string, now: number): Case {
+    const known = this.#cases.get(fingerprint);
+    if (known) return known;
+    this.#hasRoom(now);
+    const created: Case = { standing: 'unknown', crashes: 0, until: 0, running: new Map() };
+    this.#cases.set(fingerprint, created);
+    return created;
+  }
+
+  /** Makes room by forgetting what has run whole or has lapsed; false when nothing has. */
+  #hasRoom(now: number): boolean {
+    if (this.#cases.size < this.#options.capacity) return true;
+    for (const [fingerprint, { standing, running, until }] of this.#cases) {
+      const isHeld = standing !== 'cleared' && now < until;
+      if (isHeld || running.size > 0) continue;
+      this.#cases.delete(fingerprint);
+      return true;
+    }
+    return false;
+  }
+
+  static #release(known: Case, endpoint: EndpointId): void {
+    const left = (known.running.get(endpoint) ?? 0) - 1;
+    if (left > 0) known.running.set(endpoint, left);
+    else known.running.delete(endpoint);
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/limits/WorkspaceLimiter.ts
@@ -0,0 +1,149 @@
+import { fail, type Failure } from '@berylwood/base';
+import { requestCodes, type Configuration, type Plan, type WorkspaceId } from '@berylwood/schema';
+import { ok, type Result } from 'neverthrow';
+import {
+  fallbackRequests,
+  GRANT_TERM_MS,
+  type LimitGrant,
+  type LimitGrants,
+  type LimitUse,
+} from './LimitGrant';
+import { TokenBucket } from './TokenBucket';
+
+/** Work that may be saved up, as a time at the workspace's rate, in milliseconds. */
+const BURST_MS = 2_000;
+
+/** Time after which a request refused for the number of requests may try again, in milliseconds. */
+const BUSY_RETRY_MS = 1_000;
+
+/** State of one workspace in one entry. */
+interface Account {
+  readonly bucket: TokenBucket;
+  running: number;
+  /** Since the last report. */
+  askedTokens: number;
+  mostRequests: number;
+}
+
+/**
+ * Holds the limits of workspaces in one entry without asking anyone for each request: the entry has
+ * a part of each limit, granted for a term by its use. When no new grant comes it falls back to an
+ * even part. So all entries together exceed a limit for no longer than one term and the burst.
+ * @public
+ */
+export class WorkspaceLimiter {
+  readonly #accounts = new Map<WorkspaceId, Account>();
+
+  #configuration: Configuration | undefined;
+
+  #grants = new Map<WorkspaceId, LimitGrant>();
+
+  #entries = 1;
+
+  #position = 0;
+
+  #grantedUntil = -Infinity;
+
+  #reportedAt: number;
+
+  /** @param now start of the first report's interval, in monotonic milliseconds */
+  constructor(now: number) {
+    this.#reportedAt = now;
+  }
+
+  configure(configuration: Configuration): void {
+    this.#configuration = configuration;
+  }
+
+  /**
+   * Takes in grants.
+   * @param askedAt time at which the entry asked for them, so that delays shorten their term
+   */
+  granted({ grants, entries, position }: LimitGrants, askedAt: number): void {
+    this.#grants = new Map(grants.map((grant) => [grant.workspace, grant]));
+    this.#entries = Math.max(1, entries);
+    this.#position = position;
+    this.#grantedUntil = askedAt + GRANT_TERM_MS;
+  }
+
+  /**
+   * Admits a request with its expected work in tokens, or fails with `limitReached`. Each admitted
+   * request must be given back by `ended`.
+   */
+  admit(workspace: WorkspaceId, work: number, now: number): Result<void, Failure> {
+    const plan = this.#planOf(workspace);
+    const account = this.#accountOf(workspace, plan, now);
+    account.askedTokens += work;
+    account.mostRequests = Math.max(account.mostRequests, account.running + 1);
+    if (account.running >= this.#requestsOf(workspace, plan, now)) {
+      return fail(requestCodes.limitReached, `${workspace} has its limit of requests running`, {
+        retryAfterMs: BUSY_RETRY_MS,
+      });
+    }
+    const waitMs = plan?.tokensPerSecond === undefined ? 0 : account.bucket.waitMs(now);
+    if (waitMs > 0) {
+      const retryAfterMs = Math.min(waitMs, GRANT_TERM_MS);
+      return fail(requestCodes.limitReached, `${workspace} is over its tokens a second`, {
+        retryAfterMs,
+      });
+    }
+    account.bucket.take(work, now);
+    account.running += 1;
+    return ok(undefined);
+  }
+
+  /** An admitted request has ended; `correction` is its work beyond what was expected, in tokens. */
+  ended(workspace: WorkspaceId, correction: number, now: number): void {
+    const account = this.#accounts.get(workspace);
+    if (!account) return;
+    account.bucket.take(correction, now);
+    account.running = Math.max(0, account.running - 1);
+  }
+
+  /** Use since the last report, of workspaces that had any. */
+  report(now: number): LimitUse[] {
+    const seconds = Math.max(1, now - this.#reportedAt) / 1000;
+    this.#reportedAt = now;
+    const uses: LimitUse[] = [];
+    for (const [workspace, account] of this.#accounts) {
+      const { askedTokens, mostRequests, running } = account;
+      if (askedTokens > 0 || running > 0) {
+        uses.push({ workspace, tokensPerSecond: askedTokens / seconds, requests: mostRequests });
+      } else if (account.bucket.level(now) > 0) this.#accounts.delete(workspace);
+      account.askedTokens = 0;
+      account.mostRequests = running;
+    }
+    return uses;
+  }
+
+  #planOf(workspace: WorkspaceId): Plan | undefined {
+    const name = this.#configuration?.customers[workspace]?.plan;
+    return name === undefined ? undefined : this.#configuration?.plans[name];
+  }
+
+  #accountOf(workspace: WorkspaceId, plan: Plan | undefined, now: number): Account {
+    const rate = (plan?.tokensPerSecond ?? 0) * this.#tokenShareOf(workspace, now);
+    const capacity = (rate * BURST_MS) / 1000;
+    const known = this.#accounts.get(workspace);
+    if (known) {
+      known.bucket.resize(rate, capacity, now);
+      return known;
+    }
+    const bucket = new TokenBucket(rate, capacity, now);
+    const account = { bucket, running: 0, askedTokens: 0, mostRequests: 0 };
+    this.#accounts.set(workspace, account);
+    return account;
+  }
+
+  #tokenShareOf(workspace: WorkspaceId, now: number): number {
+    const grant = now < this.#grantedUntil ? this.#grants.get(workspace) : undefined;
+    return grant?.tokenShare ?? 1 / this.#entries;
+  }
+
+  #requestsOf(workspace: WorkspaceId, plan: Plan | undefined, now: number): number {
+    const limit = plan?.concurrentRequests;
+    if (limit === undefined) return Infinity;
+    const grant = now < this.#grantedUntil ? this.#grants.get(workspace) : undefined;
+    return grant?.requests ?? fallbackRequests(limit, this.#entries, this.#position);
+  }
+}
