--- a/packages/policy/src/lib/FairScheduler.ts
+++ b/packages/policy/src/lib/FairScheduler.ts
@@ -227,9 +227,7 @@
   /** Without any open endpoint, refuses what has reached its target time, the lowest tier first. */
   #refuseUnserved(pool: WaitingPool, now: number, decisions: Decision[]): void {
     for (const queue of [...pool.tiers].reverse()) {
-      for (;;) {
-        const ticket = queue.fair.peekLate(now);
-        if (!ticket) break;
+      for (const ticket of queue.fair.listLate(now)) {
         this.#refuse(pool, ticket, requestCodes.noEndpoint, now, decisions);
       }
     }
--- a/packages/policy/src/lib/fair/WaitingPool.ts
+++ b/packages/policy/src/lib/fair/WaitingPool.ts
@@ -212,12 +212,16 @@
     let late: Ticket | undefined;
     for (const queue of this.#tiers) {
       if (queue.fair.waiting === 0) continue;
-      const first = late ? this.mostUrgent(queue, now) : queue.fair.peekOnTime(now);
-      if (first) return first;
-      if (late) continue;
+      if (late) {
+        const urgent = this.mostUrgent(queue, now);
+        if (urgent) return urgent;
+        continue;
+      }
+      const first = queue.fair.peek(now);
+      if (first && queue.mostUrgent(now)) return first;
       const expiring = queue.firstToExpire();
       if (expiring && isExpiring(expiring, now)) return expiring;
-      late = queue.fair.peekLate(now);
+      late = first;
     }
     return late;
   }
--- a/packages/policy/src/lib/queue/FairQueue.ts
+++ b/packages/policy/src/lib/queue/FairQueue.ts
@@ -31,6 +31,9 @@
   arrivals: T[];
 }
 
+/** Mean items by which a workspace may fall behind because its items are late. */
+const MAX_DEBT_ITEMS = 16;
+
 /** Dead items in a list before it is compacted. */
 const COMPACT_AT = 64;
 
@@ -88,30 +91,28 @@
     else this.#deactivate(flow);
   }
 
-  /** The item to serve next, or undefined: of those in time if there are any, else a late one. */
+  /**
+   * The item to serve next: one that can still start in time, unless that would take the workspace
+   * of a late one too far below its fair share.
+   */
   peek(now: number): T | undefined {
-    return this.peekOnTime(now) ?? this.peekLate(now);
-  }
-
-  /** The item to serve next among those that can still start in time. */
-  peekOnTime(now: number): T | undefined {
-    let best: Flow<T> | undefined;
+    let onTime: Flow<T> | undefined;
+    let late: Flow<T> | undefined;
     for (const flow of this.#active) {
-      if (best && flow.virtualTime >= best.virtualTime) continue;
-      if (FairQueue.#onTimeHead(flow, now)) best = flow;
+      if (onTime && flow.virtualTime >= onTime.virtualTime) continue;
+      if (FairQueue.#onTimeHead(flow, now)) onTime = flow;
+      else if (!late || flow.virtualTime < late.virtualTime) late = flow;
     }
-    return best && FairQueue.#onTimeHead(best, now);
+    const chosen = onTime && !(late && this.#isOwed(late, onTime)) ? onTime : late;
+    return chosen && (FairQueue.#onTimeHead(chosen, now) ?? FairQueue.#lateHead(chosen));
   }
 
-  /** The item to serve next among those that have missed their time. */
-  peekLate(now: number): T | undefined {
-    let best: Flow<T> | undefined;
-    for (const flow of this.#active) {
-      if (best && flow.virtualTime >= best.virtualTime) continue;
+  /** All items that have missed their time. */
+  listLate(now: number): T[] {
+    return this.#active.flatMap((flow) => {
       FairQueue.#onTimeHead(flow, now);
-      if (FairQueue.#lateHead(flow)) best = flow;
-    }
-    return best && FairQueue.#lateHead(best);
+      return flow.late.slice(flow.lateHead).filter(({ isWaiting }) => isWaiting);
+    });
   }
 
   /** The youngest item of the workspace with the largest backlog for its share. */
@@ -132,6 +133,12 @@
     flow.virtualTime += work / share;
   }
 
+  /** Whether a workspace with late items only has fallen too far behind another one. */
+  #isOwed(late: Flow<T>, onTime: Flow<T>): boolean {
+    const maxDebt = (MAX_DEBT_ITEMS * this.#backlog) / this.#waiting / late.share;
+    return onTime.virtualTime - late.virtualTime > maxDebt;
+  }
+
   #lowestVirtualTime(otherwise: number): number {
     let lowest = Infinity;
     for (const flow of this.#active) lowest = Math.min(lowest, flow.virtualTime);
