Define orders, crash names, relayed members and observers in the schema

Additive: orders to engines pass their sidecars as a control message with an answering call; a crash may be named so that several witnesses count it once; change ids carry the feed index their maker had seen.

--- a/packages/feed/src/index.ts
+++ b/packages/feed/src/index.ts
@@ -2,4 +2,4 @@
 export { CLOCK_RATE_BOUND, FRESHNESS_MS, RENEWAL_INTERVAL_MS } from './lib/constants';
 export { feedEvents } from './lib/events';
 export { StateCopy } from './lib/StateCopy';
-export { Subscription, type SubscriptionOptions } from './lib/Subscription';
+export { Subscription, type EndpointOrder, type SubscriptionOptions } from './lib/Subscription';
--- a/packages/feed/src/lib/Subscription.ts
+++ b/packages/feed/src/lib/Subscription.ts
@@ -1,4 +1,11 @@
-import { DisposableStore, Failure, fail, type Journal, type Timer } from '@berylwood/base';
+import {
+  DisposableStore,
+  Failure,
+  fail,
+  unreachable,
+  type Journal,
+  type Timer,
+} from '@berylwood/base';
 import { Dialer, linkCodes, type Link, type LinkIdentity } from '@berylwood/link';
 import {
   controlMessageSchema,
@@ -29,8 +36,17 @@
   /** Given by a sidecar: its endpoint as members see it. */
   readonly member?: () => Member;
   readonly identity?: LinkIdentity;
+  /** Index told as applied, when others depend on this copy; that of the copy by default. */
+  readonly appliedIndex?: () => number;
 }
 
+/** Interval of keep-alive messages; silence of three of them drops the connection. */
+const KEEP_ALIVE_MS = 400;
+const SILENCE_MS = 3 * KEEP_ALIVE_MS;
+
+/** An order for the endpoint of a sidecar. @public */
+export type EndpointOrder = Extract<ControlMessage, { type: 'order' }>;
+
 type ControlLink = Link<NodeMessage | NodeCall, ControlMessage>;
 
 /**
@@ -50,27 +66,44 @@
 
   onFreshness: (isFresh: boolean) => void = () => {};
 
+  /** Called with each order for the endpoint of this sidecar; it may be repeated or outdated. */
+  onOrder: (order: EndpointOrder) => void = () => {};
+
+  /** Called when a connection to the control group has been greeted. */
+  onConnect: () => void = () => {};
+
   readonly #options: SubscriptionOptions;
 
   readonly #store = new DisposableStore();
 
   readonly #dialer: Dialer<NodeMessage | NodeCall, ControlMessage>;
 
-  #freshUntil = 0;
+  #provenAt = -Infinity;
 
   #wasFresh = false;
 
   constructor(options: SubscriptionOptions) {
     this.#options = options;
     this.#dialer = this.#store.add(
-      new Dialer({ ...options, path: '/node', schema: controlMessageSchema }),
+      new Dialer({
+        ...options,
+        path: '/node',
+        schema: controlMessageSchema,
+        keepAliveMs: KEEP_ALIVE_MS,
+        silenceMs: SILENCE_MS,
+      }),
     );
     this.#dialer.onLink = (link) => this.#greet(link);
   }
 
   /** Whether new work may be taken now. */
   get isFresh(): boolean {
-    return this.#options.timer.now() < this.#freshUntil;
+    return this.#options.timer.now() < this.#provenAt + FRESHNESS_MS;
+  }
+
+  /** Time on the own monotonic clock at which the copy is known to have been current. */
+  get provenAt(): number {
+    return this.#provenAt;
   }
 
   open(): void {
@@ -91,10 +124,15 @@
 
   /** Renews the proof of freshness now, and tells the state of the member. */
   renew(): void {
-    const { timer, member } = this.#options;
+    const { timer, member, appliedIndex } = this.#options;
     const sentAt = timer.now();
-    const { index } = this.state;
-    this.#dialer.link?.send({ type: 'renew', sentAt, applied: index, state: member?.().state });
+    const applied = appliedIndex?.() ?? this.state.index;
+    this.#dialer.link?.send({ type: 'renew', sentAt, applied, state: member?.().state });
+  }
+
+  /** Tells the members that depend on this copy, whole. */
+  relay(members: readonly Member[]): void {
+    this.#dialer.link?.send({ type: 'relayed', members: [...members] });
   }
 
   [Symbol.dispose](): void {
@@ -107,6 +145,7 @@
     const applied = this.state.index;
     const hello = { group, process, incarnation, dataCentre, applied, member: member?.() };
     link.send({ type: 'hello', ...hello });
+    this.onConnect();
     this.renew();
   }
 
@@ -126,8 +165,14 @@
       case 'members':
         this.#applyMembers(message);
         break;
-      default:
+      case 'renewal':
         this.#renewed(message);
+        break;
+      case 'order':
+        this.onOrder(message);
+        break;
+      default:
+        unreachable(message);
     }
   }
 
@@ -152,7 +197,7 @@
 
   #renewed(renewal: Extract<ControlMessage, { type: 'renewal' }>): void {
     if (this.state.index < renewal.index) return;
-    this.#freshUntil = Math.max(this.#freshUntil, renewal.sentAt + FRESHNESS_MS);
+    this.#provenAt = Math.max(this.#provenAt, renewal.sentAt);
     this.#watch();
   }
 
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -10,3 +10,4 @@
 export * from './lib/Settings';
 export * from './lib/AttemptMessage';
 export * from './lib/ControlMessage';
+export * from './lib/Order';
--- a/packages/schema/src/lib/ControlMessage.ts
+++ b/packages/schema/src/lib/ControlMessage.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import { bytesSchema, idSchema, workSchema } from './AttemptMessage';
 import { configurationSchema } from './Configuration';
+import { endpointActionSchema } from './Order';
 import type {
   AttemptId,
   EndpointId,
@@ -8,6 +9,7 @@
   InstanceId,
   DataCentreId,
   KeyId,
+  OrderId,
   RequestId,
   WorkspaceId,
 } from './ids';
@@ -81,6 +83,8 @@
   work: workSchema,
   /** Wasted work is metered, but billed to nobody. */
   billable: z.boolean(),
+  /** Time since the attempt ended when the batch was sent, in milliseconds; 0 when left out. */
+  ageMs: count.optional(),
 });
 
 /** Usage that a sidecar, or an entry for a dead one, hands in. @public */
@@ -111,6 +115,8 @@
     /** Member state, when the node is a sidecar. */
     state: z.enum(['live', 'leaving']).optional(),
   }),
+  /** All members whose sidecars are connected to an observer, sent whole by the observer. */
+  z.object({ type: z.literal('relayed'), members: z.array(memberSchema) }),
 ]);
 
 /** Calls from a node to the control group; each has an answer. @public */
@@ -140,8 +146,17 @@
     endpoint: idSchema<EndpointId>(),
     incarnation: idSchema<IncarnationId>(),
     fingerprints: z.array(z.string()).max(64),
+    /** Names one crash of the endpoint, so that several witnesses count it once. */
+    crash: z.string().max(64).optional(),
   }),
   z.object({ type: z.literal('clear'), fingerprint: z.string() }),
+  /** An endpoint's answer to an order that its sidecar has passed on or refused. */
+  z.object({
+    type: z.literal('orderAnswer'),
+    order: idSchema<OrderId>(),
+    accepted: z.boolean(),
+    message: z.string().max(1024),
+  }),
 ]);
 
 /** Outcome of a claim on a non-idempotent request. @public */
@@ -179,6 +194,16 @@
    * was included in `index`.
    */
   z.object({ type: z.literal('renewal'), sentAt: z.number(), index: count, fence: count }),
+  /**
+   * An order for the endpoint of the sidecar. The sidecar refuses one whose fencing number is
+   * smaller than the greatest that it knows, and one that it has passed on before.
+   */
+  z.object({
+    type: z.literal('order'),
+    order: idSchema<OrderId>(),
+    fence: count,
+    action: endpointActionSchema,
+  }),
 ]);
 
 export type KeyRecord = z.output<typeof keyRecordSchema>;
--- a/packages/schema/src/lib/Settings.ts
+++ b/packages/schema/src/lib/Settings.ts
@@ -86,6 +86,14 @@
   demoKey: z.string().min(16).optional(),
 });
 
+/** Read-only replica between a data centre's nodes and the control group. */
+const observerSchema = z.strictObject({
+  /** Listener for entries and sidecars. */
+  listen: addressSchema,
+  /** Addresses of the control replicas. */
+  control: z.array(addressSchema).min(1),
+});
+
 const sidecarSchema = z.strictObject({
   /** Listener for entries. */
   listen: addressSchema,
@@ -124,6 +132,7 @@
   tls: tlsSchema.optional(),
   entry: entrySchema.optional(),
   control: controlSchema.optional(),
+  observer: observerSchema.optional(),
   sidecars: z.array(sidecarSchema).default([]),
   standIns: z.array(standInSchema).default([]),
 });
@@ -132,6 +141,7 @@
 export type ProcessSettings = Settings['process'];
 export type EntrySettings = NonNullable<Settings['entry']>;
 export type ControlSettings = NonNullable<Settings['control']>;
+export type ObserverSettings = NonNullable<Settings['observer']>;
 export type SidecarSettings = Settings['sidecars'][number];
 export type StandInSettings = Settings['standIns'][number];
 export type TlsSettings = NonNullable<Settings['tls']>;
--- a/packages/schema/src/lib/ids.ts
+++ b/packages/schema/src/lib/ids.ts
@@ -35,8 +35,19 @@
 export const createAttemptId = (): AttemptId => createId('att');
 /** @public */
 export const createKeyId = (): KeyId => createId('key');
-/** @public */
-export const createChangeId = (): ChangeId => createId('chg');
+/**
+ * Creates the id of a change. It carries the feed index that its maker had seen, so that the group
+ * can tell a resend that is older than its memory of outcomes from a new change.
+ * @public
+ */
+export const createChangeId = (seenIndex = 0): ChangeId =>
+  createId(`chg-${seenIndex.toString(36)}`);
+
+/** Feed index that the maker of a change had seen; 0 when the id carries none. @public */
+export function seenIndexOf(change: ChangeId): number {
+  const [, digits] = /^chg-([0-9a-z]{1,10})-[0-9a-f]+$/.exec(change) ?? [];
+  return digits === undefined ? 0 : Number.parseInt(digits, 36);
+}
 /** @public */
 export const createOrderId = (): OrderId => createId('ord');
 
