--- a/apps/berylwood/src/lib/createOperatorClient.ts
+++ b/apps/berylwood/src/lib/createOperatorClient.ts
@@ -1,9 +1,17 @@
 import type { OperatorRouter } from '@berylwood/control';
 import { createTRPCClient, httpLink } from '@trpc/client';
 
+/** Time for one answer: a frozen replica accepts connections and says nothing. */
+const ANSWER_MS = 5000;
+
 /** A tRPC client of the operators' service at an address. @internal */
 export function createOperatorClient(address: string) {
-  return createTRPCClient<OperatorRouter>({ links: [httpLink({ url: `http://${address}` })] });
+  const link = httpLink({
+    url: `http://${address}`,
+    fetch: (url, options) =>
+      fetch(url, { ...(options as RequestInit), signal: AbortSignal.timeout(ANSWER_MS) }),
+  });
+  return createTRPCClient<OperatorRouter>({ links: [link] });
 }
 
 export type OperatorClient = ReturnType<typeof createOperatorClient>;
--- a/apps/berylwood/src/lib/createRoles.ts
+++ b/apps/berylwood/src/lib/createRoles.ts
@@ -1,5 +1,5 @@
 import { Metrics, Supervisor, type Journal, type Timer } from '@berylwood/base';
-import { Control } from '@berylwood/control';
+import { Control, Observer } from '@berylwood/control';
 import { Entry } from '@berylwood/entry';
 import { createIncarnationId, type IncarnationId, type Settings } from '@berylwood/schema';
 import { Sidecar } from '@berylwood/sidecar';
@@ -17,11 +17,12 @@
 /** Creates the supervisor of the roles that the settings name, in the order of their start. @internal */
 export function createRoles(settings: Settings, surroundings: Surroundings): Supervisor {
   const { timer, journal } = surroundings;
-  const { process, entry, control, sidecars, standIns, admin } = settings;
+  const { process, entry, control, observer, sidecars, standIns, admin } = settings;
   // A restarted task can not take over its predecessor's connections, so nothing else restarts.
   const tree = new Supervisor({ name: process.name, timer, journal });
   for (const standIn of standIns) tree.add(() => createStandIn(standIn));
   if (control) tree.add(() => new Control({ ...surroundings, settings: control }));
+  if (observer) tree.add(() => new Observer({ ...surroundings, process, settings: observer }));
   for (const sidecar of sidecars) {
     // A restarted sidecar has an empty attempt table, so it is another incarnation.
     const create = () => ({ ...surroundings, incarnation: createIncarnationId() });
--- /dev/null
+++ b/apps/berylwood/src/lib/keysCommand.ts
@@ -0,0 +1,76 @@
+import { randomBytes } from 'node:crypto';
+import { existsSync, readFileSync, writeFileSync } from 'node:fs';
+import { hashSecret } from '@berylwood/control';
+import { asWorkspaceId, createKeyId, type KeyId } from '@berylwood/schema';
+import { Command } from 'commander';
+import { ExitCode } from './codes';
+import { CommandError } from './CommandError';
+import {
+  addChangeOptions,
+  addOperatorOptions,
+  ask,
+  beginChange,
+  print,
+  type OperatorOptions,
+} from './operatorOptions';
+import { waitInForce } from './waitInForce';
+
+const SECRET_BYTES = 24;
+
+/** Only the owner may read a file with a secret. */
+const SECRET_MODE = 0o600;
+
+interface GiveOptions extends OperatorOptions {
+  readonly secretFile?: string;
+}
+
+/** A new secret, or that of the file from an earlier try. */
+function chooseSecret({ secretFile }: GiveOptions): string {
+  if (secretFile && existsSync(secretFile)) return readFileSync(secretFile, 'utf8').trim();
+  const secret = `bw-${randomBytes(SECRET_BYTES).toString('hex')}`;
+  if (secretFile) writeFileSync(secretFile, `${secret}\n`, { mode: SECRET_MODE, flag: 'wx' });
+  return secret;
+}
+
+async function giveKey(workspace: string, options: GiveOptions): Promise<void> {
+  const secret = chooseSecret(options);
+  const hash = hashSecret(secret);
+  const change = await beginChange(options);
+  const record = { key: createKeyId(), hash, workspace: asWorkspaceId(workspace) };
+  const given = await ask(options, (client) => client.giveKey.mutate({ change, record }));
+  await waitInForce(options, given.index);
+  const { key, hash: storedHash } = given.key ?? record;
+  if (storedHash !== hash) {
+    const message = `${key} was given by an earlier send of ${change}, whose secret is not known here; withdraw it, or resend with the --secret-file of that time`;
+    throw new CommandError(ExitCode.Refused, message);
+  }
+  const { index } = given;
+  print(options, { key, secret, change, index, inForce: true }, `${key} ${secret}`);
+}
+
+async function withdrawKey(key: KeyId, options: OperatorOptions): Promise<void> {
+  const change = await beginChange(options);
+  const { index } = await ask(options, (client) => client.withdrawKey.mutate({ change, key }));
+  await waitInForce(options, index);
+  print(options, { change, index, inForce: true }, `${key} is withdrawn everywhere`);
+}
+
+/** `keys give|withdraw|list`. @internal */
+export function keysCommand(): Command {
+  const keys = new Command('keys').description('keys of the workspaces');
+  addChangeOptions(keys.command('give <workspace>'))
+    .description('create a key and show it once')
+    .option('--secret-file <file>', 'file for the secret, written before the key is created')
+    .action(giveKey);
+  addChangeOptions(keys.command('withdraw <key>'))
+    .description('withdraw a key by its id')
+    .action(withdrawKey);
+  addOperatorOptions(keys.command('list'))
+    .description('keys in force, without their secrets')
+    .action(async (options: OperatorOptions) => {
+      const listed = await ask(options, (client) => client.listKeys.query());
+      const lines = listed.map(({ key, workspace }) => `${key} ${workspace}`);
+      print(options, listed, lines.join('\n'));
+    });
+  return keys;
+}
--- a/apps/berylwood/src/lib/runProcess.ts
+++ b/apps/berylwood/src/lib/runProcess.ts
@@ -1,4 +1,5 @@
-import { Journal, Metrics, SystemTimer, baseEvents } from '@berylwood/base';
+import { Failure, Journal, Metrics, SystemTimer, baseEvents } from '@berylwood/base';
+import { controlCodes } from '@berylwood/control';
 import { createIncarnationId, type Settings } from '@berylwood/schema';
 import pino from 'pino';
 import { CommandError } from './CommandError';
@@ -8,6 +9,9 @@
 const SIGNALS = ['SIGTERM', 'SIGINT'] as const;
 
 function startError(error: unknown): CommandError {
+  if (error instanceof Failure && error.code === controlCodes.dataFolderUnusable) {
+    return new CommandError(ExitCode.DataFolder, error.message);
+  }
   const { code, address, port, message } = error as NodeJS.ErrnoException & {
     address?: string;
     port?: number;
--- /dev/null
+++ b/apps/berylwood/src/lib/waitInForce.ts
@@ -0,0 +1,35 @@
+import { ExitCode } from './codes';
+import { CommandError } from './CommandError';
+import { ask, type OperatorOptions } from './operatorOptions';
+
+const LIMIT_MS = 15_000;
+
+/** Time between two lines of progress. */
+const STEP_MS = 500;
+
+const SHOWN_NODES = 5;
+
+function describe(pending: readonly string[]): string {
+  const more = pending.length > SHOWN_NODES ? ` and ${pending.length - SHOWN_NODES} more` : '';
+  return `${pending.slice(0, SHOWN_NODES).join(', ')}${more}`;
+}
+
+/**
+ * Waits until a change is in force everywhere, with progress on standard error.
+ * @throws CommandError when it is not in time; the change is committed all the same.
+ * @internal
+ */
+export async function waitInForce(options: OperatorOptions, index: number): Promise<void> {
+  const deadline = performance.now() + LIMIT_MS;
+  let pending: readonly string[] = [];
+  do {
+    const report = await ask(options, (client) =>
+      client.waitInForce.query({ index, timeoutMs: STEP_MS }),
+    );
+    if (report.inForce) return;
+    pending = report.pending;
+    process.stderr.write(`committed; waiting for ${describe(pending)}\n`);
+  } while (performance.now() < deadline);
+  const message = `committed, but not yet in force on: ${describe(pending)}`;
+  throw new CommandError(ExitCode.NotInForce, message);
+}
--- /dev/null
+++ b/packages/control/src/lib/InstanceLister.ts
@@ -0,0 +1,33 @@
+import { controlEvents } from './events';
+import type { MemberTable } from './MemberTable';
+import { PlatformTask, type PlatformTaskOptions } from './PlatformTask';
+
+const INTERVAL_MS = 1000;
+
+/** Polls the platform's lagging list of instances and joins it with the announcements. @public */
+export class InstanceLister extends PlatformTask {
+  readonly #members: MemberTable;
+
+  #wasReachable = true;
+
+  constructor(options: PlatformTaskOptions & { readonly members: MemberTable }) {
+    super(options, INTERVAL_MS);
+    this.#members = options.members;
+  }
+
+  /** Whether the platform answered last; a leader that can not reach it may hand over. */
+  get isReachable(): boolean {
+    return this.#wasReachable;
+  }
+
+  protected override async step(): Promise<void> {
+    const { platform, journal } = this.options;
+    if (!platform) return;
+    const listed = await platform.list();
+    if (listed.isOk()) this.#members.setPlatformList(listed.value);
+    if (listed.isErr() && this.#wasReachable) {
+      journal.record(controlEvents.platformUnreachable, { reason: listed.error.message });
+    }
+    this.#wasReachable = listed.isOk();
+  }
+}
--- /dev/null
+++ b/packages/control/src/lib/Leadership.ts
@@ -0,0 +1,162 @@
+import type { Journal, Timer } from '@berylwood/base';
+import type { LogStatus, ReplicatedLog } from '@berylwood/consensus';
+import type { Ledger } from '@berylwood/ledger';
+import { createActor, setup } from 'xstate';
+import { controlEvents } from './events';
+import type { Proposer } from './Proposer';
+
+/** Options of the leadership. @public */
+export interface LeadershipOptions {
+  readonly timer: Timer;
+  readonly journal: Journal;
+  readonly log: ReplicatedLog;
+  readonly ledger: Ledger;
+  readonly proposer: Proposer;
+  readonly replica: string;
+  /** Length of usage windows, which the first leader of a group fixes. */
+  readonly windowMs: number;
+}
+
+/** Wait before another try to take the fencing number. */
+const RETRY_MS = 50;
+
+const machine = setup({
+  types: { events: {} as { type: 'elected' } | { type: 'deposed' } | { type: 'fenced' } },
+  actions: { takeFence: () => {}, established: () => {}, lost: () => {} },
+}).createMachine({
+  id: 'leadership',
+  initial: 'following',
+  states: {
+    following: { on: { elected: 'establishing' } },
+    establishing: {
+      entry: 'takeFence',
+      on: { fenced: 'leading', deposed: 'following', elected: 'establishing' },
+    },
+    leading: {
+      entry: 'established',
+      exit: 'lost',
+      on: { deposed: 'following', elected: 'establishing' },
+    },
+  },
+});
+
+/**
+ * Leadership of the control group. A replica that was elected leads once its fencing number is
+ * committed: the log commits nothing before the lease of the former leader has run out, and after
+ * the first commit of its term the leader's state includes all that was committed before.
+ * @public
+ */
+export class Leadership implements Disposable {
+  /** Called when this replica begins to lead. */
+  onEstablished: () => void = () => {};
+
+  /** Called when this replica leads no more. */
+  onLost: () => void = () => {};
+
+  readonly #options: LeadershipOptions;
+
+  readonly #actor;
+
+  /** Whether the machine is in its state `leading`, also within the actions of its entry. */
+  #isLeading = false;
+
+  #fence = 0;
+
+  #term = 0;
+
+  constructor(options: LeadershipOptions) {
+    this.#options = options;
+    const provided = machine.provide({
+      actions: {
+        takeFence: () => {
+          this.#takeFence(this.#term);
+        },
+        established: () => this.#establish(),
+        lost: () => this.#lose(),
+      },
+    });
+    this.#actor = createActor(provided);
+  }
+
+  /** Follows the role of the replica from now on. */
+  open(): void {
+    const { log } = this.#options;
+    this.#actor.start();
+    log.onRole = (status) => this.#follow(status);
+    this.#follow(log.status);
+  }
+
+  /** Whether this replica leads, as far as it knows; an effect needs `mayAct`. */
+  get isLeading(): boolean {
+    return this.#isLeading;
+  }
+
+  /** Fencing number of this leadership. */
+  get fence(): number {
+    return this.#fence;
+  }
+
+  /**
+   * Whether this replica leads under its lease now and for some more milliseconds. To be asked in
+   * the same tick as the effect that it guards.
+   */
+  mayAct(remainingMs = 0): boolean {
+    const { log, ledger, timer } = this.#options;
+    return (
+      this.isLeading &&
+      log.holdsLease &&
+      log.leaseEndsAt - timer.now() > remainingMs &&
+      ledger.feed.fence === this.#fence
+    );
+  }
+
+  /** Takes the next fencing number within this leadership, after a restore has moved it on. */
+  async renewFence(): Promise<void> {
+    const { proposer, timer, replica } = this.#options;
+    const fenced = await proposer.propose({ type: 'fence', at: timer.wall(), replica });
+    if (fenced.isOk() && fenced.value.type === 'done') this.#fence = fenced.value.fence;
+  }
+
+  [Symbol.dispose](): void {
+    this.#options.log.onRole = () => {};
+    this.#actor.stop();
+  }
+
+  #follow({ role, term }: LogStatus): void {
+    if (role !== 'leader') {
+      this.#actor.send({ type: 'deposed' });
+      return;
+    }
+    if (term === this.#term) return;
+    this.#term = term;
+    this.#actor.send({ type: 'elected' });
+  }
+
+  async #takeFence(term: number): Promise<void> {
+    const { proposer, timer, replica, windowMs, log } = this.#options;
+    const isCurrent = (): boolean => log.status.role === 'leader' && log.status.term === term;
+    while (isCurrent()) {
+      const at = timer.wall();
+      const fenced = await proposer.propose({ type: 'fence', at, replica, windowMs });
+      if (fenced.isOk() && fenced.value.type === 'done' && isCurrent()) {
+        this.#fence = fenced.value.fence;
+        this.#actor.send({ type: 'fenced' });
+        return;
+      }
+      await timer.sleep(RETRY_MS);
+    }
+  }
+
+  #establish(): void {
+    const { journal } = this.#options;
+    this.#isLeading = true;
+    journal.record(controlEvents.leadershipTaken, { term: this.#term, fence: this.#fence });
+    this.onEstablished();
+  }
+
+  #lose(): void {
+    this.#isLeading = false;
+    this.#options.journal.record(controlEvents.leadershipLost, { fence: this.#fence });
+    this.onLost();
+  }
+}
--- /dev/null
+++ b/packages/control/src/lib/NodeServer.ts
@@ -0,0 +1,174 @@
+import { fail, type Failure, type Journal, type Timer } from '@berylwood/base';
+import type { LinkServer } from '@berylwood/link';
+import {
+  nodeCallSchema,
+  nodeMessageSchema,
+  type ControlMessage,
+  type NodeCall,
+  type NodeMessage,
+} from '@berylwood/schema';
+import { ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import type { Accepted, Proposer } from './Proposer';
+import { controlCodes } from './codes';
+import { controlEvents } from './events';
+import type { Leadership } from './Leadership';
+import type { MemberTable } from './MemberTable';
+import type { Hello, NodeLink, Publisher } from './Publisher';
+
+/** Options of the service for nodes. @public */
+export interface NodeServerOptions {
+  readonly timer: Timer;
+  readonly journal: Journal;
+  readonly leadership: Pick<Leadership, 'isLeading'>;
+  readonly proposer: Proposer;
+  readonly publisher: Publisher;
+  readonly members: MemberTable;
+}
+
+/** What may come from a node. @internal */
+export const nodeSchema = z.union([nodeMessageSchema, nodeCallSchema]);
+
+/** Path and keep-alive of links to nodes: a node drops a connection that is silent for 1.2 s. */
+export const NODE_PATH = '/node';
+export const NODE_KEEP_ALIVE_MS = 400;
+
+/** Wait before a node is sent on, so that nodes do not spin while no replica leads. */
+const REDIRECT_DELAY_MS = 100;
+
+/** Serves entries, sidecars and observers on the leader, and sends them on elsewhere. @public */
+export class NodeServer {
+  readonly #options: NodeServerOptions;
+
+  #isOpen = false;
+
+  /** Nodes that have greeted while this replica did not lead. */
+  readonly #waiting = new Map<NodeLink, Hello>();
+
+  /** Members last relayed by each observer. */
+  readonly #relayed = new Map<NodeLink, Set<string>>();
+
+  constructor(options: NodeServerOptions) {
+    this.#options = options;
+  }
+
+  /** Takes nodes on the server's port; call before it listens. */
+  serve(server: LinkServer): void {
+    const { timer, journal } = this.#options;
+    server.accept<ControlMessage, NodeMessage | NodeCall>(
+      NODE_PATH,
+      { timer, journal, schema: nodeSchema, keepAliveMs: NODE_KEEP_ALIVE_MS },
+      (link) => this.#welcome(link),
+    );
+  }
+
+  /** Takes in nodes from now on, and those that wait, when this replica begins to lead. */
+  open(): void {
+    this.#isOpen = true;
+    for (const [link, hello] of this.#waiting) this.#join(link, hello);
+    this.#waiting.clear();
+  }
+
+  /** Sends nodes on from now on. */
+  close(): void {
+    this.#isOpen = false;
+  }
+
+  #welcome(link: NodeLink): void {
+    link.onMessage = (message) => this.#receive(link, message);
+    link.onCall = (call) => this.#call(call);
+    link.onClose = () => this.#leave(link);
+  }
+
+  #receive(link: NodeLink, message: NodeMessage | NodeCall): void {
+    const { publisher, members } = this.#options;
+    switch (message.type) {
+      case 'hello':
+        this.#greet(link, message);
+        break;
+      case 'renew': {
+        const subscriber = publisher.find(link);
+        const { member } = subscriber?.hello ?? {};
+        const { process = '' } = subscriber?.hello ?? {};
+        if (member && message.state) members.announce({ ...member, state: message.state }, process);
+        publisher.renew(link, message);
+        break;
+      }
+      case 'relayed':
+        this.#relay(link, message.members);
+        break;
+      default:
+      // Calls come by `call`.
+    }
+  }
+
+  #greet(link: NodeLink, hello: Hello): void {
+    const { timer } = this.#options;
+    if (this.#isOpen) {
+      this.#join(link, hello);
+      return;
+    }
+    this.#waiting.set(link, hello);
+    timer.after(REDIRECT_DELAY_MS, () => {
+      if (this.#waiting.delete(link)) link.send({ type: 'redirect' });
+    });
+  }
+
+  #join(link: NodeLink, hello: Hello): void {
+    const { publisher, members, journal } = this.#options;
+    publisher.join(link, hello);
+    if (hello.member) members.announce(hello.member, hello.process);
+    journal.record(controlEvents.nodeJoined, { process: hello.process, applied: hello.applied });
+  }
+
+  #relay(link: NodeLink, relayed: Extract<NodeMessage, { type: 'relayed' }>['members']): void {
+    const { publisher, members } = this.#options;
+    const { process } = publisher.find(link)?.hello ?? {};
+    if (!process) return;
+    const now = new Set<string>(relayed.map(({ endpoint }) => endpoint));
+    for (const { endpoint } of members.members) {
+      const isGone = this.#relayed.get(link)?.has(endpoint) && !now.has(endpoint);
+      if (isGone) members.withdraw(endpoint, process);
+    }
+    for (const member of relayed) members.announce(member, process);
+    this.#relayed.set(link, now);
+  }
+
+  #leave(link: NodeLink): void {
+    const { publisher, members, journal } = this.#options;
+    this.#waiting.delete(link);
+    const gone = publisher.leave(link);
+    const relayed = this.#relayed.get(link);
+    this.#relayed.delete(link);
+    if (!gone) return;
+    const { process, member } = gone.hello;
+    if (member) members.withdraw(member.endpoint, process);
+    for (const { endpoint } of members.members) {
+      if (relayed?.has(endpoint)) members.withdraw(endpoint, process);
+    }
+    journal.record(controlEvents.nodeLeft, { process });
+  }
+
+  async #call(call: NodeMessage | NodeCall): Promise<Result<unknown, Failure>> {
+    const { leadership, proposer, journal, timer } = this.#options;
+    if (call.type === 'hello' || call.type === 'renew' || call.type === 'relayed') {
+      return fail(controlCodes.callUnknown, `no such call: ${call.type}`);
+    }
+    if (!leadership.isLeading) return fail(controlCodes.notLeader, 'this replica does not lead');
+    const at = timer.wall();
+    const command =
+      call.type === 'orderAnswer' ? { ...call, type: 'answerOrder' as const, at } : { ...call, at };
+    const accepted = await proposer.propose(command);
+    if (accepted.isOk() && accepted.value.type === 'metered' && accepted.value.dropped > 0) {
+      journal.record(controlEvents.usageDropped, { dropped: accepted.value.dropped });
+    }
+    return accepted.andThen((outcome) => ok(answerOf(outcome)));
+  }
+}
+
+/** What a node is answered. */
+function answerOf(outcome: Accepted): unknown {
+  if (outcome.type === 'metered') return outcome.mark;
+  if (outcome.type === 'claimed') return outcome.answer;
+  return true;
+}
--- a/packages/control/src/lib/OperatorService.ts
+++ b/packages/control/src/lib/OperatorService.ts
@@ -1,58 +1,76 @@
-import { createHash, randomBytes } from 'node:crypto';
+import { createHash } from 'node:crypto';
 import { fail, type Failure, type Journal, type Timer } from '@berylwood/base';
-import type { LogStatus, ReplicatedLog } from '@berylwood/consensus';
-import type { Command, Ledger, UsageLine } from '@berylwood/ledger';
 import {
-  asWorkspaceId,
-  createKeyId,
+  createReplicaName,
+  type LogStatus,
+  type Membership,
+  type Replica,
+} from '@berylwood/consensus';
+import {
+  cutBackup,
+  type ClosedWindow,
+  type Command,
+  type DoneOutcome,
+  type Ledger,
+  type Order,
+  type Revision,
+  type UsageLine,
+} from '@berylwood/ledger';
+import {
   type ChangeId,
   type Configuration,
   type KeyId,
   type KeyRecord,
   type Member,
+  type OrderAction,
+  type OrderId,
   type WorkspaceId,
 } from '@berylwood/schema';
-import type { Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import { controlCodes } from './codes';
 import { controlEvents } from './events';
-import type { Accepted, Proposer } from './Proposer';
+import type { ForceReport, InForceMonitor } from './InForceMonitor';
+import type { Leadership } from './Leadership';
+import type { MemberTable } from './MemberTable';
+import { requireDone, type Proposer } from './Proposer';
 import type { Publisher } from './Publisher';
 
 /** Options of the operators' service. @public */
 export interface OperatorServiceOptions {
   readonly timer: Timer;
   readonly journal: Journal;
-  readonly log: ReplicatedLog;
+  readonly log: Replica;
   readonly ledger: Ledger;
+  readonly leadership: Leadership;
   readonly proposer: Proposer;
   readonly publisher: Publisher;
-}
-
-/** A change that is committed, and whether it is in force everywhere. @public */
-export interface ChangeReport {
-  readonly index: number;
-  readonly revision: number;
-  readonly inForce: boolean;
-  /** Processes that may still work with the former state. */
-  readonly pending: string[];
+  readonly members: MemberTable;
+  readonly monitor: InForceMonitor;
 }
 
 /** What `berylwood status` shows of a control replica. @public */
 export interface StatusReport extends LogStatus {
   readonly revision: number;
   readonly fence: number;
+  readonly holdsLease: boolean;
   readonly nodes: { process: string; dataCentre: string; applied: number }[];
   readonly members: Member[];
 }
 
-const SECRET_BYTES = 24;
-const POLL_MS = 20;
+/** Where a change starts from. @public */
+export interface Position {
+  /** Index that the maker of a change has seen; part of the id of the change. */
+  readonly index: number;
+  readonly revision: number;
+}
 
-/** SHA-256 of a key's secret in hex, the only form in which it is stored. @public */
+/** SHA-256 of a key's secret in hex, the only form in which it leaves the operator. @public */
 export function hashSecret(secret: string): string {
   return createHash('sha256').update(secret).digest('hex');
 }
 
+type Done = Promise<Result<DoneOutcome, Failure>>;
+
 /** What operators may ask of a control replica. @public */
 export class OperatorService {
   readonly #options: OperatorServiceOptions;
@@ -61,93 +79,155 @@
     this.#options = options;
   }
 
+  /** The present position; read before a change is made. */
+  position(): Promise<Result<Position, Failure>> {
+    const { ledger } = this.#options;
+    return this.#read(() => ({ index: ledger.index, revision: ledger.feed.revision }));
+  }
+
   applyConfiguration(
     change: ChangeId,
     operator: string,
     expected: number,
     configuration: Configuration,
-  ): Promise<Result<Accepted, Failure>> {
+  ): Done {
     const at = this.#options.timer.wall();
-    return this.#propose({ type: 'configure', change, at, operator, expected, configuration });
+    return this.#change({ type: 'configure', change, at, operator, expected, configuration });
   }
 
-  /** Creates a key; the secret is in the answer only, and can not be shown again. */
-  async giveKey(
-    change: ChangeId,
-    workspace: string,
-    secret = `bw-${randomBytes(SECRET_BYTES).toString('hex')}`,
-  ): Promise<Result<{ key: KeyId; secret: string; index: number }, Failure>> {
-    const key = createKeyId();
-    const record: KeyRecord = {
-      key,
-      hash: hashSecret(secret),
-      workspace: asWorkspaceId(workspace),
-    };
-    const at = this.#options.timer.wall();
-    const accepted = await this.#propose({ type: 'giveKey', change, at, record });
-    return accepted.map(({ index }) => ({ key, secret, index }));
+  /** Creates a key from the hash of its secret; a resend is answered with the first record. */
+  giveKey(change: ChangeId, record: KeyRecord): Done {
+    return this.#change({ type: 'giveKey', change, at: this.#options.timer.wall(), record });
+  }
+
+  withdrawKey(change: ChangeId, key: KeyId): Done {
+    return this.#change({ type: 'withdrawKey', change, at: this.#options.timer.wall(), key });
   }
 
-  withdrawKey(change: ChangeId, key: KeyId): Promise<Result<Accepted, Failure>> {
+  /** Records an order, which the leader gives. */
+  intendOrder(change: ChangeId, order: OrderId, action: OrderAction): Done {
     const at = this.#options.timer.wall();
-    return this.#propose({ type: 'withdrawKey', change, at, key });
+    return this.#change({ type: 'intendOrder', change, at, order, action: this.#aim(action) });
   }
 
   /** Waits until no node can work with a state older than the index. */
-  async waitInForce(index: number, timeoutMs: number): Promise<ChangeReport> {
-    const { timer, publisher, ledger, journal } = this.#options;
-    const deadline = timer.now() + timeoutMs;
-    let pending = publisher.pendingNodes(index);
-    while (pending.length > 0 && timer.now() < deadline) {
-      await timer.sleep(POLL_MS);
-      pending = publisher.pendingNodes(index);
-    }
-    const inForce = pending.length === 0;
-    if (inForce) journal.record(controlEvents.changeInForce, { index });
-    return { index, revision: ledger.feed.revision, inForce, pending };
+  waitInForce(index: number, timeoutMs: number): Promise<Result<ForceReport, Failure>> {
+    return this.#options.monitor.wait(index, timeoutMs);
   }
 
   /** The present configuration with its revision. */
-  configuration(): { revision: number; configuration: Configuration } {
-    const { revision, configuration } = this.#options.ledger.feed;
-    return { revision, configuration };
+  configuration(): Promise<Result<Position & { configuration: Configuration }, Failure>> {
+    const { ledger } = this.#options;
+    return this.#read(() => {
+      const { revision, configuration } = ledger.feed;
+      return { index: ledger.index, revision, configuration };
+    });
+  }
+
+  /** Who put which revision in force, newest last. */
+  history(): Promise<Result<readonly Revision[], Failure>> {
+    return this.#read(() => this.#options.ledger.history.revisions);
   }
 
   /** Keys in force, without their hashes. */
-  keys(): { key: KeyId; workspace: WorkspaceId }[] {
-    return this.#options.ledger.feed.keys.map(({ key, workspace }) => ({ key, workspace }));
+  keys(): Promise<Result<{ key: KeyId; workspace: WorkspaceId }[], Failure>> {
+    const { feed } = this.#options.ledger;
+    return this.#read(() => feed.keys.map(({ key, workspace }) => ({ key, workspace })));
+  }
+
+  /** Usage of the open windows. */
+  usage(): Promise<Result<UsageLine[], Failure>> {
+    return this.#read(() => this.#options.ledger.windows.openLines);
   }
 
-  /** Usage of the open window. */
-  usage(): UsageLine[] {
-    return this.#options.ledger.usage.lines;
+  /** Frozen and reported windows. */
+  windows(): Promise<Result<readonly ClosedWindow[], Failure>> {
+    return this.#read(() => this.#options.ledger.windows.closed);
   }
 
-  /** State of the replica, its nodes and its endpoints. */
+  orders(): Promise<Result<Order[], Failure>> {
+    return this.#read(() => this.#options.ledger.orders.all);
+  }
+
+  replicas(): Promise<Result<Membership, Failure>> {
+    return this.#read(() => this.#options.log.status.membership);
+  }
+
+  async addReplica(replica: string): Promise<Result<Membership, Failure>> {
+    const added = await this.#options.log.addReplica(createReplicaName(replica));
+    return added.map(() => this.#options.log.status.membership);
+  }
+
+  async removeReplica(replica: string): Promise<Result<Membership, Failure>> {
+    const removed = await this.#options.log.removeReplica(createReplicaName(replica));
+    return removed.map(() => this.#options.log.status.membership);
+  }
+
+  /** The whole replicated state, for a backup. */
+  backup(): Promise<Result<Uint8Array, Failure>> {
+    return this.#read(() => this.#options.ledger.snapshot());
+  }
+
+  /** Puts a backup into this new group, with indexes, revisions and fencing numbers moved on. */
+  async restore(backup: Uint8Array): Done {
+    const { timer, leadership } = this.#options;
+    let last: Result<DoneOutcome, Failure> = fail(controlCodes.notLeader, 'no part was restored');
+    for (const part of cutBackup(backup, timer.wall())) {
+      last = await this.#change(part);
+      if (last.isErr()) return last;
+    }
+    // The fencing number of this leadership belongs to the state before the restore.
+    await leadership.renewFence();
+    return last;
+  }
+
+  /** State of the replica, its nodes and its endpoints, as this replica knows them. */
   status(): StatusReport {
-    const { log, ledger, publisher } = this.#options;
+    const { log, ledger, publisher, members } = this.#options;
+    const { replica, role, term, leader, commitIndex, appliedIndex } = log.status;
     const { revision, fence } = ledger.feed;
     const nodes = publisher.subscribers.map(({ hello, applied }) => ({
       process: hello.process,
       dataCentre: hello.dataCentre,
       applied,
     }));
-    return { ...log.status, revision, fence, nodes, members: publisher.members };
+    return {
+      ...{ replica, role, term, leader, commitIndex, appliedIndex, holdsLease: log.holdsLease },
+      ...{ revision, fence, nodes, members: members.members },
+    };
   }
 
-  async #propose(command: Command): Promise<Result<Accepted, Failure>> {
-    const { log, proposer, journal } = this.#options;
-    if (log.status.role !== 'leader') {
-      return fail(controlCodes.notLeader, log.status.leader ?? 'no leader is known');
-    }
+  /** Names the run that is meant by a stop, so that a later one is not stopped. */
+  #aim(action: OrderAction): OrderAction {
+    if (action.type !== 'stop' || action.incarnation) return action;
+    const incarnation = this.#options.members.find(action.endpoint)?.incarnation;
+    return { ...action, incarnation };
+  }
+
+  /** Reads the state as the leader, with everything included that was committed before. */
+  async #read<T>(read: () => T): Promise<Result<T, Failure>> {
+    if (!this.#options.leadership.isLeading) return this.#notLeader();
+    const current = await this.#options.log.barrier();
+    return current.map(read);
+  }
+
+  #notLeader<T>(): Result<T, Failure> {
+    return fail(controlCodes.notLeader, this.#options.log.status.leader ?? 'no leader is known');
+  }
+
+  async #change(command: Command): Done {
+    const { proposer, journal, leadership } = this.#options;
+    if (!leadership.isLeading) return this.#notLeader();
     const result = await proposer.propose(command);
     const { type } = command;
     const change = 'change' in command ? command.change : undefined;
-    result.match(
-      ({ index }) => journal.record(controlEvents.changeAccepted, { type, change, index }),
-      ({ code, message }) =>
-        journal.record(controlEvents.changeRefused, { type, change, code: code.name, message }),
-    );
-    return result;
+    if (result.isErr()) {
+      const { code, message } = result.error;
+      journal.record(controlEvents.changeRefused, { type, change, code: code.name, message });
+      return err(result.error);
+    }
+    const outcome = requireDone(result.value);
+    journal.record(controlEvents.changeAccepted, { type, change, index: outcome.index });
+    return ok(outcome);
   }
 }
--- /dev/null
+++ b/packages/control/src/lib/OrderGiver.ts
@@ -0,0 +1,130 @@
+import type { EndpointAction, PlatformAction, OrderId } from '@berylwood/schema';
+import type { Order } from '@berylwood/ledger';
+import { controlEvents } from './events';
+import type { MemberTable } from './MemberTable';
+import { REQUEST_DEADLINE_MS } from './PlatformClient';
+import { PlatformTask, type PlatformTaskOptions } from './PlatformTask';
+import type { Publisher } from './Publisher';
+
+const INTERVAL_MS = 50;
+
+/** Wait before an order without an answer is sent again under the same id. */
+const RESEND_MS = 500;
+
+/** Time for a sidecar's answer, after which the outcome counts as unknown. */
+const SIDECAR_ANSWER_MS = 2000;
+
+/** Lease that must remain when an order is sent, so that it ends before the lease does. */
+const MARGIN_MS = REQUEST_DEADLINE_MS;
+
+/** Options of the giver of orders. @public */
+export interface OrderGiverOptions extends PlatformTaskOptions {
+  readonly publisher: Publisher;
+  readonly members: MemberTable;
+}
+
+function isForPlatform(action: Order['action']): action is PlatformAction {
+  return action.type === 'start' || action.type === 'stop';
+}
+
+/**
+ * Gives the recorded orders to the platform and to the sidecars of engines, as the leader under its
+ * lease. That an order is sent is committed before it is; an order without an answer is sent again
+ * with the same id and bytes, never made anew.
+ * @public
+ */
+export class OrderGiver extends PlatformTask {
+  readonly #publisher: Publisher;
+
+  readonly #members: MemberTable;
+
+  constructor(options: OrderGiverOptions) {
+    super(options, INTERVAL_MS);
+    this.#publisher = options.publisher;
+    this.#members = options.members;
+  }
+
+  protected override async step(): Promise<void> {
+    const { ledger, leadership } = this.options;
+    this.#members.setStopped(this.#stoppedRuns);
+    for (const order of ledger.orders.open) {
+      if (!leadership.mayAct(MARGIN_MS)) return;
+      if (isForPlatform(order.action)) await this.#givePlatform(order, order.action);
+      else await this.#giveSidecar(order, order.action);
+    }
+  }
+
+  get #stoppedRuns() {
+    return this.options.ledger.orders.all.flatMap(({ action, step, accepted }) => {
+      const isRefused = step === 'answered' && !accepted;
+      return action.type === 'stop' && action.incarnation && !isRefused ? [action.incarnation] : [];
+    });
+  }
+
+  /** Whether the order may be sent now: orders on their way are waited for first. */
+  #isDue({ step, at, fence }: Order, answerMs: number): boolean {
+    const { timer, leadership } = this.options;
+    const age = timer.wall() - at;
+    if (step === 'unknown') return age >= RESEND_MS;
+    return step === 'intended' || fence !== leadership.fence || age >= answerMs;
+  }
+
+  async #givePlatform(order: Order, action: PlatformAction): Promise<void> {
+    const { platform, leadership } = this.options;
+    if (!platform || !this.#isDue(order, REQUEST_DEADLINE_MS)) return;
+    if (!(await this.#recordSending(order.order))) return;
+    const answer = await platform.send({
+      path: '/orders',
+      body: JSON.stringify({ order: order.order, ...action }),
+      id: order.order,
+      fence: leadership.fence,
+      mayWrite: () => leadership.mayAct(MARGIN_MS),
+    });
+    await answer.match(
+      ({ status, body }) => this.#recordAnswer(order.order, status, body),
+      ({ message }) => this.#recordLoss(order.order, message),
+    );
+  }
+
+  async #giveSidecar(order: Order, action: EndpointAction): Promise<void> {
+    if (!this.#isDue(order, SIDECAR_ANSWER_MS)) return;
+    const source = this.#members.sourceOf(action.endpoint);
+    const subscriber = source === undefined ? undefined : this.#publisher.findProcess(source);
+    if (!subscriber) return;
+    if (!(await this.#recordSending(order.order))) return;
+    const { leadership } = this.options;
+    if (!leadership.mayAct(MARGIN_MS)) return;
+    const { fence } = leadership;
+    subscriber.link.send({ type: 'order', order: order.order, fence, action });
+    subscriber.link.flush();
+  }
+
+  async #recordSending(order: OrderId): Promise<boolean> {
+    const { proposer, timer, leadership, journal } = this.options;
+    const { fence } = leadership;
+    const at = timer.wall();
+    const recorded = await proposer.propose({ type: 'sendOrder', at, order, fence });
+    if (recorded.isErr()) return false;
+    journal.record(controlEvents.orderSent, { order, fence });
+    return leadership.mayAct(MARGIN_MS);
+  }
+
+  async #recordAnswer(order: OrderId, status: number, message: string): Promise<void> {
+    const { proposer, timer, journal } = this.options;
+    // A fault of the platform says nothing about the order.
+    if (status >= 500) {
+      await this.#recordLoss(order, `status ${status}`);
+      return;
+    }
+    const accepted = status < 300;
+    const at = timer.wall();
+    await proposer.propose({ type: 'answerOrder', at, order, accepted, message });
+    journal.record(controlEvents.orderAnswered, { order, status });
+  }
+
+  async #recordLoss(order: OrderId, reason: string): Promise<void> {
+    const { proposer, timer, journal } = this.options;
+    await proposer.propose({ type: 'loseOrder', at: timer.wall(), order, reason });
+    journal.record(controlEvents.orderUnknown, { order, reason });
+  }
+}
--- /dev/null
+++ b/packages/control/src/lib/PeerTransport.ts
@@ -0,0 +1,97 @@
+import { DisposableStore, type Journal, type Timer } from '@berylwood/base';
+import { Transport, type Message, type ReplicaName } from '@berylwood/consensus';
+import { Dialer, type Link, type LinkIdentity, type LinkServer } from '@berylwood/link';
+import { z } from 'zod';
+
+/** Options of the transport between replicas. @public */
+export interface PeerTransportOptions {
+  readonly timer: Timer;
+  readonly journal: Journal;
+  readonly identity?: LinkIdentity;
+  /** Addresses by replica; they go before those in the membership, as behind a relay. */
+  readonly addresses: ReadonlyMap<string, string>;
+}
+
+const PATH = '/peer';
+
+/** Bytes that may wait for a replica that does not read; further messages are dropped. */
+const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
+
+/** Silence after which a connection is replaced, so that an election does not wait for it. */
+const KEEP_ALIVE_MS = 300;
+const SILENCE_MS = 1200;
+
+/** The border check: the log itself copes with stale and unexpected messages of this shape. */
+const messageSchema = z.custom<Message>((value) => {
+  const { from, to, term, body } = (value ?? {}) as Partial<Message>;
+  return (
+    typeof from?.replica === 'string' &&
+    typeof to?.replica === 'string' &&
+    Number.isSafeInteger(term) &&
+    typeof body?.type === 'string'
+  );
+}, 'expected a message between replicas');
+
+interface Peer {
+  readonly address: string;
+  readonly dialer: Dialer<Message, Message>;
+}
+
+/** Carries the messages of the replicated log over kept links. @public */
+export class PeerTransport extends Transport implements Disposable {
+  readonly #options: PeerTransportOptions;
+
+  readonly #peers = new Map<ReplicaName, Peer>();
+
+  readonly #store = new DisposableStore();
+
+  constructor(options: PeerTransportOptions) {
+    super();
+    this.#options = options;
+  }
+
+  /** Takes messages of other replicas on the server's port; call before it listens. */
+  serve(server: LinkServer): void {
+    server.accept<Message, Message>(PATH, this.#linkOptions, (link) => this.#receive(link));
+  }
+
+  override send(to: ReplicaName, message: Message, address: string): void {
+    const known = this.#options.addresses.get(to) ?? address;
+    if (known === '') return;
+    const { link } = this.#dialerOf(to, known);
+    if (!link || link.bufferedBytes > MAX_BUFFERED_BYTES) return;
+    link.send(message);
+  }
+
+  [Symbol.dispose](): void {
+    this.#store[Symbol.dispose]();
+  }
+
+  get #linkOptions() {
+    const { timer, journal } = this.#options;
+    const times = { keepAliveMs: KEEP_ALIVE_MS, silenceMs: SILENCE_MS };
+    return { timer, journal, schema: messageSchema, ...times };
+  }
+
+  #dialerOf(to: ReplicaName, address: string): Dialer<Message, Message> {
+    const known = this.#peers.get(to);
+    if (known?.address === address) return known.dialer;
+    if (known) this.#store.release(known.dialer);
+    const { identity } = this.#options;
+    const dialer = this.#store.add(
+      new Dialer<Message, Message>({
+        ...this.#linkOptions,
+        addresses: [address],
+        path: PATH,
+        identity,
+      }),
+    );
+    this.#peers.set(to, { address, dialer });
+    dialer.open();
+    return dialer;
+  }
+
+  #receive(link: Link<Message, Message>): void {
+    link.onMessage = (message) => this.onMessage(message);
+  }
+}
--- /dev/null
+++ b/packages/control/src/lib/PlatformClient.ts
@@ -0,0 +1,134 @@
+import { request as startRequest, type ClientRequest, type IncomingMessage } from 'node:http';
+import { fail, type Failure, type Timer } from '@berylwood/base';
+import { splitAddress } from '@berylwood/link';
+import { platformListSchema, type PlatformInstance } from '@berylwood/schema';
+import { ok, type Result } from 'neverthrow';
+import { controlCodes } from './codes';
+
+/** One request to the platform that has an effect. @public */
+export interface PlatformRequest {
+  readonly path: string;
+  readonly body: string;
+  /** Names the order or window, so that the platform knows a resend. */
+  readonly id: string;
+  readonly fence: number;
+  /** Asked in the tick in which the body is written. */
+  readonly mayWrite: () => boolean;
+}
+
+/** The platform's answer. @public */
+export interface PlatformAnswer {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** Longest time from the start of a request to its answer, in milliseconds. @public */
+export const REQUEST_DEADLINE_MS = 250;
+
+/** Longest answer that is read, in bytes. */
+const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+
+const CONTINUE_HEADERS = { expect: '100-continue', connection: 'close' };
+
+/**
+ * Calls the platform over a fresh connection for each request. With `Expect: 100-continue` the body
+ * is written only after a live round trip to the platform, in the tick of the last lease check; at
+ * the deadline the connection is reset, so that no kernel holds bytes to be sent later.
+ * @public
+ */
+export class PlatformClient {
+  readonly #host: string;
+
+  readonly #port: number;
+
+  readonly #timer: Timer;
+
+  constructor(address: string, timer: Timer) {
+    const { host, port } = splitAddress(address);
+    this.#host = host;
+    this.#port = port;
+    this.#timer = timer;
+  }
+
+  /** Sends a request; a failure says whether its body can have reached the platform. */
+  send({
+    path,
+    body,
+    id,
+    fence,
+    mayWrite,
+  }: PlatformRequest): Promise<Result<PlatformAnswer, Failure>> {
+    const headers = {
+      ...CONTINUE_HEADERS,
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+      'berylwood-request': id,
+      'berylwood-fence': fence,
+    };
+    const request = this.#start('POST', path, headers);
+    let isWritten = false;
+    request.once('continue', () => {
+      if (!mayWrite()) {
+        request.destroy(new Error('the lease was lost before the body was written'));
+        return;
+      }
+      isWritten = true;
+      request.end(body);
+    });
+    return this.#settle(request, () => (isWritten ? 'unknown' : true));
+  }
+
+  /** The platform's lagging list of instances. */
+  async list(): Promise<Result<PlatformInstance[], Failure>> {
+    const request = this.#start('GET', '/instances', { connection: 'close' });
+    request.end();
+    const answer = await this.#settle(request, () => true);
+    return answer.andThen(({ body }) => {
+      const parsed = platformListSchema.safeParse(JSON.parse(body));
+      if (parsed.success) return ok(parsed.data.instances);
+      return fail(controlCodes.platformFailed, parsed.error.message);
+    });
+  }
+
+  #start(method: string, path: string, headers: Record<string, string | number>): ClientRequest {
+    const { host, port } = { host: this.#host, port: this.#port };
+    return startRequest({ host, port, method, path, headers, agent: false });
+  }
+
+  #settle(
+    request: ClientRequest,
+    notRun: () => true | 'unknown',
+  ): Promise<Result<PlatformAnswer, Failure>> {
+    return new Promise((resolve) => {
+      const lose = (message: string): void =>
+        resolve(fail(controlCodes.platformFailed, message, { notRun: notRun() }));
+      const deadline = this.#timer.after(REQUEST_DEADLINE_MS, () => {
+        lose(`no answer within ${REQUEST_DEADLINE_MS} ms`);
+        request.socket?.resetAndDestroy();
+        request.destroy();
+      });
+      request.once('error', (error) => lose(error.message));
+      request.once('close', () => {
+        deadline[Symbol.dispose]();
+        lose('the connection was closed');
+      });
+      request.once('response', (response) => {
+        readText(response).then(
+          (body) => resolve(ok({ status: response.statusCode ?? 0, body })),
+          (error: Error) => lose(error.message),
+        );
+      });
+    });
+  }
+}
+
+async function readText(response: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of response) {
+    size += (chunk as Buffer).byteLength;
+    if (size > MAX_ANSWER_BYTES) throw new Error('the answer is too long');
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString();
+}
--- a/packages/control/src/lib/Proposer.ts
+++ b/packages/control/src/lib/Proposer.ts
@@ -1,13 +1,16 @@
 import { fail, findCode, required, type Failure } from '@berylwood/base';
 import type { ReplicatedLog } from '@berylwood/consensus';
-import { decodeOutcome, encodeCommand, type Command, type CommandOutcome } from '@berylwood/ledger';
+import {
+  decodeOutcome,
+  encodeCommand,
+  type Command,
+  type CommandOutcome,
+  type DoneOutcome,
+} from '@berylwood/ledger';
 import { ok, type Result } from 'neverthrow';
 
-/** A command that took effect, at its log index. @public */
-export interface Accepted {
-  readonly index: number;
-  readonly outcome: Extract<CommandOutcome, { type: 'done' }>;
-}
+/** The outcome of a command that was not refused. @public */
+export type Accepted = Exclude<CommandOutcome, { type: 'refused' }>;
 
 /** Proposes typed commands and turns refusals of the ledger into failures. @public */
 export class Proposer {
@@ -19,10 +22,16 @@
 
   async propose(command: Command): Promise<Result<Accepted, Failure>> {
     const applied = await this.#log.propose(encodeCommand(command));
-    return applied.andThen(({ index, result }): Result<Accepted, Failure> => {
+    return applied.andThen(({ result }): Result<Accepted, Failure> => {
       const outcome = decodeOutcome(result);
-      if (outcome.type === 'done') return ok({ index, outcome });
+      if (outcome.type !== 'refused') return ok(outcome);
       return fail(required(findCode(outcome.code), 'result code'), outcome.message);
     });
   }
 }
+
+/** Narrows the outcome of a command that changes the state. @internal */
+export function requireDone(outcome: Accepted): DoneOutcome {
+  if (outcome.type !== 'done') throw new Error(`unexpected outcome ${outcome.type}`);
+  return outcome;
+}
--- a/packages/control/src/lib/Publisher.ts
+++ b/packages/control/src/lib/Publisher.ts
@@ -10,16 +10,21 @@
   NodeMessage,
 } from '@berylwood/schema';
 
-type NodeLink = Link<ControlMessage, NodeMessage | NodeCall>;
-type Hello = Extract<NodeMessage, { type: 'hello' }>;
+/** A link to an entry, sidecar or observer. @public */
+export type NodeLink = Link<ControlMessage, NodeMessage | NodeCall>;
+
+/** @public */
+export type Hello = Extract<NodeMessage, { type: 'hello' }>;
+
 type Renew = Extract<NodeMessage, { type: 'renew' }>;
 
-/** A connected entry or sidecar. @public */
+/** A connected entry, sidecar or observer. @public */
 export interface Subscriber {
   readonly link: NodeLink;
   readonly hello: Hello;
+  /** Index applied by the node, and by all that depend on it. */
   applied: number;
-  /** Time of the last renewal that was answered, on this replica's monotonic clock. */
+  /** Time of the last renewal that was answered, on this process's monotonic clock. */
   renewedAt: number;
 }
 
@@ -27,25 +32,39 @@
 export interface PublisherOptions {
   readonly timer: Timer;
   readonly state: StateCopy;
-  /** Whether this replica may vouch now that its state includes everything committed. */
-  readonly mayVouch: () => boolean;
+  /** The endpoints as known now. */
+  readonly members: () => Member[];
+  /**
+   * Age of the proof that the state includes everything committed, in milliseconds: 0 for a leader
+   * under its lease; undefined when nothing can be vouched for now.
+   */
+  readonly proofAgeMs: () => number | undefined;
 }
 
 /** Time after which a node without renewal surely takes no new work. */
 const EXPIRY_MS = FRESHNESS_MS * (1 + CLOCK_RATE_BOUND);
 
-/** Sends the replicated state and the members to subscribers, and knows where it is in force. @public */
-export class Publisher {
+/** Time after a change of leader in which nodes connect again; until then members are incomplete. */
+const SETTLING_MS = 5000;
+
+/**
+ * Sends the replicated state and the members to subscribers, and knows where it is in force. Used
+ * by the leader and by observers.
+ * @public
+ */
+export class Publisher implements Disposable {
   readonly #options: PublisherOptions;
 
-  readonly #subscribers = new Map<string, Subscriber>();
+  readonly #subscribers = new Map<NodeLink, Subscriber>();
 
-  /** Nodes that have gone but may still hold a freshness lease: process to the end of it. */
-  readonly #departed = new Map<string, { applied: number; until: number }>();
+  readonly #byProcess = new Map<string, Subscriber>();
 
-  readonly #members = new Map<EndpointId, Member>();
+  /** Nodes that have gone but may still hold a freshness lease. */
+  readonly #departed = new Map<string, { applied: number; renewedAt: number }>();
 
-  #leadingSince = 0;
+  #publishingSince = -Infinity;
+
+  #settled: Disposable | undefined;
 
   constructor(options: PublisherOptions) {
     this.#options = options;
@@ -55,85 +74,122 @@
     return [...this.#subscribers.values()];
   }
 
-  get members(): Member[] {
-    return [...this.#members.values()];
+  /**
+   * Begins to publish. Nodes may hold leases from another publisher until one lease after this
+   * call, and keep the members that they know until all have had time to connect.
+   */
+  open(): void {
+    this.#publishingSince = this.#options.timer.now();
+    this.#settled?.[Symbol.dispose]();
+    this.#settled = this.#options.timer.after(SETTLING_MS, () => {
+      this.#settled = undefined;
+      for (const link of this.#subscribers.keys()) this.#sendAllMembers(link, true);
+    });
+  }
+
+  /** Sends all subscribers to another replica. */
+  close(): void {
+    this.#settled?.[Symbol.dispose]();
+    this.#settled = undefined;
+    for (const link of [...this.#subscribers.keys()]) link.send({ type: 'redirect' });
+    this.#subscribers.clear();
+    this.#byProcess.clear();
+    this.#departed.clear();
   }
 
-  /** Nodes may hold leases of an earlier leader until one lease after this call. */
-  startLeading(): void {
-    this.#leadingSince = this.#options.timer.now();
+  [Symbol.dispose](): void {
+    this.#settled?.[Symbol.dispose]();
   }
 
   join(link: NodeLink, hello: Hello): void {
-    this.#subscribers.get(hello.process)?.link[Symbol.dispose]();
-    const subscriber = { link, hello, applied: hello.applied, renewedAt: 0 };
-    this.#subscribers.set(hello.process, subscriber);
+    this.#byProcess.get(hello.process)?.link[Symbol.dispose]();
+    // A lease that was renewed over an earlier connection still runs.
+    const renewedAt = this.#departed.get(hello.process)?.renewedAt ?? -Infinity;
+    const subscriber = { link, hello, applied: hello.applied, renewedAt };
+    this.#subscribers.set(link, subscriber);
+    this.#byProcess.set(hello.process, subscriber);
     const { state } = this.#options;
-    if (hello.applied < state.index) {
-      subscriber.link.send({ type: 'snapshot', state: state.toState() });
-    }
-    link.send({ type: 'members', whole: true, changed: this.members, removed: [] });
-    if (hello.member) this.#setMember(hello.member);
+    if (hello.applied !== state.index) link.send({ type: 'snapshot', state: state.toState() });
+    this.#sendAllMembers(link, !this.#settled);
   }
 
-  leave(link: NodeLink): void {
-    for (const [process, subscriber] of this.#subscribers) {
-      if (subscriber.link !== link) continue;
-      this.#subscribers.delete(process);
-      const { applied, renewedAt, hello } = subscriber;
-      this.#departed.set(process, { applied, until: renewedAt + EXPIRY_MS });
-      if (hello.member) this.#removeMember(hello.member);
-    }
+  leave(link: NodeLink): Subscriber | undefined {
+    const subscriber = this.#subscribers.get(link);
+    if (!subscriber) return undefined;
+    const { applied, renewedAt, hello } = subscriber;
+    this.#subscribers.delete(link);
+    this.#byProcess.delete(hello.process);
+    this.#departed.set(hello.process, { applied, renewedAt });
+    return subscriber;
+  }
+
+  findProcess(process: string): Subscriber | undefined {
+    return this.#byProcess.get(process);
+  }
+
+  find(link: NodeLink): Subscriber | undefined {
+    return this.#subscribers.get(link);
   }
 
+  /** Answers a renewal, unless nothing can be vouched for now. */
   renew(link: NodeLink, renew: Renew): void {
-    const subscriber = this.subscribers.find((item) => item.link === link);
+    const subscriber = this.#subscribers.get(link);
     if (!subscriber) return;
     subscriber.applied = Math.max(subscriber.applied, renew.applied);
-    const { member } = subscriber.hello;
-    const known = member && this.#members.get(member.endpoint);
-    if (known && renew.state && known.state !== renew.state) {
-      this.#setMember({ ...known, state: renew.state });
-    }
-    if (!this.#options.mayVouch()) return;
+    const ageMs = this.#options.proofAgeMs();
+    if (ageMs === undefined) return;
     subscriber.renewedAt = this.#options.timer.now();
     const { index, fence } = this.#options.state;
-    link.send({ type: 'renewal', sentAt: renew.sentAt, index, fence });
+    // The stamp was taken before this moment, so the proof is at most this much older than it.
+    const sentAt = renew.sentAt - ageMs * (1 + CLOCK_RATE_BOUND);
+    link.send({ type: 'renewal', sentAt, index, fence });
   }
 
-  /** Sends the changes of one log index to all. */
+  /** Sends the changes of one index to all. */
   publish(index: number, changes: readonly FeedChange[]): void {
     const message: ControlMessage = { type: 'changes', index, changes: [...changes] };
-    for (const { link } of this.#subscribers.values()) link.send(message);
+    for (const link of this.#subscribers.keys()) link.send(message);
+  }
+
+  /** Sends the whole state to all, after it was replaced. */
+  publishSnapshot(): void {
+    const message: ControlMessage = { type: 'snapshot', state: this.#options.state.toState() };
+    for (const link of this.#subscribers.keys()) link.send(message);
+  }
+
+  /** Sends a difference of the members to all. */
+  publishMembers(changed: Member[], removed: EndpointId[]): void {
+    const message: ControlMessage = { type: 'members', whole: false, changed, removed };
+    for (const link of this.#subscribers.keys()) link.send(message);
   }
 
   /** Nodes that may still work with a state older than the index. */
   pendingNodes(index: number): string[] {
     const now = this.#options.timer.now();
-    if (now < this.#leadingSince + EXPIRY_MS) return ['nodes of the former leader'];
-    const pending = this.subscribers
-      .filter(({ applied, renewedAt }) => applied < index && renewedAt + EXPIRY_MS > now)
-      .map(({ hello }) => hello.process);
-    for (const [process, { applied, until }] of this.#departed) {
-      if (until <= now) this.#departed.delete(process);
-      else if (applied < index && !this.#subscribers.has(process)) pending.push(process);
+    if (now < this.#publishingSince + EXPIRY_MS) return ['nodes of the former leader'];
+    const mayWork = ({ applied, renewedAt }: { applied: number; renewedAt: number }): boolean =>
+      applied < index && renewedAt + EXPIRY_MS > now;
+    const pending = this.subscribers.filter(mayWork).map(({ hello }) => hello.process);
+    for (const [process, departed] of this.#departed) {
+      if (departed.renewedAt + EXPIRY_MS <= now) this.#departed.delete(process);
+      else if (mayWork(departed) && !this.#byProcess.has(process)) pending.push(process);
     }
     return pending;
   }
 
-  #setMember(member: Member): void {
-    this.#members.set(member.endpoint, member);
-    this.#sendMembers([member], []);
-  }
-
-  #removeMember(member: Member): void {
-    if (this.#members.get(member.endpoint)?.incarnation !== member.incarnation) return;
-    this.#members.delete(member.endpoint);
-    this.#sendMembers([], [member.endpoint]);
+  /** Index that all nodes have applied which may work on behalf of this publisher. */
+  get appliedByAll(): number {
+    const now = this.#options.timer.now();
+    // Nodes of an earlier run of this process may still work.
+    if (now < this.#publishingSince + EXPIRY_MS) return 0;
+    let { index } = this.#options.state;
+    for (const node of [...this.#subscribers.values(), ...this.#departed.values()]) {
+      if (node.renewedAt + EXPIRY_MS > now) index = Math.min(index, node.applied);
+    }
+    return index;
   }
 
-  #sendMembers(changed: Member[], removed: EndpointId[]): void {
-    const message: ControlMessage = { type: 'members', whole: false, changed, removed };
-    for (const { link } of this.#subscribers.values()) link.send(message);
+  #sendAllMembers(link: NodeLink, whole: boolean): void {
+    link.send({ type: 'members', whole, changed: this.#options.members(), removed: [] });
   }
 }
--- a/packages/control/src/lib/codes.ts
+++ b/packages/control/src/lib/codes.ts
@@ -23,4 +23,18 @@
     meaning: 'The data folder is missing or can not be written.',
     remedy: 'Create the folder and give the process the right to write to it.',
   },
+  callUnknown: {
+    number: 3103,
+    status: 400,
+    notRun: true,
+    meaning: 'A node called what can not be called.',
+    remedy: 'Run the same version on all processes.',
+  },
+  platformFailed: {
+    number: 3104,
+    status: 502,
+    notRun: 'unknown',
+    meaning: 'The platform did not answer a request, or not as expected.',
+    remedy: 'Check the platform’s interface; the leader asks again with the same id.',
+  },
 });
--- /dev/null
+++ b/packages/control/src/lib/foundConfiguration.ts
@@ -0,0 +1,47 @@
+import type { Journal } from '@berylwood/base';
+import type { Ledger } from '@berylwood/ledger';
+import {
+  asWorkspaceId,
+  createChangeId,
+  createKeyId,
+  formatProblem,
+  loadConfiguration,
+  type ControlSettings,
+} from '@berylwood/schema';
+import { controlEvents } from './events';
+import { hashSecret, type OperatorService } from './OperatorService';
+
+/** What the first configuration is applied with. @internal */
+export interface FoundingOptions {
+  readonly settings: ControlSettings;
+  readonly ledger: Ledger;
+  readonly journal: Journal;
+  readonly service: OperatorService;
+}
+
+/**
+ * Applies the lists named in the settings when the group has no configuration yet. Made against
+ * revision 0, they never replace lists that an operator has applied.
+ * @internal
+ */
+export async function foundConfiguration(options: FoundingOptions): Promise<void> {
+  const { settings, ledger, journal, service } = options;
+  const { plans, customers, demoKey } = settings;
+  if (ledger.feed.revision > 0 || !plans || !customers) return;
+  const loaded = loadConfiguration(plans, customers);
+  if (loaded.isErr()) {
+    const message = loaded.error.map(formatProblem).join('\n');
+    journal.record(controlEvents.changeRefused, { type: 'configure', message });
+    return;
+  }
+  const change = (): ReturnType<typeof createChangeId> => createChangeId(ledger.index);
+  const applied = await service.applyConfiguration(change(), 'settings', 0, loaded.value);
+  const [workspace] = Object.keys(loaded.value.customers);
+  if (applied.isErr() || !demoKey || !workspace) return;
+  const record = {
+    key: createKeyId(),
+    hash: hashSecret(demoKey),
+    workspace: asWorkspaceId(workspace),
+  };
+  await service.giveKey(change(), record);
+}
--- /dev/null
+++ b/packages/control/src/lib/openReplica.ts
@@ -0,0 +1,69 @@
+import { accessSync, constants, statSync } from 'node:fs';
+import { Random, fail, type Failure, type Journal, type Timer } from '@berylwood/base';
+import {
+  FileDisk,
+  Replica,
+  createReplicaName,
+  type StateMachine,
+  type Transport,
+} from '@berylwood/consensus';
+import type { ControlSettings } from '@berylwood/schema';
+import { ok, type Result } from 'neverthrow';
+import { controlCodes } from './codes';
+
+/** What a replica is opened with. @internal */
+export interface ReplicaSurroundings {
+  readonly settings: ControlSettings;
+  readonly timer: Timer;
+  readonly journal: Journal;
+  readonly machine: StateMachine;
+  readonly transport: Transport;
+}
+
+/** Proposals of one command are bounded by the parts of a backup and the largest configuration. */
+const MAX_COMMAND_BYTES = 4 * 1024 * 1024;
+
+/** Checks that the data folder exists and can be written; it is never created here. @internal */
+export function checkDataFolder(folder: string): Result<void, Failure> {
+  try {
+    if (!statSync(folder).isDirectory()) {
+      return fail(controlCodes.dataFolderUnusable, `data folder ${folder} is not a folder`);
+    }
+    // eslint-disable-next-line no-bitwise -- the flags of access are combined by bits
+    accessSync(folder, constants.R_OK | constants.W_OK | constants.X_OK);
+    return ok(undefined);
+  } catch (error) {
+    const { code } = error as NodeJS.ErrnoException;
+    const reason = code === 'ENOENT' ? 'does not exist' : `can not be written (${code})`;
+    return fail(controlCodes.dataFolderUnusable, `data folder ${folder} ${reason}`);
+  }
+}
+
+/**
+ * Opens the replica of the settings. Of a new group, the replica whose name sorts first is the
+ * founder; it founds the group once all others have answered that they belong to none.
+ * @throws Failure when the folder or its files can not be used.
+ * @internal
+ */
+export async function openReplica(surroundings: ReplicaSurroundings): Promise<Replica> {
+  const { settings, timer, journal, machine, transport } = surroundings;
+  const checked = checkDataFolder(settings.data);
+  if (checked.isErr()) throw checked.error;
+  const others = settings.voters.map(({ replica }) => replica);
+  const isFirst = others.every((other) => settings.replica < other);
+  const opened = await Replica.open({
+    replica: createReplicaName(settings.replica),
+    machine,
+    transport,
+    disk: await FileDisk.open(settings.data),
+    timer,
+    journal,
+    random: new Random(Math.floor(Math.random() * 2 ** 31)),
+    address: settings.announce ?? settings.listen,
+    seeds: others.map(createReplicaName),
+    founder: isFirst && !settings.join,
+    maxCommandBytes: MAX_COMMAND_BYTES,
+  });
+  if (opened.isErr()) throw opened.error;
+  return opened.value;
+}
--- a/packages/feed/src/lib/Subscription.ts
+++ b/packages/feed/src/lib/Subscription.ts
@@ -47,6 +47,8 @@
 /** An order for the endpoint of a sidecar. @public */
 export type EndpointOrder = Extract<ControlMessage, { type: 'order' }>;
 
+type MembersMessage = Extract<ControlMessage, { type: 'members' }>;
+
 type ControlLink = Link<NodeMessage | NodeCall, ControlMessage>;
 
 /**
@@ -62,7 +64,8 @@
   /** Called after the state has changed; a snapshot counts as a change of unknown extent. */
   onChange: (changes: readonly FeedChange[] | 'snapshot') => void = () => {};
 
-  onMembers: () => void = () => {};
+  /** Called after the members have changed, with the difference. */
+  onMembers: (changed: Member[], removed: EndpointId[]) => void = () => {};
 
   onFreshness: (isFresh: boolean) => void = () => {};
 
@@ -188,11 +191,14 @@
     this.onChange(changes);
   }
 
-  #applyMembers(message: Extract<ControlMessage, { type: 'members' }>): void {
-    if (message.whole) this.members.clear();
-    for (const member of message.changed) this.members.set(member.endpoint, member);
-    for (const endpoint of message.removed) this.members.delete(endpoint);
-    this.onMembers();
+  #applyMembers({ whole, changed, removed }: MembersMessage): void {
+    const present = new Set(changed.map(({ endpoint }) => endpoint));
+    const gone = whole
+      ? [...this.members.keys()].filter((endpoint) => !present.has(endpoint))
+      : removed;
+    for (const member of changed) this.members.set(member.endpoint, member);
+    for (const endpoint of gone) this.members.delete(endpoint);
+    this.onMembers(changed, gone);
   }
 
   #renewed(renewal: Extract<ControlMessage, { type: 'renewal' }>): void {
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -1,4 +1,4 @@
-/** State machine on the replicated log: keys, configuration, fencing and usage. */
+/** State machine on the replicated log: keys, configuration, claims, orders and usage. */
 export {
   commandSchema,
   decodeCommand,
@@ -6,8 +6,15 @@
   encodeCommand,
   encodeOutcome,
   type Command,
+  type CommandOf,
   type CommandOutcome,
+  type DoneOutcome,
 } from './lib/Command';
 export { ledgerCodes } from './lib/codes';
-export { Ledger } from './lib/Ledger';
-export { Usage, type UsageLine } from './lib/Usage';
+export type { Revision } from './lib/ConfigurationHistory';
+export { Ledger, type LedgerOptions } from './lib/Ledger';
+export type { Order } from './lib/Orders';
+export type { OrderStep } from './lib/orderLife';
+export { cutBackup } from './lib/Restoration';
+export { QUARANTINE_CRASHES, SUSPICION_MS } from './lib/Suspicions';
+export type { ClosedWindow, UsageLine } from './lib/UsageWindows';
--- a/packages/ledger/src/lib/Command.ts
+++ b/packages/ledger/src/lib/Command.ts
@@ -1,19 +1,29 @@
 import {
+  claimAnswerSchema,
   configurationSchema,
   idSchema,
   keyRecordSchema,
   meterBatchSchema,
+  nodeCallSchema,
+  orderActionSchema,
   type ChangeId,
   type KeyId,
+  type OrderId,
+  type WindowId,
 } from '@berylwood/schema';
 import { Packr, Unpackr } from 'msgpackr';
 import { z } from 'zod';
+import { migrateCommand } from './migrations';
 
 const change = idSchema<ChangeId>();
+const order = idSchema<OrderId>();
+const fence = z.number().int();
 
 /** Wall-clock time of the leader when it proposed the command, in milliseconds. */
 const at = z.number();
 
+const [meterCall, claimCall, settleCall, suspectCall, clearCall] = nodeCallSchema.options;
+
 /** Commands of the replicated state. @public */
 export const commandSchema = z.discriminatedUnion('type', [
   z.object({
@@ -28,29 +38,88 @@
   }),
   z.object({ type: z.literal('giveKey'), change, at, record: keyRecordSchema }),
   z.object({ type: z.literal('withdrawKey'), change, at, key: idSchema<KeyId>() }),
-  z.object({ type: z.literal('meter'), at, batch: meterBatchSchema }),
-  /** A new leader takes the next fencing number. */
-  z.object({ type: z.literal('fence'), at, replica: z.string() }),
+  meterCall.extend({ at, batch: meterBatchSchema }),
+  claimCall.extend({ at }),
+  settleCall.extend({ at }),
+  suspectCall.extend({ at }),
+  clearCall.extend({ at }),
+  /** A new leader takes the next fencing number. The first one fixes the length of windows. */
+  z.object({
+    type: z.literal('fence'),
+    at,
+    replica: z.string(),
+    windowMs: z.number().int().positive().optional(),
+  }),
+  /** Freezes the figures of all windows that end at or before a time. */
+  z.object({ type: z.literal('closeWindows'), at, endsAt: z.number() }),
+  /** The platform has taken the report of a window. */
+  z.object({ type: z.literal('windowReported'), at, window: idSchema<WindowId>(), fence }),
+  z.object({ type: z.literal('intendOrder'), change, at, order, action: orderActionSchema }),
+  z.object({ type: z.literal('sendOrder'), at, order, fence }),
+  z.object({
+    type: z.literal('answerOrder'),
+    at,
+    order,
+    accepted: z.boolean(),
+    message: z.string(),
+  }),
+  z.object({ type: z.literal('loseOrder'), at, order, reason: z.string() }),
+  /** One part of a backup, for a new group. */
+  z.object({
+    type: z.literal('restorePart'),
+    at,
+    part: z.number().int(),
+    parts: z.number().int(),
+    bytes: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
+  }),
 ]);
 
 export type Command = z.output<typeof commandSchema>;
 
+/** One kind of command. @public */
+export type CommandOf<Type extends Command['type']> = Extract<Command, { type: Type }>;
+
+const outcomeSchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('done'),
+    /** Feed index at which the command took effect; a resend shows the first one. */
+    index: z.number(),
+    revision: z.number(),
+    fence: z.number(),
+    /** The key that the change created, on its first execution. */
+    key: keyRecordSchema.optional(),
+  }),
+  z.object({ type: z.literal('claimed'), answer: claimAnswerSchema }),
+  /** Sequence up to which all usage of the sidecar's run is counted. */
+  z.object({
+    type: z.literal('metered'),
+    mark: z.number(),
+    /** Records that were not counted as their run is no longer remembered. */
+    dropped: z.number(),
+  }),
+  z.object({ type: z.literal('refused'), code: z.number(), message: z.string() }),
+]);
+
 /** What a command came to; a refusal names a numbered code. @public */
-export type CommandOutcome =
-  | { readonly type: 'done'; readonly revision: number; readonly fence: number }
-  | { readonly type: 'refused'; readonly code: number; readonly message: string };
+export type CommandOutcome = z.output<typeof outcomeSchema>;
+
+/** @public */
+export type DoneOutcome = Extract<CommandOutcome, { type: 'done' }>;
+
+/** Version of the format in which commands are written. */
+const COMMAND_VERSION = 2;
 
 const packr = new Packr({ useRecords: false });
 const unpackr = new Unpackr({ useRecords: false });
 
 /** @public */
 export function encodeCommand(command: Command): Uint8Array {
-  return packr.pack(command);
+  return packr.pack({ version: COMMAND_VERSION, command });
 }
 
-/** @public */
+/** Reads a command of this or an earlier version. @public */
 export function decodeCommand(bytes: Uint8Array): Command {
-  return commandSchema.parse(unpackr.unpack(bytes));
+  return commandSchema.parse(migrateCommand(unpackr.unpack(bytes), COMMAND_VERSION));
 }
 
 /** @public */
@@ -60,5 +129,5 @@
 
 /** @public */
 export function decodeOutcome(bytes: Uint8Array): CommandOutcome {
-  return unpackr.unpack(bytes) as CommandOutcome;
+  return outcomeSchema.parse(unpackr.unpack(bytes));
 }
--- a/packages/ledger/src/lib/Ledger.ts
+++ b/packages/ledger/src/lib/Ledger.ts
@@ -1,62 +1,147 @@
-import { unreachable } from '@berylwood/base';
+import { unreachable, type Code } from '@berylwood/base';
 import { StateMachine } from '@berylwood/consensus';
 import { StateCopy } from '@berylwood/feed';
-import type { ChangeId, FeedChange, FeedState } from '@berylwood/schema';
-import { Packr, Unpackr } from 'msgpackr';
-import { decodeCommand, encodeOutcome, type Command, type CommandOutcome } from './Command';
+import type { ChangeId, FeedChange, FeedState, KeyId, Suspicion } from '@berylwood/schema';
+import type { Result } from 'neverthrow';
+import { Claims } from './Claims';
 import { ledgerCodes } from './codes';
-import { Usage } from './Usage';
+import {
+  decodeCommand,
+  encodeOutcome,
+  type Command,
+  type CommandOf,
+  type CommandOutcome,
+} from './Command';
+import { ConfigurationHistory } from './ConfigurationHistory';
+import { digestCommand } from './digestCommand';
+import { decodeSnapshot, encodeSnapshot, type LedgerSnapshot } from './LedgerSnapshot';
+import { Orders } from './Orders';
+import { Outcomes } from './Outcomes';
+import { Restoration } from './Restoration';
+import { Suspicions } from './Suspicions';
+import { MAX_USAGE_AGE_MS, UsageMarks } from './UsageMarks';
+import { UsageWindows } from './UsageWindows';
 
-/** Outcomes of changes kept for resends. */
-const KEPT_OUTCOMES = 10_000;
-
-interface Snapshot {
-  readonly feed: FeedState;
-  readonly outcomes: [ChangeId, CommandOutcome][];
-  readonly usage: ReturnType<Usage['toJSON']>;
+/** Options of the ledger. @public */
+export interface LedgerOptions {
+  /** Outcomes of changes kept for resends; 50,000 by default. */
+  readonly keptOutcomes?: number;
 }
 
-const packr = new Packr({ useRecords: false });
-const unpackr = new Unpackr({ useRecords: false });
+/**
+ * By how much a restore moves on what must never repeat: nodes and the platform may know numbers
+ * that were given after the backup was taken.
+ */
+const RESTORE_STEP = { index: 1_000_000_000, revision: 1_000_000, fence: 1_000_000 } as const;
+
+function refuse(code: Code, message = code.meaning): CommandOutcome {
+  return { type: 'refused', code: code.number, message };
+}
 
-/** The replicated state: keys, configuration, fencing number and usage. @public */
+/**
+ * The replicated state: keys, configuration, claims, usage, orders and suspicions. Time is that of
+ * the commands alone, so that each replica comes to the same state.
+ * @public
+ */
 export class Ledger extends StateMachine {
   /** Changes of the last applied command, for the feed. */
   lastChanges: readonly FeedChange[] = [];
 
+  /** Called after a snapshot has replaced the state. */
+  onRestore: () => void = () => {};
+
   readonly feed = new StateCopy();
 
-  readonly usage = new Usage();
+  readonly history = new ConfigurationHistory();
+
+  readonly claims = new Claims();
+
+  readonly marks = new UsageMarks();
+
+  readonly windows = new UsageWindows();
+
+  readonly orders = new Orders();
+
+  readonly suspicions = new Suspicions();
+
+  readonly #outcomes: Outcomes;
+
+  readonly #restoration = new Restoration();
+
+  #clock = 0;
 
-  #outcomes = new Map<ChangeId, CommandOutcome>();
+  #index = 0;
 
-  override apply(index: number, bytes: Uint8Array): Uint8Array {
+  #offset = 0;
+
+  constructor(options: LedgerOptions = {}) {
+    super();
+    this.#outcomes = new Outcomes(options.keptOutcomes);
+  }
+
+  /** Greatest time of a command so far, in wall-clock milliseconds. */
+  get clock(): number {
+    return this.#clock;
+  }
+
+  /**
+   * Index of the last command, on the scale of the feed. The index of the feed itself is that of
+   * the last command that changed something for the nodes.
+   */
+  get index(): number {
+    return this.#index;
+  }
+
+  override apply(logIndex: number, bytes: Uint8Array): Uint8Array {
     const command = decodeCommand(bytes);
-    const change = 'change' in command ? command.change : undefined;
-    const earlier = change && this.#outcomes.get(change);
-    if (earlier) {
-      this.#publish(index, []);
-      return encodeOutcome(earlier);
-    }
-    const outcome = this.#execute(index, command);
-    if (change) this.#remember(change, outcome);
+    this.#clock = Math.max(this.#clock, command.at);
+    const index = logIndex + this.#offset;
+    this.#index = index;
+    this.lastChanges = [];
+    const outcome =
+      'change' in command
+        ? this.#executeOnce(index, command.change, command)
+        : this.#execute(index, command);
     return encodeOutcome(outcome);
   }
 
   override snapshot(): Uint8Array {
-    const snapshot: Snapshot = {
+    return encodeSnapshot({
+      clock: this.#clock,
+      index: this.#index,
+      offset: this.#offset,
       feed: this.feed.toState(),
-      outcomes: [...this.#outcomes],
-      usage: this.usage.toJSON(),
-    };
-    return packr.pack(snapshot);
+      changes: this.#outcomes.toState(),
+      history: this.history.revisions,
+      claims: this.claims.toState(),
+      marks: this.marks.toState(),
+      windows: this.windows.toState(),
+      orders: this.orders.all,
+      suspicions: this.suspicions.toState(),
+      restoration: this.#restoration.toState(),
+    });
   }
 
   override restore(bytes: Uint8Array): void {
-    const snapshot = unpackr.unpack(bytes) as Snapshot;
-    this.feed.restore(snapshot.feed);
-    this.#outcomes = new Map(snapshot.outcomes);
-    this.usage.restore(snapshot.usage);
+    const snapshot = decodeSnapshot(bytes);
+    this.#load(snapshot, snapshot.feed);
+    this.#index = snapshot.index;
+    this.#offset = snapshot.offset;
+    this.#restoration.restore(snapshot.restoration);
+    this.onRestore();
+  }
+
+  #executeOnce(index: number, change: ChangeId, command: Command): CommandOutcome {
+    const digest = digestCommand(command);
+    const kept = this.#outcomes.find(change);
+    if (kept) {
+      const isSame = kept.digest === undefined || kept.digest === digest;
+      return isSame ? kept.outcome : refuse(ledgerCodes.changeReused);
+    }
+    if (this.#outcomes.isForgotten(change)) return refuse(ledgerCodes.changeForgotten);
+    const outcome = this.#execute(index, command);
+    this.#outcomes.add(change, { index, digest, outcome });
+    return outcome;
   }
 
   #execute(index: number, command: Command): CommandOutcome {
@@ -66,61 +151,170 @@
       case 'giveKey':
         return this.#giveKey(index, command);
       case 'withdrawKey':
-        return this.#withdrawKey(index, command);
+        return this.#withdrawKey(index, command.key);
       case 'meter':
-        this.usage.add(command.batch);
-        return this.#done(index, []);
+        return this.#meter(command);
+      case 'claim':
+      case 'settle':
+        return this.#executeClaim(index, command);
+      case 'suspect':
+      case 'clear':
+        return this.#executeSuspicion(index, command);
       case 'fence':
+        this.windows.fixLength(command.windowMs ?? this.windows.windowMs, this.#clock);
         return this.#done(index, [{ type: 'fenced', fence: this.feed.fence + 1 }]);
+      case 'closeWindows':
+        this.windows.close(command.endsAt);
+        return this.#done(index, []);
+      case 'windowReported':
+        return this.#ended(index, this.windows.report(command.window, command.fence));
+      case 'restorePart':
+        return this.#restorePart(index, command);
       default:
-        return unreachable(command);
+        return this.#executeOrder(index, command);
     }
   }
 
-  #configure(index: number, command: Extract<Command, { type: 'configure' }>): CommandOutcome {
-    const { revision } = this.feed;
-    if (command.expected !== revision) {
-      const message = `made against revision ${command.expected}, the present one is ${revision}`;
-      return this.#refused(index, ledgerCodes.revisionConflict.number, message);
+  #configure(index: number, command: CommandOf<'configure'>): CommandOutcome {
+    const { configuration, expected, operator, change } = command;
+    const { latest } = this.history;
+    const present = this.feed.revision;
+    if (expected !== present) {
+      const winner = latest ? `, put in force by ${latest.operator} with ${latest.change}` : '';
+      const message = `made against revision ${expected}, the present one is ${present}${winner}`;
+      return refuse(ledgerCodes.revisionConflict, message);
     }
-    const { configuration } = command;
-    return this.#done(index, [{ type: 'configured', revision: revision + 1, configuration }]);
+    const revision = present + 1;
+    this.history.add({ revision, operator, at: this.#clock, change, index });
+    return this.#done(index, [{ type: 'configured', revision, configuration }]);
   }
 
-  #giveKey(index: number, command: Extract<Command, { type: 'giveKey' }>): CommandOutcome {
-    const { workspace } = command.record;
-    if (!(workspace in this.feed.configuration.customers)) {
-      const message = `no workspace "${workspace}"`;
-      return this.#refused(index, ledgerCodes.workspaceUnknown.number, message);
+  #giveKey(index: number, { record }: CommandOf<'giveKey'>): CommandOutcome {
+    if (!(record.workspace in this.feed.configuration.customers)) {
+      const message = `no workspace "${record.workspace}"`;
+      return refuse(ledgerCodes.workspaceUnknown, message);
+    }
+    if (this.feed.hasKey(record.key) || this.feed.findKey(record.hash)) {
+      return refuse(ledgerCodes.keyTaken);
     }
-    return this.#done(index, [{ type: 'keyGiven', key: command.record }]);
+    return { ...this.#done(index, [{ type: 'keyGiven', key: record }]), key: record };
   }
 
-  #withdrawKey(index: number, command: Extract<Command, { type: 'withdrawKey' }>): CommandOutcome {
-    if (!this.feed.hasKey(command.key)) {
-      return this.#refused(index, ledgerCodes.keyUnknown.number, `no key "${command.key}"`);
+  #withdrawKey(index: number, key: KeyId): CommandOutcome {
+    if (!this.feed.hasKey(key)) {
+      return refuse(ledgerCodes.keyUnknown, `no key "${key}"`);
     }
-    return this.#done(index, [{ type: 'keyWithdrawn', key: command.key }]);
+    return this.#done(index, [{ type: 'keyWithdrawn', key }]);
   }
 
-  #done(index: number, changes: readonly FeedChange[]): CommandOutcome {
-    this.#publish(index, changes);
-    return { type: 'done', revision: this.feed.revision, fence: this.feed.fence };
+  #meter({ batch, at }: CommandOf<'meter'>): CommandOutcome {
+    const { incarnation, records } = batch;
+    const isKnown = this.marks.isKnown(incarnation);
+    let dropped = 0;
+    for (const record of records) {
+      const age = record.ageMs ?? 0;
+      const isNew = this.marks.count(incarnation, record.sequence, this.#clock);
+      // What is older than the memory of its run may have been counted before.
+      const isTooOld = !isKnown && age > MAX_USAGE_AGE_MS;
+      if (isNew && !isTooOld) this.windows.add(record, at - age);
+      if (isTooOld) dropped += 1;
+    }
+    return { type: 'metered', mark: this.marks.markOf(incarnation), dropped };
   }
 
-  #refused(index: number, code: number, message: string): CommandOutcome {
-    this.#publish(index, []);
-    return { type: 'refused', code, message };
+  #executeClaim(index: number, command: CommandOf<'claim' | 'settle'>): CommandOutcome {
+    if (command.type === 'settle') {
+      return this.#ended(index, this.claims.settle(command, this.#clock));
+    }
+    return this.claims.claim(command, this.#clock).match<CommandOutcome>(
+      (answer) => ({ type: 'claimed', answer }),
+      (code) => refuse(code),
+    );
   }
 
-  #publish(index: number, changes: readonly FeedChange[]): void {
-    this.feed.apply(index, changes);
-    this.lastChanges = changes;
+  #executeSuspicion(index: number, command: CommandOf<'suspect' | 'clear'>): CommandOutcome {
+    const publish = (suspicions: Suspicion[]): CommandOutcome =>
+      this.#done(
+        index,
+        suspicions.map((suspicion) => ({ type: 'suspected', suspicion })),
+      );
+    if (command.type === 'clear') {
+      return publish(this.suspicions.clear(command.fingerprint, this.#clock));
+    }
+    const crash = command.crash ?? command.incarnation;
+    return this.suspicions
+      .suspect(command.fingerprints, crash, this.#clock)
+      .match(publish, (code) => refuse(code));
   }
 
-  #remember(change: ChangeId, outcome: CommandOutcome): void {
-    this.#outcomes.set(change, outcome);
-    const [oldest] = this.#outcomes.keys();
-    if (this.#outcomes.size > KEPT_OUTCOMES && oldest) this.#outcomes.delete(oldest);
+  #executeOrder(
+    index: number,
+    command: CommandOf<'intendOrder' | 'sendOrder' | 'answerOrder' | 'loseOrder'>,
+  ): CommandOutcome {
+    const { order } = command;
+    switch (command.type) {
+      case 'intendOrder':
+        return this.#ended(index, this.orders.intend(order, command.action, this.#clock));
+      case 'sendOrder': {
+        const { fence } = command;
+        if (fence !== this.feed.fence) return refuse(ledgerCodes.fenceStale);
+        return this.#ended(index, this.orders.send(order, fence, this.#clock));
+      }
+      case 'answerOrder': {
+        const { accepted, message } = command;
+        return this.#ended(index, this.orders.answer(order, accepted, message, this.#clock));
+      }
+      case 'loseOrder':
+        return this.#ended(index, this.orders.lose(order, command.reason, this.#clock));
+      default:
+        return unreachable(command);
+    }
+  }
+
+  #restorePart(index: number, command: CommandOf<'restorePart'>): CommandOutcome {
+    const isNew = this.feed.revision === 0 && this.feed.keys.length === 0;
+    if (!isNew || !this.#restoration.add(command)) {
+      return refuse(ledgerCodes.restoreRefused);
+    }
+    if (command.part < command.parts) return this.#done(index, []);
+    const snapshot = decodeSnapshot(this.#restoration.take());
+    const { feed } = snapshot;
+    const restoredIndex = Math.max(feed.index, index) + RESTORE_STEP.index;
+    this.#offset += restoredIndex - index;
+    this.#index = restoredIndex;
+    this.#load(snapshot, {
+      ...feed,
+      index: restoredIndex,
+      revision: feed.revision + RESTORE_STEP.revision,
+      fence: Math.max(feed.fence, this.feed.fence) + RESTORE_STEP.fence,
+    });
+    this.onRestore();
+    return this.#done(restoredIndex, []);
+  }
+
+  #load(snapshot: LedgerSnapshot, feed: FeedState): void {
+    this.#clock = Math.max(this.#clock, snapshot.clock);
+    this.feed.restore(feed);
+    this.#outcomes.restore(snapshot.changes);
+    this.history.restore(snapshot.history);
+    this.claims.restore(snapshot.claims);
+    this.marks.restore(snapshot.marks);
+    this.windows.restore(snapshot.windows);
+    this.orders.restore(snapshot.orders);
+    this.suspicions.restore(snapshot.suspicions);
+  }
+
+  #ended(index: number, result: Result<void, Code>): CommandOutcome {
+    return result.match(
+      () => this.#done(index, []),
+      (code) => refuse(code),
+    );
+  }
+
+  #done(index: number, changes: readonly FeedChange[]): Extract<CommandOutcome, { type: 'done' }> {
+    if (changes.length > 0) this.feed.apply(index, changes);
+    this.lastChanges = changes;
+    const { revision, fence } = this.feed;
+    return { type: 'done', index: this.feed.index, revision, fence };
   }
 }
--- /dev/null
+++ b/packages/ledger/src/lib/LedgerSnapshot.ts
@@ -0,0 +1,47 @@
+import type { FeedState } from '@berylwood/schema';
+import { Packr, Unpackr } from 'msgpackr';
+import type { Claim } from './Claims';
+import type { Revision } from './ConfigurationHistory';
+import { migrateSnapshot } from './migrations';
+import type { Order } from './Orders';
+import type { OutcomesState } from './Outcomes';
+import type { SuspicionsState } from './Suspicions';
+import type { UsageMarksState } from './UsageMarks';
+import type { UsageWindowsState } from './UsageWindows';
+
+/** Version of the format in which snapshots are written. */
+const SNAPSHOT_VERSION = 2;
+
+/** The whole replicated state, as written to disk and into backups. @internal */
+export interface LedgerSnapshot {
+  readonly version: typeof SNAPSHOT_VERSION;
+  /** Greatest time of a command, in wall-clock milliseconds. */
+  readonly clock: number;
+  /** Index of the last command, on the scale of the feed. */
+  readonly index: number;
+  /** Difference between the index that nodes see and that of the log. */
+  readonly offset: number;
+  readonly feed: FeedState;
+  readonly changes: OutcomesState;
+  readonly history: readonly Revision[];
+  readonly claims: readonly Claim[];
+  readonly marks: UsageMarksState;
+  readonly windows: UsageWindowsState;
+  readonly orders: readonly Order[];
+  readonly suspicions: SuspicionsState;
+  /** Parts of a backup that is being restored. */
+  readonly restoration?: Uint8Array;
+}
+
+const packr = new Packr({ useRecords: false });
+const unpackr = new Unpackr({ useRecords: false });
+
+/** @internal */
+export function encodeSnapshot(state: Omit<LedgerSnapshot, 'version'>): Uint8Array {
+  return packr.pack({ version: SNAPSHOT_VERSION, ...state });
+}
+
+/** Reads a snapshot of this or an earlier version. @internal */
+export function decodeSnapshot(bytes: Uint8Array): LedgerSnapshot {
+  return migrateSnapshot(unpackr.unpack(bytes), SNAPSHOT_VERSION) as LedgerSnapshot;
+}
--- /dev/null
+++ b/packages/ledger/src/lib/Orders.ts
@@ -0,0 +1,88 @@
+import type { Code } from '@berylwood/base';
+import type { OrderAction, OrderId } from '@berylwood/schema';
+import { err, ok, type Result } from 'neverthrow';
+import { ledgerCodes } from './codes';
+import { nextStep, type OrderEvent, type OrderStep } from './orderLife';
+
+/** One order to the platform or to an engine. @public */
+export interface Order {
+  readonly order: OrderId;
+  readonly action: OrderAction;
+  readonly step: OrderStep;
+  readonly intendedAt: number;
+  /** Time of the latest step. */
+  readonly at: number;
+  /** Fencing number under which it was last sent; 0 before. */
+  readonly fence: number;
+  readonly sends: number;
+  readonly accepted?: boolean;
+  readonly message?: string;
+}
+
+/** Orders without an answer at most; a further one is refused. */
+const MAX_OPEN = 1000;
+
+/** Answered orders that are kept for operators and for late answers. */
+const MAX_ANSWERED = 1000;
+
+/** The endpoint orders with their life. @internal */
+export class Orders {
+  readonly #orders = new Map<OrderId, Order>();
+
+  get all(): Order[] {
+    return [...this.#orders.values()];
+  }
+
+  /** Orders without an answer, in the order of their intent. */
+  get open(): Order[] {
+    return this.all.filter(({ step }) => step !== 'answered');
+  }
+
+  find(order: OrderId): Order | undefined {
+    return this.#orders.get(order);
+  }
+
+  intend(order: OrderId, action: OrderAction, now: number): Result<void, Code> {
+    if (this.#orders.has(order)) return ok(undefined);
+    if (this.open.length >= MAX_OPEN) return err(ledgerCodes.ordersFull);
+    const life = { step: 'intended', intendedAt: now, at: now, fence: 0, sends: 0 } as const;
+    this.#orders.set(order, { order, action, ...life });
+    return ok(undefined);
+  }
+
+  send(order: OrderId, fence: number, now: number): Result<void, Code> {
+    const sends = (this.#orders.get(order)?.sends ?? 0) + 1;
+    return this.#step(order, { type: 'send' }, { fence, sends, at: now });
+  }
+
+  lose(order: OrderId, message: string, now: number): Result<void, Code> {
+    return this.#step(order, { type: 'lose' }, { message, at: now });
+  }
+
+  /** Records an answer; a second one is left aside. */
+  answer(order: OrderId, accepted: boolean, message: string, now: number): Result<void, Code> {
+    if (this.#orders.get(order)?.step === 'answered') return ok(undefined);
+    const answered = this.#step(order, { type: 'answer' }, { accepted, message, at: now });
+    this.#forgetAnswered();
+    return answered;
+  }
+
+  restore(orders: readonly Order[]): void {
+    this.#orders.clear();
+    for (const order of orders) this.#orders.set(order.order, order);
+  }
+
+  #step(id: OrderId, event: OrderEvent, change: Partial<Order>): Result<void, Code> {
+    const order = this.#orders.get(id);
+    const step = order && nextStep(order.step, event);
+    if (!order || !step) return err(ledgerCodes.orderUnknown);
+    this.#orders.set(id, { ...order, ...change, step });
+    return ok(undefined);
+  }
+
+  #forgetAnswered(): void {
+    const answered = this.all.filter(({ step }) => step === 'answered');
+    const surplus = answered.slice(0, Math.max(0, answered.length - MAX_ANSWERED));
+    for (const { order } of surplus) this.#orders.delete(order);
+  }
+}
--- /dev/null
+++ b/packages/ledger/src/lib/Restoration.ts
@@ -0,0 +1,48 @@
+import { Packr, Unpackr } from 'msgpackr';
+import type { CommandOf } from './Command';
+
+const packr = new Packr({ useRecords: false });
+const unpackr = new Unpackr({ useRecords: false });
+
+/** Bytes of a backup in one command. */
+const PART_BYTES = 256 * 1024;
+
+/** Cuts a backup into commands for a new group. @public */
+export function cutBackup(backup: Uint8Array, at: number): CommandOf<'restorePart'>[] {
+  const parts = Math.max(1, Math.ceil(backup.byteLength / PART_BYTES));
+  return Array.from({ length: parts }, (_, index) => ({
+    type: 'restorePart',
+    at,
+    part: index + 1,
+    parts,
+    bytes: backup.subarray(index * PART_BYTES, (index + 1) * PART_BYTES),
+  }));
+}
+
+/** Gathers the parts of a backup until it is whole. @internal */
+export class Restoration {
+  #parts: Uint8Array[] = [];
+
+  /** Takes the next part; false when it is out of order. The first part starts over. */
+  add({ part, bytes }: CommandOf<'restorePart'>): boolean {
+    if (part === 1) this.#parts = [];
+    if (part !== this.#parts.length + 1) return false;
+    this.#parts.push(Uint8Array.from(bytes));
+    return true;
+  }
+
+  /** The whole backup; the parts are forgotten. */
+  take(): Uint8Array {
+    const whole = Buffer.concat(this.#parts);
+    this.#parts = [];
+    return whole;
+  }
+
+  toState(): Uint8Array {
+    return packr.pack(this.#parts);
+  }
+
+  restore(state: Uint8Array | undefined): void {
+    this.#parts = state ? (unpackr.unpack(state) as Uint8Array[]) : [];
+  }
+}
--- /dev/null
+++ b/packages/ledger/src/lib/UsageWindows.ts
@@ -0,0 +1,202 @@
+import { asId, type Code } from '@berylwood/base';
+import type { MeterRecord, WindowId, Work, WorkspaceId } from '@berylwood/schema';
+import { err, ok, type Result } from 'neverthrow';
+import { ledgerCodes } from './codes';
+
+/** Work of one workspace in one class on one model. @public */
+export interface UsageLine {
+  readonly workspace: WorkspaceId;
+  readonly class: string;
+  readonly model: string;
+  readonly billable: boolean;
+  readonly requests: number;
+  readonly work: Work;
+  /** The window to which late usage belongs: the line is an adjustment of that one. */
+  readonly origin?: WindowId;
+}
+
+/** A window with frozen figures. @public */
+export interface ClosedWindow {
+  readonly window: WindowId;
+  readonly startsAt: number;
+  readonly endsAt: number;
+  readonly state: 'frozen' | 'reported';
+  /** The report, byte for byte as it goes to the platform each time. */
+  readonly report: string;
+  /** Fencing number of the leader whose report was taken. */
+  readonly fence?: number;
+}
+
+export interface UsageWindowsState {
+  readonly windowMs?: number;
+  readonly frozenUntil: number;
+  readonly open: readonly [number, UsageLine[]][];
+  readonly closed: readonly ClosedWindow[];
+}
+
+const DEFAULT_WINDOW_MS = 60_000;
+
+/** Reported windows that are kept for operators. */
+const KEPT_REPORTED = 100;
+
+/** Windows with usage that may be open or unreported; beyond them the latest window grows. */
+const MAX_WINDOWS = 1000;
+
+type Bucket = Map<string, UsageLine>;
+
+function lineKey(line: Omit<UsageLine, 'requests' | 'work'>): string {
+  const { workspace, model, billable, origin } = line;
+  return [workspace, line.class, model, billable, origin ?? ''].join('|');
+}
+
+function addWork(a: Work, b: Work): Work {
+  return {
+    inputTokens: a.inputTokens + b.inputTokens,
+    outputTokens: a.outputTokens + b.outputTokens,
+    cachedTokens: a.cachedTokens + b.cachedTokens,
+  };
+}
+
+function addTo(bucket: Bucket, line: UsageLine): void {
+  const key = lineKey(line);
+  const known = bucket.get(key);
+  const total = known && {
+    ...line,
+    requests: known.requests + line.requests,
+    work: addWork(known.work, line.work),
+  };
+  bucket.set(key, total ?? line);
+}
+
+function linesOf(bucket: Bucket): UsageLine[] {
+  return [...bucket].sort(([a], [b]) => (a < b ? -1 : 1)).map(([, line]) => line);
+}
+
+/** Name of the window that starts at a time. @internal */
+export function windowAt(startsAt: number): WindowId {
+  return asId(`window-${startsAt}`);
+}
+
+/**
+ * Usage by window. Usage belongs to the window in which its attempt ended, by the clock of the
+ * group. A closed window is frozen: what comes later for it goes to the earliest open window, as an
+ * adjustment that names its origin.
+ * @internal
+ */
+export class UsageWindows {
+  #windowMs: number | undefined;
+
+  /** Windows that end by this time are frozen, or had no usage. */
+  #frozenUntil = 0;
+
+  /** Lines of open windows by the start of the window. */
+  readonly #open = new Map<number, Bucket>();
+
+  #closed: ClosedWindow[] = [];
+
+  get windowMs(): number {
+    return this.#windowMs ?? DEFAULT_WINDOW_MS;
+  }
+
+  get frozenUntil(): number {
+    return this.#frozenUntil;
+  }
+
+  /** Lines of all open windows, added up. */
+  get openLines(): UsageLine[] {
+    const sum: Bucket = new Map();
+    for (const bucket of this.#open.values()) for (const line of linesOf(bucket)) addTo(sum, line);
+    return linesOf(sum);
+  }
+
+  get closed(): readonly ClosedWindow[] {
+    return this.#closed;
+  }
+
+  /** Fixes the length of windows; it never changes afterwards. */
+  fixLength(windowMs: number, now: number): void {
+    if (this.#windowMs !== undefined) return;
+    this.#windowMs = windowMs;
+    if (this.#frozenUntil === 0) this.#frozenUntil = this.#startOf(now);
+  }
+
+  /** Counts the work of an attempt that ended at a time. */
+  add(record: MeterRecord, endedAt: number): void {
+    const startsAt = this.#startOf(endedAt);
+    const isLate = startsAt < this.#frozenUntil;
+    const { workspace, model, billable, work } = record;
+    const origin = isLate ? { origin: windowAt(startsAt) } : {};
+    const line = { workspace, class: record.class, model, billable, requests: 1, work, ...origin };
+    addTo(this.#bucket(isLate ? this.#frozenUntil : startsAt), line);
+  }
+
+  /** Freezes the windows that end at or before a time. */
+  close(endsAt: number): void {
+    const until = this.#startOf(endsAt);
+    for (const startsAt of [...this.#open.keys()].sort((a, b) => a - b)) {
+      if (startsAt + this.windowMs <= until) this.#freeze(startsAt);
+    }
+    this.#frozenUntil = Math.max(this.#frozenUntil, until);
+  }
+
+  report(window: WindowId, fence: number): Result<void, Code> {
+    const index = this.#closed.findIndex((item) => item.window === window);
+    const found = this.#closed[index];
+    if (found?.state !== 'frozen') return err(ledgerCodes.windowNotFrozen);
+    this.#closed[index] = { ...found, state: 'reported', fence };
+    this.#forgetReported();
+    return ok(undefined);
+  }
+
+  toState(): UsageWindowsState {
+    return {
+      windowMs: this.#windowMs,
+      frozenUntil: this.#frozenUntil,
+      open: [...this.#open].map(([startsAt, bucket]) => [startsAt, linesOf(bucket)]),
+      closed: this.#closed,
+    };
+  }
+
+  restore(state: UsageWindowsState): void {
+    this.#windowMs = state.windowMs;
+    this.#frozenUntil = state.frozenUntil;
+    this.#closed = [...state.closed];
+    this.#open.clear();
+    for (const [startsAt, lines] of state.open) {
+      const bucket = this.#bucket(startsAt);
+      for (const line of lines) addTo(bucket, line);
+    }
+  }
+
+  #startOf(time: number): number {
+    return Math.floor(time / this.windowMs) * this.windowMs;
+  }
+
+  #bucket(startsAt: number): Bucket {
+    const known = this.#open.get(startsAt);
+    if (known) return known;
+    if (this.#open.size + this.#closed.length >= MAX_WINDOWS) {
+      const latest = [...this.#open.keys()].sort((a, b) => b - a)[0];
+      const bucket = latest === undefined ? undefined : this.#open.get(latest);
+      if (bucket) return bucket;
+    }
+    const bucket: Bucket = new Map();
+    this.#open.set(startsAt, bucket);
+    return bucket;
+  }
+
+  #freeze(startsAt: number): void {
+    const bucket = this.#open.get(startsAt) ?? new Map<string, UsageLine>();
+    this.#open.delete(startsAt);
+    const window = windowAt(startsAt);
+    const endsAt = startsAt + this.windowMs;
+    const report = JSON.stringify({ window, startsAt, endsAt, lines: linesOf(bucket) });
+    this.#closed.push({ window, startsAt, endsAt, state: 'frozen', report });
+  }
+
+  #forgetReported(): void {
+    const reported = this.#closed.filter(({ state }) => state === 'reported');
+    const surplus = new Set(reported.slice(0, Math.max(0, reported.length - KEPT_REPORTED)));
+    if (surplus.size > 0) this.#closed = this.#closed.filter((item) => !surplus.has(item));
+  }
+}
--- a/packages/schema/src/lib/Settings.ts
+++ b/packages/schema/src/lib/Settings.ts
@@ -69,6 +69,8 @@
   data: z.string().min(1),
   /** Listener for the other processes of the system. */
   listen: addressSchema,
+  /** Address that other replicas use, when it differs from the listener. */
+  announce: addressSchema.optional(),
   /** Listener for operators' commands. */
   operator: addressSchema,
   /** Founding voters with this one; only the first start of an empty group reads them. */
--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -3,7 +3,7 @@
  * and building what is missing, and prints a command that gets an answer.
  */
 import { spawn, spawnSync } from 'node:child_process';
-import { existsSync } from 'node:fs';
+import { existsSync, mkdirSync } from 'node:fs';
 
 const BINARY = 'build/berylwood';
 const ENTRY = 'http://127.0.0.1:8080';
@@ -27,6 +27,8 @@
 if (!existsSync('node_modules/esbuild')) step('npm', ['ci', '--no-audit', '--no-fund']);
 if (!existsSync(BINARY)) step(process.execPath, ['scripts/build.mjs']);
 
+// The program never creates a data folder, as a missing one may be a disk that is not mounted.
+mkdirSync('data/quickstart', { recursive: true });
 const settings = 'examples/quickstart/settings.toml';
 const child = spawn(BINARY, ['run', '--settings', settings], { stdio: 'inherit' });
 child.on('exit', (code) => process.exit(code ?? 1));
