Send urgent and first frames of a link at once; add a lifecycle table over xstate machines

A sidecar held every frame for 5 ms, also the first after a quiet time, so that accepted, head and end each paid it. A frame now goes at once when the last one is older than the gathering time, or when it is urgent.

The lifecycle table turns a flat xstate machine into look-ups, as an actor per request is too dear at thousands of open requests.

--- /dev/null
+++ b/packages/base/src/lib/Lifecycle.ts
@@ -0,0 +1,85 @@
+import { getNextSnapshot, type AnyStateMachine } from 'xstate';
+import { assert } from './assert';
+
+/** What a state of a lifecycle says to people and to callers. @public */
+export interface StateNote<Note> {
+  readonly name: string;
+  readonly note: Note;
+  /** Next state by event. */
+  readonly next: ReadonlyMap<string, string>;
+  readonly isFinal: boolean;
+}
+
+/** The transitions of a flat xstate machine as a table, for many short-lived instances. @public */
+export class LifecycleTable<Note> {
+  readonly initial: string;
+
+  readonly #states = new Map<string, StateNote<Note>>();
+
+  /**
+   * @throws InvariantError if the machine has nested states.
+   */
+  constructor(machine: AnyStateMachine) {
+    this.initial = String(machine.config.initial);
+    for (const [name, node] of Object.entries(machine.states)) {
+      assert(Object.keys(node.states).length === 0, `state ${name} has nested states`);
+      const snapshot = machine.resolveState({ value: name, context: {} });
+      const isFinal = node.type === 'final';
+      const events = isFinal ? [] : node.ownEvents;
+      const next = events.map((type): [string, string] => [
+        type,
+        String(getNextSnapshot(machine, snapshot, { type }).value),
+      ]);
+      this.#states.set(name, { name, note: node.meta as Note, next: new Map(next), isFinal });
+    }
+  }
+
+  get states(): StateNote<Note>[] {
+    return [...this.#states.values()];
+  }
+
+  find(name: string): StateNote<Note> {
+    const found = this.#states.get(name);
+    assert(found, `no state ${name}`);
+    return found;
+  }
+}
+
+/**
+ * One instance of a lifecycle: it holds no more than its state, so that thousands are cheap.
+ * @public
+ */
+export class Lifecycle<Event extends string, Note> {
+  readonly #table: LifecycleTable<Note>;
+
+  #state: StateNote<Note>;
+
+  constructor(table: LifecycleTable<Note>) {
+    this.#table = table;
+    this.#state = table.find(table.initial);
+  }
+
+  get state(): string {
+    return this.#state.name;
+  }
+
+  get note(): Note {
+    return this.#state.note;
+  }
+
+  get isFinal(): boolean {
+    return this.#state.isFinal;
+  }
+
+  can(event: Event): boolean {
+    return this.#state.next.has(event);
+  }
+
+  /** Moves to the next state; false, without a change, when the state does not take the event. */
+  send(event: Event): boolean {
+    const next = this.#state.next.get(event);
+    if (next === undefined) return false;
+    this.#state = this.#table.find(next);
+    return true;
+  }
+}
--- a/packages/link/src/lib/Link.ts
+++ b/packages/link/src/lib/Link.ts
@@ -65,7 +65,9 @@
 
   #gathered: Envelope[] = [];
 
-  #flushArmed = false;
+  #nextFlush: Disposable | undefined;
+
+  #isFlushUrgent = false;
 
   #nextCall = 1;
 
@@ -98,9 +100,12 @@
     return this.#socket.bufferedAmount;
   }
 
-  /** Sends a message; it is lost when the connection closes before it has arrived. */
-  send(message: Out): void {
-    this.#enqueue([Kind.Message, 0, message]);
+  /**
+   * Sends a message; it is lost when the connection closes before it has arrived. An urgent one does
+   * not wait to be gathered with others.
+   */
+  send(message: Out, isUrgent = false): void {
+    this.#enqueue([Kind.Message, 0, message], isUrgent);
   }
 
   /** Sends a message and waits for its answer. */
@@ -123,7 +128,9 @@
 
   /** Sends what is gathered at once. */
   flush(): void {
-    this.#flushArmed = false;
+    this.#nextFlush?.[Symbol.dispose]();
+    this.#nextFlush = undefined;
+    this.#isFlushUrgent = false;
     if (this.#gathered.length === 0) return;
     const gathered = this.#gathered;
     this.#gathered = [];
@@ -136,14 +143,25 @@
     this.#close();
   }
 
-  #enqueue(envelope: Envelope): void {
+  #enqueue(envelope: Envelope, isUrgent = false): void {
     if (this.#closed) return;
     this.#gathered.push(envelope);
-    if (this.#flushArmed) return;
-    this.#flushArmed = true;
-    const { gatherMs, timer } = this.#options;
-    if (gatherMs === undefined) setImmediate(() => this.flush());
-    else timer.after(gatherMs, () => this.flush());
+    if (this.#isFlushUrgent || (this.#nextFlush && !isUrgent)) return;
+    const waitMs = isUrgent ? 0 : this.#gatheringLeft();
+    this.#nextFlush?.[Symbol.dispose]();
+    if (waitMs > 0) {
+      this.#nextFlush = this.#options.timer.after(waitMs, () => this.flush());
+      return;
+    }
+    this.#isFlushUrgent = true;
+    const handle = setImmediate(() => this.flush());
+    this.#nextFlush = { [Symbol.dispose]: () => clearImmediate(handle) };
+  }
+
+  /** Time until the next frame may go: the first one after a quiet time goes at once. */
+  #gatheringLeft(): number {
+    const { gatherMs = 0, timer } = this.#options;
+    return this.#lastSent + gatherMs - timer.now();
   }
 
   #write(envelopes: Envelope[]): void {
@@ -216,6 +234,7 @@
     if (this.#closed) return;
     this.#closed = true;
     this.#store[Symbol.dispose]();
+    this.#nextFlush?.[Symbol.dispose]();
     for (const number of [...this.#pending.keys()]) {
       this.#settle(number, fail(linkCodes.linkLost, 'the link closed'));
     }
--- a/packages/link/src/lib/LinkOptions.ts
+++ b/packages/link/src/lib/LinkOptions.ts
@@ -11,7 +11,10 @@
   readonly keepAliveMs?: number;
   /** Silence after which the connection is dropped, in milliseconds; 3000 by default. */
   readonly silenceMs?: number;
-  /** Time that messages are gathered into one frame, in milliseconds; one tick by default. */
+  /**
+   * Least time between two frames, in milliseconds: messages meanwhile share a frame. By default
+   * only those of one tick do.
+   */
   readonly gatherMs?: number;
 }
 
