Give the sidecar's attempt a lifecycle machine, and resume engine streams that fall silent

What an attempt's sidecar may say follows from the state: "never" only before the hand-over, or when no connection was made. A crash is told from a broken connection by a closed port or an unknown stream. The queue is the fair one.

--- a/packages/schema/src/lib/AttemptMessage.ts
+++ b/packages/schema/src/lib/AttemptMessage.ts
@@ -44,6 +44,12 @@
   /** Digest of the request's content, for quarantine. */
   fingerprint: z.string(),
   model: z.string().optional(),
+  /** The Idempotency-Key whose committed claim allows this attempt. */
+  claim: z.string().max(255).optional(),
+  /** An endpoint crashed while the same content ran: it runs apart from other suspects. */
+  isSuspect: z.boolean().optional(),
+  /** Part of the expected work that is the prompt, in tokens. */
+  promptTokens: count.optional(),
 });
 
 /** Messages from an entry to a sidecar. @public */
@@ -143,6 +149,8 @@
     notRun: z.union([z.boolean(), z.literal('unknown')]),
     work: workSchema,
     sequence: count,
+    /** The endpoint crashed while the attempt was there. */
+    crashed: z.boolean().optional(),
   }),
   /** Answer to `revoke`. `never`: has not run and never will. */
   z.object({
--- a/packages/schema/src/lib/requestCodes.ts
+++ b/packages/schema/src/lib/requestCodes.ts
@@ -156,4 +156,25 @@
     meaning: 'The route is not idempotent and the request has no Idempotency-Key.',
     remedy: 'Send a unique Idempotency-Key with each new request.',
   },
+  callerTooSlow: {
+    number: 4029,
+    status: 408,
+    notRun: false,
+    meaning: 'The caller read its answer too slowly, and the rest was given up.',
+    remedy: 'Read the answer as it comes.',
+  },
+  tooManyFailures: {
+    number: 4030,
+    status: 429,
+    notRun: true,
+    meaning: 'Too many requests with refused keys came from this address.',
+    remedy: 'Correct the key and retry after the time in Retry-After.',
+  },
+  endpointUnreached: {
+    number: 4031,
+    status: 503,
+    notRun: true,
+    meaning: 'No connection to the endpoint could be made.',
+    remedy: 'Retry; if it lasts, look at the endpoint.',
+  },
 });
--- a/packages/sidecar/src/lib/Attempt.ts
+++ b/packages/sidecar/src/lib/Attempt.ts
@@ -1,7 +1,9 @@
-import { DisposableStore } from '@berylwood/base';
+import { Lifecycle } from '@berylwood/base';
 import type { Link } from '@berylwood/link';
 import type { Dispatch, EntryMessage, SidecarMessage, Work } from '@berylwood/schema';
 import { AnswerBuffer } from './AnswerBuffer';
+import { AnswerCopy } from './AnswerCopy';
+import { attemptTable, type AttemptEvent, type AttemptNote } from './attemptMachine';
 import type { AnswerSink } from './Endpoint';
 
 /** A link to an entry. @internal */
@@ -15,15 +17,24 @@
 
 /** One attempt in the sidecar: its answer, kept until the entry has it. @internal */
 export class Attempt implements AnswerSink, Disposable {
+  /** Called as tokens of the answer pass. */
+  onProgress: (tokens: number) => void = () => {};
+
   readonly dispatch: Dispatch;
 
   readonly abort = new AbortController();
 
-  state: 'queued' | 'running' | 'ended' = 'queued';
+  readonly lifecycle = new Lifecycle<AttemptEvent, AttemptNote>(attemptTable);
 
-  readonly #buffer = new AnswerBuffer();
+  /** The answer of a call with a claim, for its stored outcome. */
+  readonly copy: AnswerCopy | undefined;
+
+  /** Since when no entry is attached, or the reader is held up; undefined when neither. */
+  waitingSince: number | undefined;
 
-  readonly #store = new DisposableStore();
+  readonly #now: () => number;
+
+  readonly #buffer = new AnswerBuffer();
 
   #link: EntryLink | undefined;
 
@@ -33,25 +44,33 @@
 
   #resumeReading: () => void = () => {};
 
-  constructor(dispatch: Dispatch, link: EntryLink) {
+  constructor(dispatch: Dispatch, link: EntryLink, now: () => number) {
     this.dispatch = dispatch;
     this.#link = link;
+    this.#now = now;
+    this.copy = dispatch.claim === undefined ? undefined : new AnswerCopy();
   }
 
-  get isReleasable(): boolean {
-    return this.state === 'ended';
+  get link(): EntryLink | undefined {
+    return this.#link;
   }
 
   head(status: number, headers: Record<string, string>): void {
+    if (!this.lifecycle.send('head')) return;
     this.#head = { type: 'head', attempt: this.dispatch.attempt, status, headers };
-    this.#link?.send(this.#head);
+    this.copy?.head(status, headers);
+    this.#link?.send(this.#head, true);
   }
 
-  async data(bytes: Uint8Array, tokens: number): Promise<void> {
+  data(bytes: Uint8Array, tokens: number): Promise<void> | undefined {
     const part = this.#buffer.append(bytes, tokens);
-    this.#link?.send({ type: 'data', attempt: this.dispatch.attempt, ...part });
-    if (this.#buffer.unacknowledgedBytes <= WINDOW_BYTES) return;
-    await new Promise<void>((resolve) => {
+    this.copy?.append(bytes);
+    const isFirst = part.offset === 0;
+    this.#link?.send({ type: 'data', attempt: this.dispatch.attempt, ...part }, isFirst);
+    this.onProgress(tokens);
+    if (this.#buffer.unacknowledgedBytes <= WINDOW_BYTES) return undefined;
+    this.waitingSince ??= this.#now();
+    return new Promise<void>((resolve) => {
       this.#resumeReading = resolve;
     });
   }
@@ -71,31 +90,35 @@
     const parts = this.#buffer.from(offset);
     if (!parts) return false;
     this.#link = link;
-    if (this.#head) link.send(this.#head);
+    this.waitingSince = undefined;
+    if (this.#head) link.send(this.#head, true);
     const { attempt } = this.dispatch;
     for (const part of parts) link.send({ type: 'data', attempt, ...part });
-    if (this.#end) link.send(this.#end);
+    if (this.#end) link.send(this.#end, true);
     return true;
   }
 
   acknowledge(offset: number): void {
     this.#buffer.acknowledge(offset);
-    if (this.#buffer.unacknowledgedBytes <= WINDOW_BYTES) this.#resumeReading();
+    if (this.#buffer.unacknowledgedBytes > WINDOW_BYTES) return;
+    this.waitingSince = undefined;
+    this.#resumeReading();
   }
 
   /** The link is gone; the answer is kept for a resumption. */
   detach(link: EntryLink): void {
-    if (this.#link === link) this.#link = undefined;
+    if (this.#link !== link) return;
+    this.#link = undefined;
+    this.waitingSince = this.#now();
   }
 
   [Symbol.dispose](): void {
     this.#resumeReading();
-    this.#store[Symbol.dispose]();
   }
 
   #finish(end: EndMessage): void {
-    this.state = 'ended';
     this.#end = end;
-    this.#link?.send(end);
+    this.waitingSince = this.#now();
+    this.#link?.send(end, true);
   }
 }
--- /dev/null
+++ b/packages/sidecar/src/lib/AttemptRunner.ts
@@ -0,0 +1,80 @@
+import type { Code, Journal, NotRun, Timer } from '@berylwood/base';
+import { noWork, requestCodes, type Work } from '@berylwood/schema';
+import type { Attempt } from './Attempt';
+import type { AttemptEvent } from './attemptMachine';
+import { EndpointError, type Endpoint, type EndpointFault } from './Endpoint';
+import { sidecarEvents } from './events';
+import type { Meter } from './Meter';
+import type { OutcomeReporter } from './OutcomeReporter';
+
+/** Options of an attempt runner. @internal */
+export interface AttemptRunnerOptions {
+  readonly endpoint: Endpoint;
+  readonly meter: Meter;
+  readonly reporter: OutcomeReporter;
+  readonly timer: Timer;
+  readonly journal: Journal;
+}
+
+const EVENTS: Record<EndpointFault, AttemptEvent> = {
+  unreached: 'unreached',
+  crashed: 'crash',
+  failed: 'fail',
+};
+
+const CODES: Record<`${NotRun}`, Code> = {
+  true: requestCodes.endpointUnreached,
+  false: requestCodes.endpointFailed,
+  unknown: requestCodes.outcomeUnknown,
+};
+
+/** Runs attempts on the endpoint, meters them and reports how they ended. @internal */
+export class AttemptRunner {
+  readonly #options: AttemptRunnerOptions;
+
+  constructor(options: AttemptRunnerOptions) {
+    this.#options = options;
+  }
+
+  /** Resolves when the attempt has left the endpoint; never rejects. */
+  async run(attempt: Attempt): Promise<void> {
+    const { endpoint, reporter } = this.#options;
+    const { dispatch, lifecycle } = attempt;
+    lifecycle.send('start');
+    try {
+      const work = await endpoint.run(dispatch, attempt, attempt.abort.signal);
+      this.#complete(attempt, work);
+    } catch (error) {
+      this.#fail(attempt, error);
+    }
+    reporter.settle(attempt);
+  }
+
+  #complete(attempt: Attempt, work: Work): void {
+    const { meter, journal, reporter } = this.#options;
+    const { dispatch, lifecycle } = attempt;
+    if (!lifecycle.send('end')) return;
+    attempt.complete(work, meter.record(dispatch, work, true));
+    if (dispatch.isSuspect) reporter.clear(dispatch.fingerprint);
+    const { request, attempt: id } = dispatch;
+    journal.record(sidecarEvents.attemptEnded, { request, attempt: id, ...work });
+  }
+
+  #fail(attempt: Attempt, error: unknown): void {
+    const { meter, journal, reporter } = this.#options;
+    const { dispatch, lifecycle } = attempt;
+    const fault = error instanceof EndpointError ? error.fault : 'failed';
+    const work = error instanceof EndpointError ? error.work : noWork;
+    // The endpoint may fail because the attempt was cancelled; then the state is final already.
+    if (!lifecycle.isFinal && !lifecycle.send(EVENTS[fault])) lifecycle.send('fail');
+    const crashed = fault === 'crashed' && lifecycle.state !== 'cancelled';
+    if (crashed) reporter.suspect(dispatch.fingerprint);
+    const sequence = meter.record(dispatch, work, false);
+    const { notRun } = lifecycle.note;
+    const isAbandoned = lifecycle.state === 'cancelled';
+    const code = (isAbandoned ? requestCodes.callerTooSlow : CODES[`${notRun}`]).number;
+    attempt.fail({ code, message: String(error), notRun, work, sequence, crashed });
+    const { request, attempt: id } = dispatch;
+    journal.record(sidecarEvents.attemptFailed, { request, attempt: id, error: String(error) });
+  }
+}
--- a/packages/sidecar/src/lib/AttemptTable.ts
+++ b/packages/sidecar/src/lib/AttemptTable.ts
@@ -1,64 +1,77 @@
-import { unreachable, type Code, type Journal, type Timer } from '@berylwood/base';
+import { DisposableStore, unreachable, type Code, type Journal, type Timer } from '@berylwood/base';
+import type { LocalQueue, QueueLoad } from '@berylwood/policy';
 import {
   noWork,
   requestCodes,
   type AttemptId,
+  type Configuration,
   type Dispatch,
   type EntryMessage,
   type IncarnationId,
-  type SidecarMessage,
 } from '@berylwood/schema';
 import { Attempt, type EntryLink } from './Attempt';
+import type { AttemptRunner } from './AttemptRunner';
 import type { Endpoint } from './Endpoint';
 import { sidecarEvents } from './events';
-import type { Meter } from './Meter';
 
 /** Options of the attempt table. @internal */
 export interface AttemptTableOptions {
   readonly incarnation: IncarnationId;
   readonly endpoint: Endpoint;
-  readonly meter: Meter;
+  readonly runner: AttemptRunner;
+  readonly queue: LocalQueue;
   readonly timer: Timer;
   readonly journal: Journal;
-  readonly slots: number;
-  readonly queue: number;
-  /** Whether new attempts may be taken now. */
+  /** Why no new attempt may be taken now; undefined when it may. */
+  readonly closedBy: () => Code | undefined;
+  /** Whether attempts that wait here may be handed over now. */
   readonly mayStart: () => boolean;
 }
 
 /** Identities of released attempts kept, so that a late copy is refused. */
 const KEPT_RELEASED = 100_000;
 
-/** All attempts of a sidecar: each identity runs at most once. @internal */
-export class AttemptTable {
-  readonly slots: number;
+const SWEEP_INTERVAL_MS = 500;
+
+/** Time that an attempt waits for its entry or a slow reader before it is given up, in milliseconds. */
+const ABANDON_MS = 15_000;
 
+/** Least time until the next decision, in milliseconds. */
+const MIN_WAKE_MS = 1;
+
+/** All attempts of a sidecar: each identity runs at most once. @internal */
+export class AttemptTable implements Disposable {
   readonly #options: AttemptTableOptions;
 
   readonly #attempts = new Map<AttemptId, Attempt>();
 
-  readonly #released = new Set<AttemptId>();
+  /** Identities that have left the table, with what became of them. */
+  readonly #released = new Map<AttemptId, 'never' | 'ran' | 'unknown'>();
 
-  #queue: Attempt[] = [];
+  readonly #store = new DisposableStore();
 
-  #running = 0;
+  #wake: Disposable | undefined;
 
   constructor(options: AttemptTableOptions) {
     this.#options = options;
-    this.slots = options.slots;
+    this.#store.add(options.timer.every(SWEEP_INTERVAL_MS, () => this.#sweep()));
   }
 
-  get runningCount(): number {
-    return this.#running;
+  /** Attempts whose end the entry has not confirmed yet. */
+  get openCount(): number {
+    return this.#attempts.size;
   }
 
-  get queuedCount(): number {
-    return this.#queue.length;
+  get openIds(): AttemptId[] {
+    return [...this.#attempts.keys()];
   }
 
-  /** Attempts whose end the entry has not confirmed yet. */
-  get openCount(): number {
-    return this.#attempts.size;
+  get load(): QueueLoad {
+    return this.#options.queue.load();
+  }
+
+  configure(configuration: Configuration): void {
+    this.#options.queue.configure(configuration);
   }
 
   receive(link: EntryLink, message: EntryMessage): void {
@@ -90,123 +103,191 @@
     for (const attempt of this.#attempts.values()) attempt.detach(link);
   }
 
+  [Symbol.dispose](): void {
+    this.#store[Symbol.dispose]();
+    this.#wake?.[Symbol.dispose]();
+  }
+
   #take(link: EntryLink, dispatch: Dispatch): void {
     const refusal = this.#refusal(dispatch);
+    const { attempt: id, request } = dispatch;
     if (refusal) {
-      this.#refuse(link, dispatch.attempt, refusal);
+      this.#refuse(link, id, refusal);
       return;
     }
-    const attempt = new Attempt(dispatch, link);
-    this.#attempts.set(dispatch.attempt, attempt);
-    this.#options.journal.record(sidecarEvents.attemptAccepted, {
-      request: dispatch.request,
-      attempt: dispatch.attempt,
-    });
-    link.send({ type: 'accepted', attempt: dispatch.attempt });
-    this.#queue.push(attempt);
-    this.#fill();
+    const { timer, journal, queue } = this.#options;
+    const attempt = new Attempt(dispatch, link, () => timer.now());
+    attempt.onProgress = (tokens) => queue.progressed(id, tokens, timer.now());
+    this.#attempts.set(id, attempt);
+    journal.record(sidecarEvents.attemptAccepted, { request, attempt: id });
+    const now = timer.now();
+    const { workspace, tier, estimatedTokens, promptTokens } = dispatch;
+    queue.offer(
+      {
+        attempt: id,
+        workspace,
+        class: dispatch.class,
+        tier,
+        estimatedTokens,
+        promptTokens,
+        arrivedAt: now,
+        deadlineAt: now + dispatch.deadlineMs,
+        isPreemptable: false,
+      },
+      now,
+    );
+    this.decide();
+    if (this.#attempts.has(id)) link.send({ type: 'accepted', attempt: id });
+  }
+
+  /** Carries out what the queue decides now. */
+  decide(): void {
+    const { queue, timer, mayStart } = this.#options;
+    this.#wake?.[Symbol.dispose]();
+    this.#wake = undefined;
+    if (!mayStart()) this.#refuseWaiting();
+    for (const decision of queue.decide(timer.now())) {
+      const attempt = this.#attempts.get(decision.attempt);
+      if (!attempt) continue;
+      if (decision.type === 'start') this.#run(attempt);
+      if (decision.type === 'refuse') this.#refuseQueued(attempt, decision.code);
+    }
+    const at = queue.nextAt(timer.now());
+    if (at === undefined) return;
+    this.#wake = timer.after(Math.max(MIN_WAKE_MS, at - timer.now()), () => this.decide());
   }
 
   #refusal(dispatch: Dispatch): Code | undefined {
-    const { attempt, incarnation } = dispatch;
+    const { attempt, incarnation, isSuspect } = dispatch;
     if (incarnation !== this.#options.incarnation) return requestCodes.attemptRefused;
     if (this.#attempts.has(attempt) || this.#released.has(attempt)) {
       return requestCodes.attemptRefused;
     }
-    if (!this.#options.mayStart()) return requestCodes.draining;
-    const isFull = this.#running >= this.slots && this.#queue.length >= this.#options.queue;
-    return isFull ? requestCodes.overloaded : undefined;
+    // Two suspects that ran together could not be told apart after a crash.
+    if (isSuspect && this.#holdsSuspect()) return requestCodes.attemptRefused;
+    return this.#options.closedBy();
+  }
+
+  #holdsSuspect(): boolean {
+    const attempts = [...this.#attempts.values()];
+    return attempts.some(({ dispatch, lifecycle }) => dispatch.isSuspect && !lifecycle.isFinal);
   }
 
-  #refuse(link: EntryLink, attempt: AttemptId, code: Code): void {
+  #refuse(link: EntryLink | undefined, attempt: AttemptId, code: Code): void {
     this.#options.journal.record(sidecarEvents.attemptRefused, { attempt, code: code.name });
-    link.send({ type: 'refused', attempt, code: code.number, message: code.meaning });
+    link?.send({ type: 'refused', attempt, code: code.number, message: code.meaning }, true);
+  }
+
+  #refuseQueued(attempt: Attempt, code: Code): void {
+    const { attempt: id } = attempt.dispatch;
+    if (!attempt.lifecycle.send('refuse')) return;
+    const { link } = attempt;
+    this.#release(id);
+    this.#refuse(link, id, code);
   }
 
-  #fill(): void {
-    while (this.#running < this.slots) {
-      const attempt = this.#queue.shift();
-      if (!attempt) return;
-      this.#run(attempt);
+  /** Without proof of freshness nothing new is handed to the endpoint. */
+  #refuseWaiting(): void {
+    const { queue, timer } = this.#options;
+    for (const [id, attempt] of this.#attempts) {
+      if (attempt.lifecycle.state !== 'queued') continue;
+      queue.withdraw(id, timer.now());
+      this.#refuseQueued(attempt, requestCodes.notFresh);
     }
   }
 
   #run(attempt: Attempt): void {
-    const { endpoint, meter, journal } = this.#options;
-    const { dispatch } = attempt;
-    const fields = { request: dispatch.request, attempt: dispatch.attempt };
-    attempt.state = 'running';
-    this.#running += 1;
-    endpoint
-      .run(dispatch, attempt, attempt.abort.signal)
-      .then((work) => {
-        attempt.complete(work, meter.record(dispatch, work, true));
-        journal.record(sidecarEvents.attemptEnded, { ...fields, ...work });
-      })
-      .catch((error: unknown) => {
-        const sequence = meter.record(dispatch, noWork, false);
-        const code = requestCodes.endpointFailed.number;
-        attempt.fail({ code, message: String(error), notRun: false, work: noWork, sequence });
-        journal.record(sidecarEvents.attemptFailed, { ...fields, error: String(error) });
-      })
+    const { runner, queue, timer } = this.#options;
+    const { attempt: id } = attempt.dispatch;
+    runner
+      .run(attempt)
+      .catch(() => {})
       .finally(() => {
-        this.#running -= 1;
-        this.#fill();
+        queue.ended(id, timer.now());
+        if (attempt.lifecycle.state === 'cancelled') this.#release(id);
+        this.decide();
       });
   }
 
   #resume(link: EntryLink, id: AttemptId, offset: number): void {
     const attempt = this.#attempts.get(id);
     if (attempt?.resume(link, offset)) return;
-    const { outcomeUnknown } = requestCodes;
-    const failure: SidecarMessage = {
-      type: 'failed',
-      attempt: id,
-      code: outcomeUnknown.number,
-      message: 'the answer is not kept here',
-      notRun: 'unknown',
-      work: noWork,
-      sequence: 0,
-    };
-    link.send(failure);
+    const notRun = !attempt && this.#released.get(id) === 'never' ? true : 'unknown';
+    const { number, meaning } = requestCodes.outcomeUnknown;
+    link.send(
+      {
+        type: 'failed',
+        attempt: id,
+        code: number,
+        message: meaning,
+        notRun,
+        work: noWork,
+        sequence: 0,
+      },
+      true,
+    );
   }
 
   #cancel(id: AttemptId): void {
     const attempt = this.#attempts.get(id);
     if (!attempt) return;
-    if (attempt.state === 'queued') this.#drop(attempt);
-    else if (attempt.dispatch.idempotent) attempt.abort.abort();
-    this.#release(id);
+    const { lifecycle, dispatch, abort } = attempt;
+    if (lifecycle.state === 'queued') this.#drop(attempt);
+    else if (lifecycle.isFinal) this.#release(id);
+    else if (dispatch.idempotent) {
+      lifecycle.send('cancel');
+      abort.abort();
+      this.#options.endpoint.cancel(dispatch).catch(() => {});
+    }
   }
 
   #revoke(link: EntryLink, id: AttemptId): void {
     const attempt = this.#attempts.get(id);
-    if (!attempt) {
-      const outcome = this.#released.has(id) ? 'ran' : 'never';
-      this.#remember(id);
-      link.send({ type: 'revoked', attempt: id, outcome });
-      return;
-    }
-    const { state } = attempt;
-    if (state === 'queued') this.#drop(attempt);
-    const outcomes = { queued: 'never', running: 'running', ended: 'ran' } as const;
-    link.send({ type: 'revoked', attempt: id, outcome: outcomes[state] });
+    let outcome = attempt?.lifecycle.note.revoked ?? this.#released.get(id) ?? 'never';
+    if (attempt?.lifecycle.state === 'queued') this.#drop(attempt);
+    if (!attempt && !this.#released.has(id)) this.#remember(id, 'never');
+    if (attempt && outcome === 'unknown') outcome = 'ran';
+    link.send({ type: 'revoked', attempt: id, outcome }, true);
   }
 
+  /** Takes out an attempt that has not been handed over, and keeps it from ever being. */
   #drop(attempt: Attempt): void {
-    this.#queue = this.#queue.filter((item) => item !== attempt);
-    this.#release(attempt.dispatch.attempt);
+    const { queue, timer } = this.#options;
+    const { attempt: id } = attempt.dispatch;
+    queue.withdraw(id, timer.now());
+    attempt.lifecycle.send('revoke');
+    this.#release(id);
   }
 
   #release(id: AttemptId): void {
-    this.#attempts.get(id)?.[Symbol.dispose]();
+    const attempt = this.#attempts.get(id);
+    if (!attempt) return;
+    if (!attempt.lifecycle.isFinal) return;
+    attempt[Symbol.dispose]();
     this.#attempts.delete(id);
-    this.#remember(id);
+    const { revoked } = attempt.lifecycle.note;
+    this.#remember(id, revoked === 'running' ? 'unknown' : revoked);
+  }
+
+  #remember(id: AttemptId, outcome: 'never' | 'ran' | 'unknown'): void {
+    this.#released.set(id, outcome);
+    if (this.#released.size <= KEPT_RELEASED) return;
+    const [oldest] = this.#released.keys();
+    if (oldest) this.#released.delete(oldest);
   }
 
-  #remember(id: AttemptId): void {
-    this.#released.add(id);
-    const [oldest] = this.#released;
-    if (this.#released.size > KEPT_RELEASED && oldest) this.#released.delete(oldest);
+  /** Gives up attempts whose entry is gone or whose reader is stuck, so that slots come free. */
+  #sweep(): void {
+    const now = this.#options.timer.now();
+    for (const attempt of this.#attempts.values()) {
+      const { waitingSince = now, lifecycle, dispatch } = attempt;
+      if (now - waitingSince < ABANDON_MS) continue;
+      const { attempt: id, request } = dispatch;
+      this.#options.journal.record(sidecarEvents.attemptAbandoned, { request, attempt: id });
+      attempt.waitingSince = undefined;
+      if (lifecycle.state === 'streaming' && !dispatch.idempotent) attempt.abort.abort();
+      this.#cancel(id);
+    }
+    this.decide();
   }
 }
--- a/packages/sidecar/src/lib/Endpoint.ts
+++ b/packages/sidecar/src/lib/Endpoint.ts
@@ -3,8 +3,8 @@
 /** Takes an answer as it comes from an endpoint. @public */
 export interface AnswerSink {
   head(status: number, headers: Record<string, string>): void;
-  /** Resolves when more may be sent. */
-  data(bytes: Uint8Array, tokens: number): Promise<void> | void;
+  /** Resolves when more may be sent; undefined when it may be at once. */
+  data(bytes: Uint8Array, tokens: number): Promise<void> | undefined;
 }
 
 /** What the endpoint itself reports about its load. @public */
@@ -15,14 +15,40 @@
   readonly generatedTokens: number;
 }
 
+/** How a run has failed. @public */
+export type EndpointFault =
+  /** No connection was made, so nothing has run. */
+  | 'unreached'
+  /** The endpoint crashed, or restarted, while it held the request. */
+  | 'crashed'
+  /** Anything else. */
+  | 'failed';
+
+/** A run that did not give a whole answer. @public */
+export class EndpointError extends Error {
+  readonly fault: EndpointFault;
+
+  /** Work done until then. */
+  readonly work: Work;
+
+  constructor(fault: EndpointFault, work: Work, cause: unknown) {
+    super(`the endpoint ${fault}: ${String(cause)}`, { cause });
+    this.fault = fault;
+    this.work = work;
+  }
+}
+
 /** The endpoint beside the sidecar. @public */
 export abstract class Endpoint {
   /**
    * Runs an attempt and resolves to its work once the answer is whole.
-   * @throws when the endpoint fails, or the signal aborts.
+   * @throws EndpointError when the endpoint fails, or the signal aborts.
    */
   abstract run(dispatch: Dispatch, sink: AnswerSink, signal: AbortSignal): Promise<Work>;
 
+  /** Ends work that nobody waits for any more. */
+  abstract cancel(dispatch: Dispatch): Promise<void>;
+
   /** Asks the endpoint for its load; undefined when it does not report any. */
   abstract load(): Promise<EndpointLoad | undefined>;
 }
--- a/packages/sidecar/src/lib/EngineEndpoint.ts
+++ b/packages/sidecar/src/lib/EngineEndpoint.ts
@@ -1,46 +1,49 @@
 import { Pool } from 'undici';
 import type { Dispatch, Work } from '@berylwood/schema';
+import { CONNECT_TIMEOUT_MS } from './connection';
 import { Endpoint, type AnswerSink, type EndpointLoad } from './Endpoint';
-import { keepAnswerHeaders } from './headers';
-import { UsageReader } from './UsageReader';
+import { EngineRun } from './EngineRun';
 
 /** Connections to the engine beyond its slots, for load reports and cancels. */
 const SPARE_CONNECTIONS = 4;
 
+/** Time for the answer to a load report or a cancel, in milliseconds. */
+const CALL_TIMEOUT_MS = 1000;
+
 /** Model engine with the OpenAI wire form. @public */
 export class EngineEndpoint extends Endpoint implements Disposable {
   readonly #pool: Pool;
 
+  readonly #address: string;
+
   constructor(address: string, slots: number) {
     super();
-    this.#pool = new Pool(`http://${address}`, { connections: slots + SPARE_CONNECTIONS });
+    this.#address = address;
+    const connect = { timeout: CONNECT_TIMEOUT_MS };
+    const connections = slots + SPARE_CONNECTIONS;
+    this.#pool = new Pool(`http://${address}`, { connections, connect });
+  }
+
+  override run(dispatch: Dispatch, sink: AnswerSink, signal: AbortSignal): Promise<Work> {
+    return new EngineRun(this.#pool, this.#address, dispatch, sink, signal).run();
   }
 
-  override async run(dispatch: Dispatch, sink: AnswerSink, signal: AbortSignal): Promise<Work> {
+  override async cancel(dispatch: Dispatch): Promise<void> {
+    const path = `/v1/streams/${dispatch.attempt}`;
     const answer = await this.#pool.request({
-      method: 'POST',
-      path: dispatch.path,
-      headers: {
-        ...dispatch.headers,
-        'x-stream-id': dispatch.attempt,
-        'x-priority': String(dispatch.tier),
-      },
-      body: Buffer.from(dispatch.body),
-      signal,
-      headersTimeout: 0,
-      bodyTimeout: 0,
+      method: 'DELETE',
+      path,
+      headersTimeout: CALL_TIMEOUT_MS,
     });
-    sink.head(answer.statusCode, keepAnswerHeaders(answer.headers));
-    const reader = new UsageReader(String(answer.headers['content-type'] ?? ''));
-    for await (const chunk of answer.body) {
-      reader.read(chunk as Buffer);
-      await sink.data(chunk as Buffer, reader.tokens);
-    }
-    return reader.work;
+    await answer.body.dump();
   }
 
   override async load(): Promise<EndpointLoad | undefined> {
-    const answer = await this.#pool.request({ method: 'GET', path: '/load', headersTimeout: 1000 });
+    const answer = await this.#pool.request({
+      method: 'GET',
+      path: '/load',
+      headersTimeout: CALL_TIMEOUT_MS,
+    });
     const report = (await answer.body.json()) as Record<string, number>;
     return {
       running: report.running ?? 0,
--- a/packages/sidecar/src/lib/LoadMonitor.ts
+++ b/packages/sidecar/src/lib/LoadMonitor.ts
@@ -26,8 +26,6 @@
 
   #tokensPerSecond = 0;
 
-  #generation = 0;
-
   constructor(timer: Timer, endpoint: Endpoint, attempts: AttemptTable, isLeaving: () => boolean) {
     this.#timer = timer;
     this.#endpoint = endpoint;
@@ -36,19 +34,12 @@
   }
 
   get current(): Load {
-    const { slots, runningCount, queuedCount } = this.#attempts;
     return {
-      slots,
-      running: runningCount,
-      waiting: queuedCount,
+      ...this.#attempts.load,
       tokensPerSecond: this.#tokensPerSecond,
       prefillTokens: this.#report?.prefillTokens ?? 0,
-      waitingTier: 0,
-      runningTier: 0,
       ageMs: this.#timer.now() - this.#reportedAt,
       leaving: this.#isLeaving(),
-      credits: Math.max(0, slots - runningCount - queuedCount),
-      generation: this.#generation,
     };
   }
 
@@ -65,7 +56,7 @@
       .load()
       .then((report) => this.#take(report))
       .catch(() => {})
-      .finally(() => this.#push());
+      .finally(() => this.push());
   }
 
   #take(report: EndpointLoad | undefined): void {
@@ -80,8 +71,8 @@
     this.#reportedAt = now;
   }
 
-  #push(): void {
-    this.#generation += 1;
+  /** Tells the load now. */
+  push(): void {
     this.onLoad(this.current);
   }
 }
--- /dev/null
+++ b/packages/sidecar/src/lib/OutcomeReporter.ts
@@ -0,0 +1,110 @@
+import type { Journal, Timer } from '@berylwood/base';
+import type { Subscription } from '@berylwood/feed';
+import type { EndpointId, IncarnationId, NodeCall } from '@berylwood/schema';
+import type { Attempt } from './Attempt';
+import { sidecarEvents } from './events';
+
+/** Options of an outcome reporter. @internal */
+export interface OutcomeReporterOptions {
+  readonly subscription: Pick<Subscription, 'call'>;
+  readonly timer: Timer;
+  readonly journal: Journal;
+  readonly endpoint: EndpointId;
+  readonly incarnation: IncarnationId;
+}
+
+type Report = Extract<NodeCall, { type: 'settle' | 'suspect' | 'clear' }>;
+
+/** Time in which the attempts that one crash cuts are gathered into one report, in milliseconds. */
+const CRASH_WINDOW_MS = 20;
+
+const RETRY_MS = 200;
+
+/** Reports held while no control replica answers; the oldest are dropped first. */
+const MAX_PENDING = 10_000;
+
+/** Largest number of fingerprints in one report. */
+const MAX_FINGERPRINTS = 64;
+
+/** Hands outcomes of calls with a claim, suspects and cleared fingerprints to the control group. @internal */
+export class OutcomeReporter implements Disposable {
+  readonly #options: OutcomeReporterOptions;
+
+  #pending: Report[] = [];
+
+  #suspects = new Set<string>();
+
+  #isSending = false;
+
+  #isDisposed = false;
+
+  constructor(options: OutcomeReporterOptions) {
+    this.#options = options;
+  }
+
+  /** Reports that the control group has not confirmed. */
+  get pendingCount(): number {
+    return this.#pending.length + this.#suspects.size;
+  }
+
+  /** The endpoint crashed while it held this content. */
+  suspect(fingerprint: string): void {
+    if (this.#suspects.size === 0) {
+      this.#options.timer.after(CRASH_WINDOW_MS, () => this.#reportSuspects());
+    }
+    this.#suspects.add(fingerprint);
+  }
+
+  /** The content of a suspect has run whole. */
+  clear(fingerprint: string): void {
+    this.#add({ type: 'clear', fingerprint });
+  }
+
+  /** Stores the outcome of a call with a claim. */
+  settle({ dispatch, copy, lifecycle }: Attempt): void {
+    if (dispatch.claim === undefined || !copy) return;
+    const { notRun } = lifecycle.note;
+    const outcomes = { true: 'notRun', false: 'ran', unknown: 'unknown' } as const;
+    this.#add({
+      type: 'settle',
+      workspace: dispatch.workspace,
+      idempotencyKey: dispatch.claim,
+      request: dispatch.request,
+      // A broken answer says too little about the effect of the call.
+      outcome: lifecycle.state === 'whole' ? 'ran' : outcomes[`${notRun}`],
+      status: copy.status,
+      headers: copy.headers,
+      body: copy.body,
+    });
+  }
+
+  [Symbol.dispose](): void {
+    this.#isDisposed = true;
+  }
+
+  #reportSuspects(): void {
+    const { endpoint, incarnation, journal } = this.#options;
+    const fingerprints = [...this.#suspects].slice(0, MAX_FINGERPRINTS);
+    this.#suspects = new Set();
+    journal.record(sidecarEvents.endpointCrashed, { endpoint, suspects: fingerprints.length });
+    this.#add({ type: 'suspect', endpoint, incarnation, fingerprints });
+  }
+
+  #add(report: Report): void {
+    this.#pending.push(report);
+    if (this.#pending.length > MAX_PENDING) this.#pending.shift();
+    this.#send().catch(() => {});
+  }
+
+  async #send(): Promise<void> {
+    if (this.#isSending) return;
+    this.#isSending = true;
+    while (this.#pending[0] && !this.#isDisposed) {
+      const [report] = this.#pending;
+      const answer = await this.#options.subscription.call(report);
+      if (answer.isOk()) this.#pending.shift();
+      else await this.#options.timer.sleep(RETRY_MS);
+    }
+    this.#isSending = false;
+  }
+}
--- a/packages/sidecar/src/lib/ServiceEndpoint.ts
+++ b/packages/sidecar/src/lib/ServiceEndpoint.ts
@@ -1,6 +1,7 @@
 import { Pool } from 'undici';
 import { noWork, type Dispatch, type Work } from '@berylwood/schema';
-import { Endpoint, type AnswerSink } from './Endpoint';
+import { CONNECT_TIMEOUT_MS, isCut, isUnreached } from './connection';
+import { Endpoint, EndpointError, type AnswerSink, type EndpointFault } from './Endpoint';
 import { keepAnswerHeaders } from './headers';
 
 /** Plain HTTP service; it reports no load. @public */
@@ -9,29 +10,50 @@
 
   constructor(address: string, slots: number) {
     super();
-    this.#pool = new Pool(`http://${address}`, { connections: slots });
+    const connect = { timeout: CONNECT_TIMEOUT_MS };
+    this.#pool = new Pool(`http://${address}`, { connections: slots, connect });
   }
 
   override async run(dispatch: Dispatch, sink: AnswerSink, signal: AbortSignal): Promise<Work> {
+    try {
+      await this.#call(dispatch, sink, signal);
+      return noWork;
+    } catch (error) {
+      throw new EndpointError(faultOf(error), noWork, error);
+    }
+  }
+
+  override async cancel(): Promise<void> {
+    // The aborted connection is all that a plain service is told.
+  }
+
+  override async load(): Promise<undefined> {
+    return undefined;
+  }
+
+  [Symbol.dispose](): void {
+    this.#pool.destroy().catch(() => {});
+  }
+
+  async #call(dispatch: Dispatch, sink: AnswerSink, signal: AbortSignal): Promise<void> {
     const answer = await this.#pool.request({
       method: dispatch.method,
       path: dispatch.path,
       headers: dispatch.headers,
       body: dispatch.body.length > 0 ? Buffer.from(dispatch.body) : null,
       signal,
+      // A kept connection may be closed just as a call is written, and a call can not be repeated.
+      reset: !dispatch.idempotent,
       headersTimeout: 0,
       bodyTimeout: 0,
     });
     sink.head(answer.statusCode, keepAnswerHeaders(answer.headers));
     for await (const chunk of answer.body) await sink.data(chunk as Buffer, 0);
-    return noWork;
-  }
-
-  override async load(): Promise<undefined> {
-    return undefined;
   }
+}
 
-  [Symbol.dispose](): void {
-    this.#pool.destroy().catch(() => {});
-  }
+/** A service can not be asked about a call, so a cut connection counts as a crash. */
+function faultOf(error: unknown): EndpointFault {
+  if (isUnreached(error)) return 'unreached';
+  return isCut(error) ? 'crashed' : 'failed';
 }
--- a/packages/sidecar/src/lib/Sidecar.ts
+++ b/packages/sidecar/src/lib/Sidecar.ts
@@ -1,7 +1,9 @@
-import { Task, asId, type Journal, type Metrics, type Timer } from '@berylwood/base';
+import { Task, asId, type Code, type Journal, type Metrics, type Timer } from '@berylwood/base';
 import { Subscription } from '@berylwood/feed';
 import { LinkServer, type LinkIdentity } from '@berylwood/link';
+import { FairLocalQueue } from '@berylwood/policy';
 import {
+  requestCodes,
   entryMessageSchema,
   type EntryMessage,
   type IncarnationId,
@@ -11,12 +13,14 @@
   type SidecarSettings,
 } from '@berylwood/schema';
 import type { EntryLink } from './Attempt';
+import { AttemptRunner } from './AttemptRunner';
 import { AttemptTable } from './AttemptTable';
 import type { Endpoint } from './Endpoint';
 import { EngineEndpoint } from './EngineEndpoint';
 import { sidecarEvents } from './events';
 import { LoadMonitor } from './LoadMonitor';
 import { Meter } from './Meter';
+import { OutcomeReporter } from './OutcomeReporter';
 import { ServiceEndpoint } from './ServiceEndpoint';
 
 /** Options of the sidecar role. @public */
@@ -33,6 +37,9 @@
 const METER_INTERVAL_MS = 500;
 const DRAIN_POLL_MS = 50;
 
+/** Time at the end of a drain for outcomes to reach the control group, in milliseconds. */
+const REPORT_LIMIT_MS = 5000;
+
 /** Time that frames for an entry are gathered: one frame then carries tokens of many streams. */
 const GATHER_MS = 5;
 
@@ -48,6 +55,8 @@
 
   readonly #meter: Meter;
 
+  readonly #reporter: OutcomeReporter;
+
   readonly #monitor: LoadMonitor;
 
   readonly #server: LinkServer;
@@ -75,16 +84,33 @@
     );
     this.#meter = new Meter(this.#subscription, asId(settings.endpoint), incarnation);
     const endpoint = this.store.add(createEndpoint(settings));
-    this.#attempts = new AttemptTable({
-      incarnation,
-      endpoint,
-      meter: this.#meter,
-      timer,
-      journal,
-      slots: settings.slots,
-      queue: settings.queue,
-      mayStart: () => this.#subscription.isFresh && !this.#isLeaving,
-    });
+    this.#reporter = this.store.add(
+      new OutcomeReporter({
+        subscription: this.#subscription,
+        timer,
+        journal,
+        endpoint: asId(settings.endpoint),
+        incarnation,
+      }),
+    );
+    this.#attempts = this.store.add(
+      new AttemptTable({
+        incarnation,
+        endpoint,
+        runner: new AttemptRunner({
+          endpoint,
+          meter: this.#meter,
+          reporter: this.#reporter,
+          timer,
+          journal,
+        }),
+        queue: new FairLocalQueue({ slots: settings.slots, capacity: settings.queue }),
+        timer,
+        journal,
+        closedBy: () => this.#closedBy(),
+        mayStart: () => this.#subscription.isFresh,
+      }),
+    );
     this.#monitor = new LoadMonitor(timer, endpoint, this.#attempts, () => this.#isLeaving);
     this.#server = new LinkServer(options.identity);
   }
@@ -97,6 +123,10 @@
       (link) => this.#welcome(link),
     );
     this.#address = await this.#server.listen(settings.listen);
+    this.#subscription.onChange = () => {
+      this.#attempts.configure(this.#subscription.state.configuration);
+    };
+    this.#subscription.onFreshness = () => this.#attempts.decide();
     this.#subscription.open();
     this.store.add(timer.every(METER_INTERVAL_MS, () => this.#flushMeter()));
     this.store.add(this.#monitor);
@@ -112,8 +142,16 @@
     const { timer, journal, settings } = this.#options;
     this.#isLeaving = true;
     this.#subscription.renew();
+    this.#monitor.push();
     journal.record(sidecarEvents.sidecarDraining, { endpoint: settings.endpoint });
+    const onExit = (): void => this.#recordCut();
+    process.once('exit', onExit);
     while (this.#attempts.openCount > 0) await timer.sleep(DRAIN_POLL_MS);
+    const reportsUntil = timer.now() + REPORT_LIMIT_MS;
+    while (this.#reporter.pendingCount > 0 && timer.now() < reportsUntil) {
+      await timer.sleep(DRAIN_POLL_MS);
+    }
+    process.off('exit', onExit);
     await this.#meter.flush();
     await this.#server.close();
     await super.stop();
@@ -123,6 +161,18 @@
     // Messages come over links.
   }
 
+  #closedBy(): Code | undefined {
+    if (this.#isLeaving) return requestCodes.draining;
+    return this.#subscription.isFresh ? undefined : requestCodes.notFresh;
+  }
+
+  /** The process ends before the drain has. */
+  #recordCut(): void {
+    const { journal, settings } = this.#options;
+    const fields = { endpoint: settings.endpoint, attempts: this.#attempts.openIds };
+    journal.record(sidecarEvents.sidecarCut, fields);
+  }
+
   #describe(): Member {
     const { settings, process, incarnation } = this.#options;
     return {
--- a/packages/sidecar/src/lib/UsageReader.ts
+++ b/packages/sidecar/src/lib/UsageReader.ts
@@ -3,7 +3,9 @@
 /** Bytes at the end of an answer within which the usage stands. */
 const TAIL_BYTES = 2048;
 
-const EVENT_END = Buffer.from('\n\n');
+const NEWLINE = '\n'.charCodeAt(0);
+const USAGE_MARK = '"usage":{';
+const DONE_MARK = '[DONE]';
 
 interface UsageField {
   readonly prompt_tokens?: number;
@@ -11,13 +13,24 @@
   readonly prompt_tokens_details?: { readonly cached_tokens?: number };
 }
 
-/** Reads the usage of an answer as it passes, without keeping the answer. @internal */
+/** Reads the tokens and the usage of an answer as it passes, without keeping the answer. @internal */
 export class UsageReader {
   readonly #isStream: boolean;
 
-  #events = 0;
+  #tokens = 0;
 
-  #tail: Buffer = Buffer.alloc(0);
+  /** Bytes of whole events after the last token: the usage and the end mark. */
+  #closingBytes = 0;
+
+  #lastByte: number | undefined;
+
+  /** Last chunks, together at least as long as the tail while the answer has as much. */
+  #tail: Buffer[] = [];
+
+  #tailLength = 0;
+
+  /** Chunks of the event that has not ended yet. */
+  #event: Buffer[] = [];
 
   constructor(contentType: string) {
     this.#isStream = contentType.startsWith('text/event-stream');
@@ -25,37 +38,67 @@
 
   /** Tokens so far: one event of a stream carries one token. */
   get tokens(): number {
-    return this.#events;
+    return this.#tokens;
+  }
+
+  /** Bytes since the event of the last whole token: what a resumption at it repeats. */
+  get bytesAfterToken(): number {
+    return this.#event.reduce((sum, { length }) => sum + length, this.#closingBytes);
   }
 
   /** Usage as the engine stated it, else as counted. */
   get work(): Work {
     const usage = this.#statedUsage();
-    if (!usage) return { ...noWork, outputTokens: this.#events };
+    if (!usage) return { ...noWork, outputTokens: this.#tokens };
     return {
       inputTokens: usage.prompt_tokens ?? 0,
-      outputTokens: usage.completion_tokens ?? this.#events,
+      outputTokens: usage.completion_tokens ?? this.#tokens,
       cachedTokens: usage.prompt_tokens_details?.cached_tokens ?? 0,
     };
   }
 
   read(chunk: Buffer): void {
     if (this.#isStream) this.#countEvents(chunk);
-    const joined = Buffer.concat([this.#tail, chunk]);
-    this.#tail = joined.subarray(Math.max(0, joined.length - TAIL_BYTES));
+    this.#tail.push(chunk);
+    this.#tailLength += chunk.length;
+    while (this.#tail[0] && this.#tailLength - this.#tail[0].length >= TAIL_BYTES) {
+      this.#tailLength -= this.#tail[0].length;
+      this.#tail.shift();
+    }
   }
 
+  /** An event ends with an empty line, which may be split between two chunks. */
   #countEvents(chunk: Buffer): void {
-    for (let at = chunk.indexOf(EVENT_END); at >= 0; at = chunk.indexOf(EVENT_END, at + 2)) {
-      this.#events += 1;
+    let start = 0;
+    for (let at = chunk.indexOf(NEWLINE); at >= 0; at = chunk.indexOf(NEWLINE, at + 1)) {
+      const isEmpty = at === start && this.#event.length === 0;
+      const before = at > 0 ? chunk[at - 1] : this.#lastByte;
+      if (isEmpty || before !== NEWLINE) continue;
+      this.#event.push(chunk.subarray(start, at + 1));
+      this.#endEvent();
+      start = at + 1;
+    }
+    if (start < chunk.length) this.#event.push(chunk.subarray(start));
+    this.#lastByte = chunk.at(-1);
+  }
+
+  #endEvent(): void {
+    const [first = Buffer.alloc(0)] = this.#event;
+    const event = this.#event.length === 1 ? first : Buffer.concat(this.#event);
+    this.#event = [];
+    if (event.includes(USAGE_MARK) || event.includes(DONE_MARK)) {
+      this.#closingBytes += event.length;
+      return;
     }
+    this.#tokens += 1;
+    this.#closingBytes = 0;
   }
 
   #statedUsage(): UsageField | undefined {
-    const text = this.#tail.toString('utf8');
-    const at = text.lastIndexOf('"usage":{');
+    const text = Buffer.concat(this.#tail).toString('utf8');
+    const at = text.lastIndexOf(USAGE_MARK);
     if (at < 0) return undefined;
-    const start = at + '"usage":'.length;
+    const start = at + USAGE_MARK.length - 1;
     let depth = 0;
     for (let end = start; end < text.length; end += 1) {
       if (text[end] === '{') depth += 1;
--- /dev/null
+++ b/packages/sidecar/src/lib/attemptMachine.ts
@@ -0,0 +1,66 @@
+import { LifecycleTable, type NotRun } from '@berylwood/base';
+import { createMachine } from 'xstate';
+
+/** What may be said of an attempt in one state of the sidecar. @internal */
+export interface AttemptNote {
+  /** Answer to an entry that asks to revoke the attempt. */
+  readonly revoked: 'never' | 'running' | 'ran' | 'unknown';
+  /** What an error that ends the attempt in this state says of its execution. */
+  readonly notRun: NotRun;
+}
+
+/** Events of an attempt in the sidecar. @internal */
+export type AttemptEvent =
+  | 'start'
+  | 'refuse'
+  | 'revoke'
+  | 'cancel'
+  | 'head'
+  | 'end'
+  | 'fail'
+  | 'crash'
+  | 'unreached'
+  | 'preempt';
+
+const never: AttemptNote = { revoked: 'never', notRun: true };
+const running: AttemptNote = { revoked: 'running', notRun: false };
+const ran: AttemptNote = { revoked: 'ran', notRun: false };
+const unknown: AttemptNote = { revoked: 'unknown', notRun: 'unknown' };
+
+const broken = { fail: 'failed', crash: 'crashed', cancel: 'cancelled' } as const;
+
+/** The life of an attempt in the sidecar. @internal */
+export const attemptMachine = createMachine({
+  id: 'sidecar',
+  initial: 'queued',
+  states: {
+    queued: {
+      meta: never,
+      on: { start: 'handed', refuse: 'refused', revoke: 'revoked', cancel: 'revoked' },
+    },
+    handed: {
+      meta: { revoked: 'running', notRun: 'unknown' } satisfies AttemptNote,
+      on: {
+        head: 'streaming',
+        unreached: 'unreached',
+        fail: 'lost',
+        crash: 'crashedEarly',
+        cancel: 'cancelled',
+      },
+    },
+    streaming: { meta: running, on: { end: 'whole', preempt: 'suspended', ...broken } },
+    suspended: { meta: running, on: { start: 'streaming', ...broken } },
+    refused: { type: 'final', meta: never },
+    revoked: { type: 'final', meta: never },
+    unreached: { type: 'final', meta: never },
+    lost: { type: 'final', meta: unknown },
+    crashedEarly: { type: 'final', meta: unknown },
+    whole: { type: 'final', meta: ran },
+    failed: { type: 'final', meta: ran },
+    crashed: { type: 'final', meta: ran },
+    cancelled: { type: 'final', meta: ran },
+  },
+});
+
+/** @internal */
+export const attemptTable = new LifecycleTable<AttemptNote>(attemptMachine);
--- /dev/null
+++ b/packages/sidecar/src/lib/connection.ts
@@ -0,0 +1,39 @@
+import { connect } from 'node:net';
+import { splitAddress } from '@berylwood/link';
+
+/** Time for a connection to the endpoint on the same instance, in milliseconds. */
+export const CONNECT_TIMEOUT_MS = 2000;
+
+/** Codes of errors that came before a connection was made. */
+const UNREACHED = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ETIMEDOUT']);
+
+function codeOf(error: unknown): string {
+  return String((error as NodeJS.ErrnoException).code ?? '');
+}
+
+/** Whether the error proves that no byte of the request was sent. @internal */
+export function isUnreached(error: unknown): boolean {
+  const { syscall } = error as NodeJS.ErrnoException;
+  if (codeOf(error) === 'UND_ERR_CONNECT_TIMEOUT') return true;
+  return syscall === 'connect' && UNREACHED.has(codeOf(error));
+}
+
+/** Whether the other end closed or reset the connection. @internal */
+export function isCut(error: unknown): boolean {
+  return ['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET'].includes(codeOf(error));
+}
+
+/** Whether nothing listens on the address any more. @internal */
+export function isGone(address: string): Promise<boolean> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve) => {
+    const socket = connect({ host, port, timeout: CONNECT_TIMEOUT_MS });
+    const settle = (gone: boolean): void => {
+      socket.destroy();
+      resolve(gone);
+    };
+    socket.once('connect', () => settle(false));
+    socket.once('timeout', () => settle(false));
+    socket.once('error', (error) => settle(isUnreached(error)));
+  });
+}
--- a/packages/sidecar/src/lib/events.ts
+++ b/packages/sidecar/src/lib/events.ts
@@ -38,4 +38,22 @@
     meaning: 'The sidecar takes no new attempts and finishes what it has.',
     action: 'none',
   },
+  endpointCrashed: {
+    number: 6006,
+    level: 'warn',
+    meaning: 'The endpoint crashed; what it held is suspected.',
+    action: 'Look at the endpoint; a request that crashes two is quarantined.',
+  },
+  attemptAbandoned: {
+    number: 6007,
+    level: 'warn',
+    meaning: 'An attempt was given up: its entry is gone, or its caller reads too slowly.',
+    action: 'Look at the entry and the caller, if it recurs.',
+  },
+  sidecarCut: {
+    number: 6008,
+    level: 'error',
+    meaning: 'The process ended before its attempts had.',
+    action: 'Raise shutdown_limit_ms, or look for what held them up.',
+  },
 });
