--- /dev/null
+++ b/packages/entry/src/lib/Admission.ts
@@ -0,0 +1,36 @@
+import { fail, type Failure, type Timer } from '@berylwood/base';
+import type { Subscription } from '@berylwood/feed';
+import { requestCodes, type Suspicion } from '@berylwood/schema';
+import { ok, type Result } from 'neverthrow';
+import type { Order } from './classify';
+
+/** Crashes after which a fingerprint is held back. */
+const QUARANTINE_CRASHES = 2;
+
+/** Holds back content that has crashed endpoints, and marks suspects. @internal */
+export class Admission {
+  readonly #subscription: Pick<Subscription, 'state'>;
+
+  readonly #timer: Timer;
+
+  constructor(subscription: Pick<Subscription, 'state'>, timer: Timer) {
+    this.#subscription = subscription;
+    this.#timer = timer;
+  }
+
+  /** The order as it may run; a failure when it is in quarantine. */
+  admit(order: Order): Result<Order, Failure> {
+    const suspicion = this.#suspicionOf(order);
+    if (!suspicion) return ok(order);
+    if (suspicion.crashes >= QUARANTINE_CRASHES) {
+      const retryAfterMs = suspicion.untilMs - this.#timer.wall();
+      return fail(requestCodes.quarantined, requestCodes.quarantined.meaning, { retryAfterMs });
+    }
+    return ok({ ...order, job: { ...order.job, isSuspect: true } });
+  }
+
+  #suspicionOf({ fingerprint }: Order): Suspicion | undefined {
+    const suspicion = this.#subscription.state.suspicionOf(fingerprint);
+    return suspicion && suspicion.untilMs > this.#timer.wall() ? suspicion : undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/AnswerWriter.ts
@@ -0,0 +1,97 @@
+import type { ServerResponse } from 'node:http';
+
+/** Bytes received after which the sidecar is told, so that it may forget them. */
+const ACKNOWLEDGE_BYTES = 32 * 1024;
+
+const KEEP_ALIVE_COMMENT = ': keep-alive\n\n';
+const EVENT_END = Buffer.from('\n\n');
+
+/** Writes an answer to its caller: in order, without gap or repetition, at the caller's pace. @internal */
+export class AnswerWriter {
+  /** Called with the offset up to which the caller has taken the answer. */
+  onTaken: (offset: number) => void = () => {};
+
+  readonly #response: ServerResponse;
+
+  #head: { status: number; headers: Record<string, string> } | undefined;
+
+  #received = 0;
+
+  #acknowledged = 0;
+
+  #isAtEventEnd = true;
+
+  #isDraining = false;
+
+  /** Whether anything was written since the last check for silence. */
+  #isActive = true;
+
+  constructor(response: ServerResponse) {
+    this.#response = response;
+  }
+
+  /** Bytes of the answer received so far. */
+  get received(): number {
+    return this.#received;
+  }
+
+  /** Whether an answer can still be begun anew. */
+  get isUntouched(): boolean {
+    return this.#received === 0;
+  }
+
+  /** Keeps the head until there is something to send: until then another endpoint may answer. */
+  head(status: number, headers: Record<string, string>): void {
+    this.#head = { status, headers };
+  }
+
+  /** Takes a part of the answer; false when it left a gap or brought nothing new. */
+  data(offset: number, bytes: Uint8Array): boolean {
+    const end = offset + bytes.length;
+    if (offset > this.#received || end <= this.#received) return false;
+    const rest = offset === this.#received ? bytes : bytes.subarray(this.#received - offset);
+    this.#received = end;
+    this.#sendHead();
+    this.#isActive = true;
+    this.#isAtEventEnd = EVENT_END.equals(bytes.subarray(-EVENT_END.length));
+    const hasRoom = this.#response.write(rest);
+    if (!hasRoom) this.#awaitDrain();
+    else if (!this.#isDraining) this.#acknowledge(ACKNOWLEDGE_BYTES);
+    return true;
+  }
+
+  end(): void {
+    this.#sendHead();
+    this.#response.end();
+  }
+
+  /** Lets the caller of a quiet stream know that the connection lives. */
+  keepAlive(): void {
+    const isQuiet = !this.#isActive && this.#isAtEventEnd && this.#response.writableLength === 0;
+    this.#isActive = false;
+    const isStream = this.#head?.headers['content-type']?.startsWith('text/event-stream');
+    if (!isQuiet || !isStream || this.#head?.status !== 200) return;
+    this.#sendHead();
+    this.#response.write(KEEP_ALIVE_COMMENT);
+  }
+
+  #sendHead(): void {
+    if (!this.#head || this.#response.headersSent) return;
+    this.#response.writeHead(this.#head.status, this.#head.headers);
+  }
+
+  #awaitDrain(): void {
+    if (this.#isDraining) return;
+    this.#isDraining = true;
+    this.#response.once('drain', () => {
+      this.#isDraining = false;
+      this.#acknowledge(0);
+    });
+  }
+
+  #acknowledge(leastBytes: number): void {
+    if (this.#received - this.#acknowledged < leastBytes) return;
+    this.#acknowledged = this.#received;
+    this.onTaken(this.#received);
+  }
+}
--- a/packages/entry/src/lib/CallerServer.ts
+++ b/packages/entry/src/lib/CallerServer.ts
@@ -24,6 +24,8 @@
 
   readonly #server: Server;
 
+  #isClosing = false;
+
   constructor(settings: EntrySettings, handlers: CallerHandlers) {
     this.#settings = settings;
     this.#handlers = handlers;
@@ -50,7 +52,9 @@
     return `${host}:${(this.#server.address() as AddressInfo).port}`;
   }
 
+  /** Closes each connection after its present answer, and resolves when all are closed. */
   async close(): Promise<void> {
+    this.#isClosing = true;
     const closed = new Promise((resolve) => {
       this.#server.close(resolve);
     });
@@ -59,6 +63,7 @@
   }
 
   #answer(request: IncomingMessage, response: ServerResponse): void {
+    if (this.#isClosing) response.shouldKeepAlive = false;
     const { isReady, metrics, serve } = this.#handlers;
     switch (request.url) {
       case '/healthz':
--- a/packages/entry/src/lib/Dispatcher.ts
+++ b/packages/entry/src/lib/Dispatcher.ts
@@ -4,12 +4,17 @@
   requestCodes,
   type AttemptId,
   type EndpointId,
+  type KeyId,
   type RequestId,
   type SidecarMessage,
 } from '@berylwood/schema';
-import type { EndpointTable, SidecarLink } from './EndpointTable';
+import type { ClaimClient } from './ClaimClient';
+import { ClaimRun } from './ClaimRun';
+import type { EndpointTable } from './EndpointTable';
 import { entryEvents } from './events';
-import type { Exchange } from './Exchange';
+import type { Exchange, Setback } from './Exchange';
+import { pinSuspect, suitable } from './pinSuspect';
+import type { Recovery } from './Recovery';
 
 /** Options of a dispatcher. @internal */
 export interface DispatcherOptions {
@@ -18,9 +23,16 @@
   readonly metrics: Metrics;
   readonly scheduler: Scheduler;
   readonly endpoints: EndpointTable;
+  readonly claims: ClaimClient;
+  readonly recovery: Recovery;
+  /** Whether new work may be started now. */
+  readonly mayStart: () => boolean;
 }
 
 const MIN_WAKE_MS = 1;
+const KEEP_ALIVE_MS = 1000;
+
+type Outcome = 'completed' | 'cancelled' | 'refused' | 'failed';
 
 /** Carries out the scheduler's decisions and routes sidecars' messages to exchanges. @internal */
 export class Dispatcher implements Disposable {
@@ -30,6 +42,8 @@
 
   readonly #byAttempt = new Map<AttemptId, Exchange>();
 
+  readonly #keepAlive: Disposable;
+
   #wake: Disposable | undefined;
 
   #isDeciding = false;
@@ -37,12 +51,18 @@
   constructor(options: DispatcherOptions) {
     this.#options = options;
     const { endpoints, scheduler, timer } = options;
-    endpoints.onMessage = (endpoint, _, message) => this.#receive(endpoint, message);
-    endpoints.onLink = (endpoint, link) => this.#relink(endpoint, link);
+    endpoints.onMessage = (endpoint, message) => this.#receive(endpoint, message);
+    endpoints.onPlace = (place) => this.#forEachAt(place.endpoint, (item) => item.attach(place));
+    endpoints.onLinkLost = (endpoint, link) => {
+      this.#forEachAt(endpoint, (exchange) => exchange.detach(link));
+    };
     endpoints.onChange = () => {
       scheduler.setCandidates(endpoints.candidates, timer.now());
       this.decide();
     };
+    this.#keepAlive = timer.every(KEEP_ALIVE_MS, () => {
+      for (const { writer } of this.#exchanges.values()) writer.keepAlive();
+    });
   }
 
   /** Requests that wait or run. */
@@ -50,29 +70,34 @@
     return this.#exchanges.size;
   }
 
+  get openIds(): RequestId[] {
+    return [...this.#exchanges.keys()];
+  }
+
   /** Takes over a request until its exchange has ended. */
   submit(exchange: Exchange): void {
     const { timer, scheduler, journal } = this.#options;
     const { request, job } = exchange.order;
     this.#exchanges.set(request, exchange);
     exchange.onEnd = (outcome, failure) => this.#end(exchange, outcome, failure);
+    exchange.onSetback = (setback) => this.#recover(exchange, setback);
     exchange.onProgress = (tokens) => scheduler.progressed(request, tokens, timer.now());
+    exchange.onState = () => this.#armTimeout(exchange);
     exchange.response.once('close', () => this.#callerClosed(exchange));
     const { workspace, tier } = job;
     journal.record(entryEvents.requestArrived, { request, workspace, class: job.class, tier });
-    scheduler.offer(job, timer.now());
-    this.decide();
+    this.#offer(exchange);
   }
 
   /** Carries out what the scheduler decides now. */
   decide(): void {
-    if (this.#isDeciding) return;
+    if (this.#isDeciding || !this.#options.mayStart()) return;
     this.#isDeciding = true;
     const { scheduler, timer } = this.#options;
     for (const decision of scheduler.decide(timer.now())) {
       const exchange = this.#exchanges.get(decision.request);
       if (!exchange) continue;
-      if (decision.type === 'dispatch') this.#dispatch(exchange, decision.endpoint);
+      if (decision.type === 'dispatch') this.#start(exchange, decision.endpoint);
       else {
         const { code, retryAfterMs } = decision;
         exchange.fail(new Failure(code, code.meaning, { retryAfterMs }));
@@ -82,7 +107,30 @@
     this.#armWake();
   }
 
+  /** Refuses what has not been dispatched and matches. */
+  refuseWaiting(failure: Failure, matches: (exchange: Exchange) => boolean): void {
+    for (const exchange of [...this.#exchanges.values()]) {
+      const isWaiting = ['waiting', 'deferred'].includes(exchange.lifecycle.state);
+      if (isWaiting && matches(exchange)) exchange.fail(failure);
+    }
+  }
+
+  /** A key is withdrawn: what waits is refused, streams end, calls of plain services complete. */
+  withdrawKeys(isValid: (key: KeyId) => boolean): void {
+    const { keyRefused, keyWithdrawn } = requestCodes;
+    for (const exchange of [...this.#exchanges.values()]) {
+      const { identity, job } = exchange.order;
+      if (isValid(identity.record.key)) continue;
+      const hasStarted = exchange.attempts > 0;
+      if (!hasStarted) exchange.fail(new Failure(keyRefused, keyRefused.meaning));
+      else if (job.kind === 'engine') {
+        exchange.fail(new Failure(keyWithdrawn, keyWithdrawn.meaning));
+      }
+    }
+  }
+
   [Symbol.dispose](): void {
+    this.#keepAlive[Symbol.dispose]();
     this.#wake?.[Symbol.dispose]();
   }
 
@@ -94,18 +142,56 @@
     this.#wake = timer.after(Math.max(MIN_WAKE_MS, at - timer.now()), () => this.decide());
   }
 
+  #armTimeout(exchange: Exchange): void {
+    exchange.timeout?.[Symbol.dispose]();
+    const { limitMs } = exchange.lifecycle.note;
+    exchange.timeout =
+      limitMs === undefined
+        ? undefined
+        : this.#options.timer.after(limitMs, () => this.#expire(exchange));
+  }
+
+  #expire(exchange: Exchange): void {
+    const isUnanswered = exchange.lifecycle.state === 'revoking';
+    if (isUnanswered && exchange.place) this.#options.endpoints.suspect(exchange.place.endpoint);
+    exchange.expire();
+  }
+
+  #offer(exchange: Exchange): void {
+    const { scheduler, endpoints, timer } = this.#options;
+    const { order } = exchange;
+    if (order.job.isSuspect) {
+      const avoid = pinSuspect(order.job, order.fingerprint, endpoints.candidates);
+      scheduler.offer({ ...order.job, avoid }, timer.now());
+    } else scheduler.offer(order.job, timer.now());
+    this.decide();
+  }
+
+  #start(exchange: Exchange, endpoint: EndpointId): void {
+    const { order, hasClaim } = exchange;
+    if (order.idempotent || hasClaim) this.#dispatch(exchange, endpoint);
+    else {
+      const { claims } = this.#options;
+      const run = new ClaimRun(claims, exchange, () => this.#dispatch(exchange, endpoint));
+      run.start(endpoint).catch(() => {});
+    }
+  }
+
   #dispatch(exchange: Exchange, endpoint: EndpointId): void {
-    const { endpoints, timer, journal } = this.#options;
-    const link = endpoints.linkTo(endpoint);
-    const member = endpoints.memberOf(endpoint);
-    if (!link || !member) {
-      exchange.fail(new Failure(requestCodes.noEndpoint, 'the endpoint has just gone'));
+    const { endpoints, timer, journal, recovery, mayStart } = this.#options;
+    const place = mayStart() ? endpoints.placeOf(endpoint) : undefined;
+    const { order, attempt } = exchange;
+    if (!place) {
+      const failure = new Failure(requestCodes.noEndpoint, 'the endpoint has just gone');
+      exchange.defer(failure);
       return;
     }
-    exchange.dispatch(endpoint, member.incarnation, link, timer.now());
-    const { attempt, order } = exchange;
-    if (attempt) this.#byAttempt.set(attempt, exchange);
-    journal.record(entryEvents.requestDispatched, { request: order.request, attempt, endpoint });
+    if (exchange.attempts === 0) recovery.dispatched();
+    this.#byAttempt.set(attempt, exchange);
+    exchange.dispatch(place, timer.now());
+    const { request } = order;
+    const { workspace } = order.job;
+    journal.record(entryEvents.requestDispatched, { request, workspace, attempt, endpoint });
   }
 
   #receive(endpoint: EndpointId, message: SidecarMessage): void {
@@ -120,45 +206,89 @@
       case 'cache':
         scheduler.cacheChanged(endpoint, message.events, timer.now());
         break;
-      default:
-        this.#byAttempt.get(message.attempt)?.receive(message);
+      default: {
+        const exchange = this.#byAttempt.get(message.attempt);
+        if (exchange?.place?.endpoint === endpoint) exchange.receive(message);
+        else this.#discard();
+      }
+    }
+  }
+
+  /** Late and crossed answers belong to attempts that are not here any more. */
+  #discard(): void {
+    this.#options.metrics
+      .counter('discarded_messages_total', 'Messages on attempts that have ended.')
+      .inc();
+  }
+
+  #forEachAt(endpoint: EndpointId, visit: (exchange: Exchange) => void): void {
+    for (const exchange of [...this.#byAttempt.values()]) {
+      if (exchange.place?.endpoint === endpoint) visit(exchange);
     }
   }
 
-  /** A new link to a sidecar: answers in progress go on over it. */
-  #relink(endpoint: EndpointId, link: SidecarLink): void {
-    for (const exchange of this.#byAttempt.values()) {
-      if (exchange.endpoint === endpoint) exchange.resume(link);
+  #recover(exchange: Exchange, setback: Setback): void {
+    const { recovery, timer, scheduler, journal } = this.#options;
+    const { request } = exchange.order;
+    this.#byAttempt.delete(exchange.attempt);
+    const outcome = exchange.lifecycle.state === 'deferred' ? 'refused' : 'failed';
+    scheduler.ended({ request, outcome, answerTokens: exchange.tokens }, timer.now());
+    const remedy = recovery.decide(exchange, setback, timer.now());
+    if (remedy.type === 'fail') {
+      exchange.fail(remedy.failure);
+      return;
     }
+    const code = setback.failure.code.number;
+    journal.record(entryEvents.requestRetried, { request, attempt: exchange.attempt, code });
+    timer.after(remedy.delayMs, () => this.#retry(exchange, remedy.isSuspect));
+    this.decide();
+  }
+
+  #retry(exchange: Exchange, isSuspect: boolean): void {
+    if (exchange.hasEnded) return;
+    const { order, place } = exchange;
+    const { job } = order;
+    const failed = place && !job.avoid.includes(place.endpoint) ? [place.endpoint] : [];
+    const avoid = [...job.avoid, ...failed];
+    const open = suitable(job, this.#options.endpoints.candidates);
+    const isAnyLeft = open.some((endpoint) => !avoid.includes(endpoint));
+    exchange.retry({ ...order, job: { ...job, isSuspect, avoid: isAnyLeft ? avoid : [] } });
+    this.#offer(exchange);
   }
 
   #callerClosed(exchange: Exchange): void {
     if (exchange.hasEnded) return;
     const { request } = exchange.order;
     this.#options.journal.record(entryEvents.callerGone, { request });
+    const isUnused = exchange.hasClaim && exchange.notRun === true;
+    if (isUnused) this.#options.claims.settleNotRun(exchange);
     exchange.abandon();
     this.#options.scheduler.withdraw(request, this.#options.timer.now());
     this.#forget(exchange, 'cancelled');
   }
 
   #end(exchange: Exchange, outcome: 'completed' | 'failed', failure?: Failure): void {
-    const { journal, timer, metrics } = this.#options;
+    const { journal, timer, metrics, scheduler, claims } = this.#options;
     const { request, job } = exchange.order;
     const event = outcome === 'completed' ? entryEvents.requestEnded : entryEvents.requestFailed;
     const durationMs = Math.round(timer.now() - job.arrivedAt);
-    journal.record(event, { request, code: failure?.code.number, durationMs });
+    const { workspace } = job;
+    journal.record(event, { request, workspace, code: failure?.code.number, durationMs });
     metrics
       .counter('requests_total', 'Requests by class and outcome.', ['class', 'outcome'])
       .inc({ class: job.class, outcome: failure?.code.name ?? 'completed' });
+    if (failure && exchange.hasClaim) claims.settleFailure(exchange, failure);
+    scheduler.withdraw(request, timer.now());
     this.#forget(exchange, outcome);
   }
 
-  #forget(exchange: Exchange, outcome: 'completed' | 'cancelled' | 'failed'): void {
+  #forget(exchange: Exchange, outcome: Outcome): void {
+    const { scheduler, timer } = this.#options;
     const { request } = exchange.order;
+    exchange.timeout?.[Symbol.dispose]();
     this.#exchanges.delete(request);
-    if (exchange.attempt) this.#byAttempt.delete(exchange.attempt);
-    const ending = { request, outcome, answerTokens: exchange.tokens };
-    this.#options.scheduler.ended(ending, this.#options.timer.now());
+    this.#byAttempt.delete(exchange.attempt);
+    scheduler.ended({ request, outcome, answerTokens: exchange.tokens }, timer.now());
     this.decide();
   }
 }
--- a/packages/entry/src/lib/EndpointTable.ts
+++ b/packages/entry/src/lib/EndpointTable.ts
@@ -5,9 +5,11 @@
   sidecarMessageSchema,
   type EndpointId,
   type EntryMessage,
+  type IncarnationId,
   type Member,
   type SidecarMessage,
 } from '@berylwood/schema';
+import type { Place } from './Exchange';
 
 /** A link to a sidecar. @internal */
 export type SidecarLink = Link<EntryMessage, SidecarMessage>;
@@ -22,17 +24,31 @@
 interface Row {
   member: Member;
   readonly dialer: Dialer<EntryMessage, SidecarMessage>;
+  /** Incarnation that the sidecar itself has told over the open link. */
+  incarnation: IncarnationId | undefined;
   isLeaving: boolean;
+  isDown: boolean;
+  /** An answer was missed over the link; nothing new is sent over it until a message has come. */
+  isSuspect: boolean;
+  isListed: boolean;
 }
 
-/** The endpoints an entry knows, each with a kept link to its sidecar. @internal */
+/** Time that an endpoint missing from the list keeps its row without a link, in milliseconds. */
+const UNLISTED_KEEP_MS = 10_000;
+
+/**
+ * The endpoints an entry knows, each with a kept link to its sidecar. The list lags, so a row whose
+ * link is open stays while the list lacks it, and "leaving" from any source wins.
+ * @internal
+ */
 export class EndpointTable implements Disposable {
-  onMessage: (endpoint: EndpointId, link: SidecarLink, message: SidecarMessage) => void = () => {};
+  onMessage: (endpoint: EndpointId, message: SidecarMessage) => void = () => {};
 
   /** Called when a link has opened or closed, or a member has changed. */
   onChange: () => void = () => {};
 
-  onLink: (endpoint: EndpointId, link: SidecarLink) => void = () => {};
+  /** Called when a sidecar has told its incarnation over a new link. */
+  onPlace: (place: Place) => void = () => {};
 
   onLinkLost: (endpoint: EndpointId, link: SidecarLink) => void = () => {};
 
@@ -45,29 +61,38 @@
   }
 
   get candidates(): Candidate[] {
-    return [...this.#rows.values()].map(({ member, dialer, isLeaving }) => ({
-      endpoint: member.endpoint,
-      incarnation: member.incarnation,
-      dataCentre: member.dataCentre,
-      kind: member.kind,
-      targets: member.kind === 'engine' ? member.models : [member.service ?? ''],
-      slots: member.slots,
-      isOpen: dialer.link !== undefined && member.state === 'live' && !isLeaving,
+    return [...this.#rows.values()].map((row) => ({
+      endpoint: row.member.endpoint,
+      incarnation: row.incarnation ?? row.member.incarnation,
+      dataCentre: row.member.dataCentre,
+      kind: row.member.kind,
+      targets: row.member.kind === 'engine' ? row.member.models : [row.member.service ?? ''],
+      slots: row.member.slots,
+      isOpen: isOpen(row),
     }));
   }
 
-  linkTo(endpoint: EndpointId): SidecarLink | undefined {
-    return this.#rows.get(endpoint)?.dialer.link;
+  /** Where an attempt may be sent; undefined while the endpoint takes none. */
+  placeOf(endpoint: EndpointId): Place | undefined {
+    const row = this.#rows.get(endpoint);
+    const { link } = row?.dialer ?? {};
+    if (!row?.incarnation || !link || !isOpen(row)) return undefined;
+    return { endpoint, incarnation: row.incarnation, link };
   }
 
-  memberOf(endpoint: EndpointId): Member | undefined {
-    return this.#rows.get(endpoint)?.member;
+  /** An answer was missed over the endpoint's link. */
+  suspect(endpoint: EndpointId): void {
+    const row = this.#rows.get(endpoint);
+    if (!row || row.isSuspect) return;
+    row.isSuspect = true;
+    this.onChange();
   }
 
   /** Takes in the members as the control group knows them. */
   update(members: ReadonlyMap<EndpointId, Member>): void {
-    for (const endpoint of this.#rows.keys()) {
-      if (!members.has(endpoint)) this.#remove(endpoint);
+    for (const [endpoint, row] of this.#rows) {
+      row.isListed = members.has(endpoint);
+      if (!row.isListed && !row.dialer.link) this.#removeLater(endpoint);
     }
     for (const member of members.values()) this.#set(member);
     this.onChange();
@@ -78,19 +103,34 @@
     this.#rows.clear();
   }
 
-  #remove(endpoint: EndpointId): void {
-    this.#rows.get(endpoint)?.dialer[Symbol.dispose]();
-    this.#rows.delete(endpoint);
+  #removeLater(endpoint: EndpointId): void {
+    const row = this.#rows.get(endpoint);
+    this.#options.timer.after(UNLISTED_KEEP_MS, () => {
+      if (!row || row.isListed || row.dialer.link || this.#rows.get(endpoint) !== row) return;
+      row.dialer[Symbol.dispose]();
+      this.#rows.delete(endpoint);
+      this.onChange();
+    });
   }
 
   #set(member: Member): void {
     const row = this.#rows.get(member.endpoint);
-    if (row?.member.incarnation === member.incarnation) {
+    if (row?.member.address === member.address) {
+      const isNewer = row.member.incarnation !== member.incarnation;
       row.member = member;
+      row.isLeaving ||= member.state === 'leaving' && !isNewer;
       return;
     }
-    if (row) this.#remove(member.endpoint);
-    this.#rows.set(member.endpoint, { member, dialer: this.#dial(member), isLeaving: false });
+    row?.dialer[Symbol.dispose]();
+    this.#rows.set(member.endpoint, {
+      member,
+      dialer: this.#dial(member),
+      incarnation: undefined,
+      isLeaving: false,
+      isDown: false,
+      isSuspect: false,
+      isListed: true,
+    });
   }
 
   #dial(member: Member): Dialer<EntryMessage, SidecarMessage> {
@@ -103,23 +143,59 @@
     });
     dialer.onLink = (link) => {
       link.onMessage = (message) => this.#receive(endpoint, link, message);
-      link.onClose = () => {
-        this.onLinkLost(endpoint, link);
-        this.onChange();
-      };
-      this.onLink(endpoint, link);
-      this.onChange();
+      link.onClose = () => this.#closed(endpoint, link);
     };
     dialer.open();
     return dialer;
   }
 
+  #closed(endpoint: EndpointId, link: SidecarLink): void {
+    const row = this.#rows.get(endpoint);
+    if (row) row.incarnation = undefined;
+    this.onLinkLost(endpoint, link);
+    if (row && !row.isListed) this.#removeLater(endpoint);
+    this.onChange();
+  }
+
   #receive(endpoint: EndpointId, link: SidecarLink, message: SidecarMessage): void {
     const row = this.#rows.get(endpoint);
-    if (row && message.type === 'load' && message.load.leaving !== row.isLeaving) {
-      row.isLeaving = message.load.leaving;
+    if (row?.dialer.link !== link) return;
+    if (row.isSuspect) {
+      row.isSuspect = false;
       this.onChange();
     }
-    this.onMessage(endpoint, link, message);
+    if (message.type === 'hello') this.#greeted(row, link, message);
+    else {
+      if (message.type === 'load') this.#loaded(row, message);
+      this.onMessage(endpoint, message);
+    }
+  }
+
+  #greeted(row: Row, link: SidecarLink, hello: Extract<SidecarMessage, { type: 'hello' }>): void {
+    const { endpoint } = row.member;
+    // Another endpoint may have taken over the address.
+    if (hello.endpoint !== endpoint) {
+      link[Symbol.dispose]();
+      return;
+    }
+    row.incarnation = hello.incarnation;
+    row.isLeaving = false;
+    this.onPlace({ endpoint, incarnation: hello.incarnation, link });
+    this.onChange();
+  }
+
+  #loaded(row: Row, { load }: Extract<SidecarMessage, { type: 'load' }>): void {
+    const isDown = load.down ?? false;
+    const isLeaving = load.leaving || row.isLeaving;
+    if (isLeaving === row.isLeaving && isDown === row.isDown) return;
+    row.isLeaving = isLeaving;
+    row.isDown = isDown;
+    this.onChange();
   }
 }
+
+function isOpen({ dialer, incarnation, member, isLeaving, isDown, isSuspect }: Row): boolean {
+  if (!dialer.link || !incarnation || isLeaving || isDown || isSuspect) return false;
+  // An old member's state says nothing about a new incarnation.
+  return member.state === 'live' || member.incarnation !== incarnation;
+}
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -1,23 +1,37 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { Failure, Task, asId, type Journal, type Metrics, type Timer } from '@berylwood/base';
+import {
+  Failure,
+  Random,
+  Task,
+  asId,
+  type Journal,
+  type Metrics,
+  type Timer,
+} from '@berylwood/base';
 import { Subscription } from '@berylwood/feed';
 import type { LinkIdentity } from '@berylwood/link';
-import { RoundRobinScheduler, type Scheduler } from '@berylwood/policy';
+import type { Scheduler } from '@berylwood/policy';
 import {
   requestCodes,
   type EntrySettings,
   type IncarnationId,
   type ProcessSettings,
 } from '@berylwood/schema';
+import { Admission } from './Admission';
 import { authenticate, type Identity } from './authenticate';
 import { CallerServer } from './CallerServer';
+import { checkHeaders } from './checkHeaders';
+import { ClaimClient } from './ClaimClient';
 import { classify } from './classify';
+import { createScheduler } from './createScheduler';
 import { Dispatcher } from './Dispatcher';
 import { EndpointTable } from './EndpointTable';
 import { entryEvents } from './events';
 import { Exchange } from './Exchange';
+import { FailureLimiter } from './FailureLimiter';
 import { findRoute, type Route } from './findRoute';
 import { readBody } from './readBody';
+import { Recovery } from './Recovery';
 import { sendFailure } from './sendFailure';
 
 /** Options of the entry role. @public */
@@ -33,6 +47,9 @@
 
 const DRAIN_POLL_MS = 20;
 
+/** Time without freshness after which waiting requests are refused, in milliseconds. */
+const STALE_LIMIT_MS = 3000;
+
 /** Authenticates callers, schedules their requests and relays the answers. @public */
 export class Entry extends Task {
   readonly name = 'entry';
@@ -41,7 +58,7 @@
 
   readonly #subscription: Subscription;
 
-  readonly #scheduler: Scheduler = new RoundRobinScheduler();
+  readonly #scheduler: Scheduler;
 
   readonly #endpoints: EndpointTable;
 
@@ -49,12 +66,20 @@
 
   readonly #server: CallerServer;
 
+  readonly #admission: Admission;
+
+  readonly #failures: FailureLimiter;
+
   #isDraining = false;
 
+  #staleness: Disposable | undefined;
+
   constructor(options: EntryOptions) {
     super();
     this.#options = options;
-    const { settings, process } = options;
+    const { settings, process, timer } = options;
+    const random = new Random(Math.floor(Math.random() * 2 ** 31));
+    this.#scheduler = createScheduler(settings, process, random);
     this.#subscription = this.store.add(
       new Subscription({
         ...options,
@@ -66,8 +91,17 @@
     );
     this.#endpoints = this.store.add(new EndpointTable(options));
     this.#dispatcher = this.store.add(
-      new Dispatcher({ ...options, scheduler: this.#scheduler, endpoints: this.#endpoints }),
+      new Dispatcher({
+        ...options,
+        scheduler: this.#scheduler,
+        endpoints: this.#endpoints,
+        claims: new ClaimClient(this.#subscription, timer),
+        recovery: new Recovery(random),
+        mayStart: () => this.#subscription.isFresh,
+      }),
     );
+    this.#admission = new Admission(this.#subscription, timer);
+    this.#failures = new FailureLimiter(timer);
     this.#server = new CallerServer(settings, {
       serve: (request, response) => this.#serve(request, response),
       isReady: () => this.#subscription.isFresh && !this.#isDraining,
@@ -77,9 +111,8 @@
 
   override async start(): Promise<void> {
     const { journal } = this.#options;
-    this.#subscription.onChange = () => {
-      this.#scheduler.configure(this.#subscription.state.configuration);
-    };
+    this.#subscription.onChange = () => this.#applyState();
+    this.#subscription.onFreshness = (isFresh) => this.#applyFreshness(isFresh);
     this.#subscription.onMembers = () => this.#endpoints.update(this.#subscription.members);
     this.#subscription.open();
     const listen = await this.#server.listen();
@@ -90,9 +123,15 @@
     const { timer, journal, settings } = this.#options;
     this.#isDraining = true;
     journal.record(entryEvents.entryDraining, { open: this.#dispatcher.openCount });
+    const onExit = (): void => {
+      journal.record(entryEvents.entryCut, { requests: this.#dispatcher.openIds });
+    };
+    process.once('exit', onExit);
     await timer.sleep(settings.balancerNoticeMs);
+    const closed = this.#server.close();
     while (this.#dispatcher.openCount > 0) await timer.sleep(DRAIN_POLL_MS);
-    await this.#server.close();
+    await closed;
+    process.off('exit', onExit);
     await super.stop();
   }
 
@@ -100,15 +139,40 @@
     // Requests come over the caller server.
   }
 
+  #applyState(): void {
+    const { state } = this.#subscription;
+    this.#scheduler.configure(state.configuration);
+    this.#dispatcher.withdrawKeys((key) => state.hasKey(key));
+    const { quarantined } = requestCodes;
+    this.#dispatcher.refuseWaiting(new Failure(quarantined, quarantined.meaning), ({ order }) =>
+      this.#admission.admit(order).isErr(),
+    );
+  }
+
+  /** A short loss of freshness holds requests back; a longer one refuses them. */
+  #applyFreshness(isFresh: boolean): void {
+    this.#staleness?.[Symbol.dispose]();
+    if (isFresh) {
+      this.#dispatcher.decide();
+      return;
+    }
+    const { notFresh } = requestCodes;
+    this.#staleness = this.#options.timer.after(STALE_LIMIT_MS, () => {
+      this.#dispatcher.refuseWaiting(new Failure(notFresh, notFresh.meaning), () => true);
+    });
+  }
+
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { state } = this.#subscription;
     if (!this.#subscription.isFresh) {
       sendFailure(response, new Failure(requestCodes.notFresh, requestCodes.notFresh.meaning));
       return;
     }
-    const identity = authenticate(state, request.headers.authorization);
+    const identity = checkHeaders(request).andThen(() =>
+      authenticate(state, request.headers.authorization),
+    );
     if (identity.isErr()) {
-      sendFailure(response, identity.error);
+      sendFailure(response, this.#limited(request, identity.error));
       return;
     }
     const path = (request.url ?? '/').split('?')[0] ?? '/';
@@ -133,12 +197,32 @@
       return;
     }
     const body = await readBody(request, settings.maxBodyBytes);
-    const { configuration } = this.#subscription.state;
+    // The body may have taken long: what was checked before it is checked again.
+    const { state, isFresh } = this.#subscription;
+    const { configuration } = state;
+    const { keyRefused, notFresh } = requestCodes;
+    if (!isFresh) {
+      sendFailure(response, new Failure(notFresh, notFresh.meaning));
+      return;
+    }
+    if (!state.hasKey(identity.record.key)) {
+      sendFailure(response, new Failure(keyRefused, keyRefused.meaning));
+      return;
+    }
     const order = body.andThen((bytes) =>
       classify(configuration, identity, route, request, bytes, timer.now()),
     );
-    if (order.isErr()) sendFailure(response, order.error);
-    else if (!response.destroyed) this.#dispatcher.submit(new Exchange(order.value, response));
+    const admitted = order.andThen((item) => this.#admission.admit(item));
+    if (admitted.isErr()) sendFailure(response, admitted.error);
+    else if (!response.destroyed) this.#dispatcher.submit(new Exchange(admitted.value, response));
+  }
+
+  /** Refused keys from one address in quick succession get another answer. */
+  #limited(request: IncomingMessage, failure: Failure): Failure {
+    const { keyRefused, tooManyFailures } = requestCodes;
+    if (failure.code !== keyRefused) return failure;
+    if (this.#failures.count(request.socket.remoteAddress ?? '')) return failure;
+    return new Failure(tooManyFailures, tooManyFailures.meaning, { retryAfterMs: 1000 });
   }
 
   #sendModels(response: ServerResponse, identity: Identity): void {
--- a/packages/entry/src/lib/Exchange.ts
+++ b/packages/entry/src/lib/Exchange.ts
@@ -1,95 +1,198 @@
 import type { ServerResponse } from 'node:http';
-import { Failure, findCode, required, unreachable } from '@berylwood/base';
+import { Failure, Lifecycle, findCode, unreachable, type NotRun } from '@berylwood/base';
 import {
   createAttemptId,
+  requestCodes,
   type AttemptId,
   type EndpointId,
+  type IncarnationId,
   type SidecarMessage,
 } from '@berylwood/schema';
+import { AnswerWriter } from './AnswerWriter';
 import type { Order } from './classify';
 import type { SidecarLink } from './EndpointTable';
+import { exchangeTable, type ExchangeEvent, type ExchangeNote } from './exchangeMachine';
 import { sendFailure } from './sendFailure';
 
-type AttemptMessage = Exclude<SidecarMessage, { type: 'hello' | 'load' | 'cache' }>;
+export type AttemptMessage = Exclude<SidecarMessage, { type: 'hello' | 'load' | 'cache' }>;
+
+/** Where an attempt runs. @internal */
+export interface Place {
+  readonly endpoint: EndpointId;
+  readonly incarnation: IncarnationId;
+  readonly link: SidecarLink;
+}
+
+/** What is known when an attempt has ended without an answer. @internal */
+export interface Setback {
+  readonly failure: Failure;
+  /** The endpoint crashed meanwhile. */
+  readonly crashed: boolean;
+}
+
+/** Joins what is known of two attempts: one that ran outweighs one that did not. */
+function join(a: NotRun, b: NotRun): NotRun {
+  if (a === false || b === false) return false;
+  return a === 'unknown' || b === 'unknown' ? 'unknown' : true;
+}
 
 /** A request of a caller and its present attempt. @internal */
 export class Exchange {
-  readonly order: Order;
-
-  readonly response: ServerResponse;
+  /** Called when the attempt has ended and the request has not: retry, or fail. */
+  onSetback: (setback: Setback) => void = () => {};
 
   /** Called once when the exchange has ended in whatever way. */
   onEnd: (outcome: 'completed' | 'failed', failure?: Failure) => void = () => {};
 
   onProgress: (tokens: number) => void = () => {};
 
-  attempt: AttemptId | undefined;
+  /** Called after each change of state. */
+  onState: () => void = () => {};
 
-  endpoint: EndpointId | undefined;
+  order: Order;
 
-  tokens = 0;
+  readonly response: ServerResponse;
+
+  readonly lifecycle = new Lifecycle<ExchangeEvent, ExchangeNote>(exchangeTable);
+
+  readonly writer: AnswerWriter;
+
+  attempt: AttemptId = createAttemptId();
 
-  #link: SidecarLink | undefined;
+  place: Place | undefined;
 
-  #received = 0;
+  /** A claim for the attempt is committed, or may be. */
+  hasClaim = false;
 
-  #hasEnded = false;
+  /** Attempts that were dispatched. */
+  attempts = 0;
+
+  tokens = 0;
+
+  /** Timeout of the present state. */
+  timeout: Disposable | undefined;
+
+  /** What is known of the attempts before this one. */
+  #past: NotRun = true;
 
   constructor(order: Order, response: ServerResponse) {
     this.order = order;
     this.response = response;
+    this.writer = new AnswerWriter(response);
+    this.writer.onTaken = (offset) => {
+      this.place?.link.send({ type: 'ack', attempt: this.attempt, offset });
+    };
   }
 
   get hasEnded(): boolean {
-    return this.#hasEnded;
+    return this.lifecycle.isFinal;
+  }
+
+  /** What the caller may be told now of the execution of its request. */
+  get notRun(): NotRun {
+    return join(this.#past, this.lifecycle.note.notRun);
+  }
+
+  /** Moves to the next state; false when the present one does not take the event. */
+  send(event: ExchangeEvent): boolean {
+    const { note } = this.lifecycle;
+    if (!this.lifecycle.send(event)) return false;
+    if (event === 'retry') this.#past = join(this.#past, note.notRun);
+    this.onState();
+    return true;
   }
 
   /** Starts an attempt over a link. */
-  dispatch(endpoint: EndpointId, incarnation: string, link: SidecarLink, now: number): void {
+  dispatch(place: Place, now: number): void {
     const { order } = this;
-    this.attempt = createAttemptId();
-    this.endpoint = endpoint;
-    this.#link = link;
-    this.#received = 0;
-    link.send({
-      type: 'dispatch',
-      attempt: this.attempt,
-      request: order.request,
-      workspace: order.job.workspace,
-      class: order.job.class,
-      tier: order.job.tier,
-      incarnation: incarnation as never,
-      idempotent: order.idempotent,
-      deadlineMs: order.job.expiresAt - now,
-      estimatedTokens: order.job.promptTokens + order.job.answerTokens,
-      method: order.method,
-      path: order.path,
-      headers: order.headers,
-      body: order.body,
-      fingerprint: order.fingerprint,
-      model: order.model,
-    });
-  }
-
-  /** Asks for the rest of the answer over a new link. */
-  resume(link: SidecarLink): void {
-    if (!this.attempt) return;
-    this.#link = link;
-    link.send({ type: 'resume', attempt: this.attempt, offset: this.#received });
+    const { job } = order;
+    this.place = place;
+    this.attempts += 1;
+    if (!this.send('dispatch')) return;
+    place.link.send(
+      {
+        type: 'dispatch',
+        attempt: this.attempt,
+        request: order.request,
+        workspace: job.workspace,
+        class: job.class,
+        tier: job.tier,
+        incarnation: place.incarnation,
+        idempotent: order.idempotent,
+        deadlineMs: Math.max(0, job.expiresAt - now),
+        estimatedTokens: job.promptTokens + job.answerTokens,
+        promptTokens: job.promptTokens,
+        method: order.method,
+        path: order.path,
+        headers: order.headers,
+        body: order.body,
+        fingerprint: order.fingerprint,
+        model: order.model,
+        claim: order.idempotencyKey,
+        isSuspect: job.isSuspect,
+      },
+      true,
+    );
+  }
+
+  /** A granted attempt that could not be sent may go elsewhere. */
+  defer(failure: Failure): void {
+    if (this.send('refused')) this.onSetback({ failure, crashed: false });
+  }
+
+  /** Answers with the stored outcome of an earlier request. */
+  replay(status: number, headers: Record<string, string>, body: Uint8Array): void {
+    if (!this.send('replay')) return;
+    this.writer.head(status, { ...headers, 'content-length': String(body.length) });
+    this.writer.data(0, body);
+    this.writer.end();
+    this.onEnd('completed');
+  }
+
+  /** Says from now on that an earlier attempt may have run. */
+  forgetProof(): void {
+    this.#past = join(this.#past, 'unknown');
   }
 
+  /** The link of the attempt is gone. */
+  detach(link: SidecarLink): void {
+    if (this.place?.link === link) this.send('linkLost');
+  }
+
+  /** A new link to the endpoint is open; another incarnation does not know the attempt. */
+  attach(place: Place): void {
+    if (!this.place || this.place.endpoint !== place.endpoint) return;
+    const { state } = this.lifecycle;
+    if (place.incarnation !== this.place.incarnation) {
+      if (this.send('sidecarGone')) this.#setBack(requestCodes.outcomeUnknown.meaning);
+      return;
+    }
+    if (!this.send('linkOpened')) return;
+    this.place = place;
+    if (state === 'detached') place.link.send({ type: 'revoke', attempt: this.attempt }, true);
+    else this.#askForRest();
+  }
+
+  /** No news within the time of the present state. */
+  expire(): void {
+    if (this.send('expire')) this.#setBack('the sidecar did not answer in time');
+  }
+
+  /** Takes a message on the present attempt. */
   receive(message: AttemptMessage): void {
-    if (message.attempt !== this.attempt || this.#hasEnded) return;
     switch (message.type) {
       case 'accepted':
-      case 'revoked':
+        this.send('accepted');
         break;
       case 'refused':
       case 'failed':
-        this.#fail(message);
+        this.#setBackBy(message);
+        break;
+      case 'revoked':
+        this.#revoked(message.outcome);
         break;
       case 'head':
-        if (!this.response.headersSent) this.response.writeHead(message.status, message.headers);
+        if (this.send('head')) this.writer.head(message.status, message.headers);
         break;
       case 'data':
         this.#relay(message);
@@ -102,51 +205,85 @@
     }
   }
 
+  /** Makes the request ready to be scheduled again, as another attempt when this one has run. */
+  retry(order: Order): void {
+    const isSpent = this.lifecycle.state !== 'deferred';
+    this.order = order;
+    this.place = undefined;
+    // A claim allows one attempt in all, so it goes elsewhere under the same id when it never ran.
+    if (isSpent || !this.hasClaim) this.attempt = createAttemptId();
+    this.send('retry');
+  }
+
   /** Ends the exchange with an error. */
   fail(failure: Failure): void {
-    if (this.#hasEnded) return;
-    this.#hasEnded = true;
-    sendFailure(this.response, failure);
-    this.onEnd('failed', failure);
+    if (this.hasEnded) return;
+    const { code, message, retryAfterMs } = failure;
+    // A claim of another request with the same key may have run.
+    const notRun = code.notRun === true ? this.notRun : join(this.notRun, code.notRun);
+    const told = new Failure(code, message, { retryAfterMs, notRun });
+    this.#endAttempt();
+    this.send('fail');
+    sendFailure(this.response, told);
+    this.onEnd('failed', told);
   }
 
   /** The caller is gone: the attempt is cancelled. */
   abandon(): void {
-    if (this.#hasEnded) return;
-    this.#hasEnded = true;
-    if (this.attempt) this.#link?.send({ type: 'cancel', attempt: this.attempt });
+    if (this.hasEnded) return;
+    this.#endAttempt();
+    this.send('cancel');
   }
 
   #relay(message: Extract<SidecarMessage, { type: 'data' }>): void {
-    const end = message.offset + message.bytes.length;
-    if (message.offset > this.#received || end <= this.#received) return;
-    const bytes = message.bytes.subarray(this.#received - message.offset);
-    this.#received = end;
+    if (!this.writer.data(message.offset, message.bytes)) return;
     this.tokens = message.tokens;
     this.onProgress(message.tokens);
-    const acknowledge = (): void => {
-      this.#link?.send({ type: 'ack', attempt: message.attempt, offset: end });
-    };
-    if (this.response.write(bytes)) acknowledge();
-    else this.response.once('drain', acknowledge);
   }
 
   #complete(length: number): void {
-    if (length !== this.#received) return;
-    this.#hasEnded = true;
-    this.response.end();
+    if (length !== this.writer.received || !this.send('end')) return;
+    this.writer.end();
     this.#release();
     this.onEnd('completed');
   }
 
-  #fail(message: Extract<SidecarMessage, { type: 'refused' | 'failed' }>): void {
-    const code = required(findCode(message.code), 'result code');
-    const notRun = message.type === 'refused' ? true : message.notRun;
-    if (message.type === 'failed') this.#release();
-    this.fail(new Failure(code, message.message, { notRun }));
+  #revoked(outcome: 'never' | 'running' | 'ran' | 'unknown'): void {
+    if (outcome === 'never') {
+      if (this.send('never')) this.#setBack('the attempt was revoked before it ran');
+    } else if (outcome === 'unknown') {
+      if (this.send('lost')) this.#setBack(requestCodes.outcomeUnknown.meaning);
+    } else if (this.send('resumed')) this.#askForRest();
+  }
+
+  #askForRest(): void {
+    const offset = this.writer.received;
+    this.place?.link.send({ type: 'resume', attempt: this.attempt, offset }, true);
+  }
+
+  #setBackBy(message: Extract<SidecarMessage, { type: 'refused' | 'failed' }>): void {
+    const { notRun = true, crashed = false } = message.type === 'failed' ? message : {};
+    const events = { true: 'refused', unknown: 'lost', false: 'broken' } as const;
+    // An answer that has begun has run, whatever the sidecar knows of it now.
+    const isKnown = this.send(events[`${notRun}`]) || this.send('broken');
+    if (!isKnown) return;
+    this.#release();
+    const code = findCode(message.code) ?? requestCodes.endpointFailed;
+    this.onSetback({ failure: new Failure(code, message.message), crashed });
+  }
+
+  #setBack(message: string): void {
+    const { state } = this.lifecycle;
+    const code = state === 'deferred' ? requestCodes.attemptRefused : requestCodes.outcomeUnknown;
+    this.onSetback({ failure: new Failure(code, message), crashed: false });
+  }
+
+  /** Work that nobody waits for is cancelled; the sidecar lets calls go on that may not be repeated. */
+  #endAttempt(): void {
+    if (this.place) this.place.link.send({ type: 'cancel', attempt: this.attempt }, true);
   }
 
   #release(): void {
-    if (this.attempt) this.#link?.send({ type: 'release', attempt: this.attempt });
+    this.place?.link.send({ type: 'release', attempt: this.attempt });
   }
 }
--- /dev/null
+++ b/packages/entry/src/lib/checkHeaders.ts
@@ -0,0 +1,21 @@
+import type { IncomingMessage } from 'node:http';
+import { fail, type Failure } from '@berylwood/base';
+import { requestCodes } from '@berylwood/schema';
+import { ok, type Result } from 'neverthrow';
+
+/** Headers whose meaning would depend on which of two copies is read. */
+const SINGLE = ['authorization', 'content-type', 'host', 'idempotency-key', 'x-request-class'];
+
+/** Refuses requests whose headers two readers could understand differently. @internal */
+export function checkHeaders(request: IncomingMessage): Result<void, Failure> {
+  for (const name of SINGLE) {
+    if ((request.headersDistinct[name]?.length ?? 0) > 1) {
+      return fail(requestCodes.malformedRequest, `the header ${name} appears more than once`);
+    }
+  }
+  const { 'transfer-encoding': encoding, 'content-length': length } = request.headers;
+  if (encoding !== undefined && (length !== undefined || encoding.toLowerCase() !== 'chunked')) {
+    return fail(requestCodes.malformedRequest, 'the length of the body is ambiguous');
+  }
+  return ok(undefined);
+}
--- a/packages/entry/src/lib/classify.ts
+++ b/packages/entry/src/lib/classify.ts
@@ -8,14 +8,17 @@
   type Configuration,
   type Method,
   type Plan,
+  type RequestClass,
   type RequestId,
   type WorkspaceId,
 } from '@berylwood/schema';
 import { ok, type Result } from 'neverthrow';
 import type { Identity } from './authenticate';
-import { completionSchema, type Completion } from './completionSchema';
-import { endpointHeaders, holdsSecret } from './endpointHeaders';
+import { completionSchema, promptOf, type Completion } from './completionSchema';
+import { bodyHoldsSecret, endpointHeaders, holdsSecret } from './endpointHeaders';
 import type { Route } from './findRoute';
+import { isTooDeep } from './isTooDeep';
+import { digestBlocks } from './digestBlocks';
 
 /** A request that may be scheduled. @internal */
 export interface Order {
@@ -29,17 +32,25 @@
   readonly fingerprint: string;
   readonly idempotent: boolean;
   readonly model: string | undefined;
+  /** Key of the claim, on routes that are not idempotent. */
+  readonly idempotencyKey: string | undefined;
 }
 
 /** Header by which a caller names the class of a request. */
 const CLASS_HEADER = 'x-request-class';
 
+/** Header that names a request which may not be repeated, over resends. */
+const IDEMPOTENCY_HEADER = 'idempotency-key';
+
+const MAX_IDEMPOTENCY_KEY = 255;
+
 const BYTES_PER_TOKEN = 4;
 
 /** Answer length assumed before anything is known about it. */
 const DEFAULT_ANSWER_TOKENS = 256;
 
 function parseCompletion(body: Buffer): Result<Completion, Failure> {
+  if (isTooDeep(body)) return fail(requestCodes.malformedRequest, 'the JSON is nested too deeply');
   let value: unknown;
   try {
     value = JSON.parse(body.toString('utf8'));
@@ -63,6 +74,8 @@
   readonly name: string;
   readonly idempotent: boolean;
   readonly answerTokens: number;
+  /** Text of the prompt, for prefix affinity. */
+  readonly prompt: string;
 }
 
 function findTarget(plan: Plan, route: Route, body: Buffer): Result<Target, Failure> {
@@ -71,7 +84,7 @@
     if (!plan.services.includes(service)) {
       return fail(requestCodes.notInPlan, `service "${service}" is not in the plan`);
     }
-    return ok({ kind: 'service', name: service, idempotent, answerTokens: 0 });
+    return ok({ kind: 'service', name: service, idempotent, answerTokens: 0, prompt: '' });
   }
   return parseCompletion(body).andThen((completion): Result<Target, Failure> => {
     const { model, max_tokens: maxTokens = DEFAULT_ANSWER_TOKENS } = completion;
@@ -79,10 +92,46 @@
       return fail(requestCodes.notInPlan, `model "${model}" is not in the plan`);
     }
     const answerTokens = Math.min(maxTokens, DEFAULT_ANSWER_TOKENS);
-    return ok({ kind: 'engine', name: model, idempotent: true, answerTokens });
+    return ok({
+      kind: 'engine',
+      name: model,
+      idempotent: true,
+      answerTokens,
+      prompt: promptOf(completion),
+    });
   });
 }
 
+interface JobFacts {
+  readonly workspace: WorkspaceId;
+  readonly className: string;
+  readonly tier: number;
+  readonly share: number;
+  readonly requestClass: RequestClass;
+}
+
+function createJob(facts: JobFacts, target: Target, body: Buffer, now: number): Job {
+  const { workspace, className, tier, share, requestClass } = facts;
+  return {
+    request: createRequestId(),
+    workspace,
+    class: className,
+    tier,
+    share,
+    kind: target.kind,
+    target: target.name,
+    promptTokens: Math.ceil(body.length / BYTES_PER_TOKEN),
+    answerTokens: target.answerTokens,
+    blocks: digestBlocks(workspace, target.prompt),
+    arrivedAt: now,
+    targetAt: now + requestClass.firstTokenMs,
+    expiresAt: now + requestClass.maxWaitMs,
+    idempotent: target.idempotent,
+    avoid: [],
+    isSuspect: false,
+  };
+}
+
 /** Checks a request against the workspace's plan and prepares it for scheduling. @internal */
 export function classify(
   configuration: Configuration,
@@ -94,7 +143,7 @@
 ): Result<Order, Failure> {
   const { secret, record } = identity;
   const { url = '/', method = 'GET', headers } = request;
-  if (holdsSecret(url, secret) || body.includes(secret)) {
+  if (holdsSecret(url, secret) || bodyHoldsSecret(body, secret)) {
     const message = 'the key may stand in the Authorization header only';
     return fail(requestCodes.malformedRequest, message);
   }
@@ -106,32 +155,24 @@
   if (tier === undefined || !requestClass) {
     return fail(requestCodes.notInPlan, `class "${className}" is not in the plan`);
   }
-  return findTarget(plan, route, body).map((target) => {
-    const id = createRequestId();
-    const job: Job = {
-      request: id,
-      workspace: record.workspace,
-      class: className,
-      tier,
-      share: plan.share,
-      kind: target.kind,
-      target: target.name,
-      promptTokens: Math.ceil(body.length / BYTES_PER_TOKEN),
-      answerTokens: target.answerTokens,
-      blocks: [],
-      arrivedAt: now,
-      targetAt: now + requestClass.firstTokenMs,
-      expiresAt: now + requestClass.maxWaitMs,
-      idempotent: target.idempotent,
-      avoid: [],
-      isSuspect: false,
-    };
+  const { workspace } = record;
+  const facts = { workspace, className, tier, share: plan.share, requestClass };
+  const idempotencyKey = headers[IDEMPOTENCY_HEADER]?.toString();
+  return findTarget(plan, route, body).andThen((target): Result<Order, Failure> => {
+    if (!target.idempotent && !idempotencyKey) {
+      return fail(requestCodes.idempotencyKeyMissing, requestCodes.idempotencyKeyMissing.meaning);
+    }
+    if (idempotencyKey && idempotencyKey.length > MAX_IDEMPOTENCY_KEY) {
+      const message = `the Idempotency-Key is longer than ${MAX_IDEMPOTENCY_KEY} characters`;
+      return fail(requestCodes.malformedRequest, message);
+    }
+    const job = createJob(facts, target, body, now);
     const fingerprint = createHash('sha256')
       .update(`${record.workspace} ${method} ${url} `)
       .update(body)
       .digest('hex');
-    return {
-      request: id,
+    return ok({
+      request: job.request,
       identity,
       job,
       method: method as Method,
@@ -141,6 +182,7 @@
       fingerprint,
       idempotent: target.idempotent,
       model: target.kind === 'engine' ? target.name : undefined,
-    };
+      idempotencyKey: target.idempotent ? undefined : idempotencyKey,
+    });
   });
 }
--- a/packages/entry/src/lib/completionSchema.ts
+++ b/packages/entry/src/lib/completionSchema.ts
@@ -17,3 +17,12 @@
 });
 
 export type Completion = z.output<typeof completionSchema>;
+
+/** Text of a prompt in its order; what is no text counts as its JSON. @internal */
+export function promptOf({ messages = [], prompt = '' }: Completion): string {
+  const parts = messages.map(({ role, content }) => {
+    const text = typeof content === 'string' ? content : JSON.stringify(content ?? '');
+    return `${role}: ${text}`;
+  });
+  return [...parts, ...(Array.isArray(prompt) ? prompt : [prompt])].join('\n');
+}
--- /dev/null
+++ b/packages/entry/src/lib/digestBlocks.ts
@@ -0,0 +1,24 @@
+import { createHash } from 'node:crypto';
+import type { WorkspaceId } from '@berylwood/schema';
+
+/** Characters of a block: about 64 tokens. */
+const BLOCK_CHARACTERS = 256;
+
+const MAX_BLOCKS = 32;
+const DIGEST_CHARACTERS = 16;
+
+/**
+ * Digests of a prompt's whole blocks, each chained with the one before. The chain begins with the
+ * workspace, so that affinity never shows one workspace what another has asked.
+ * @internal
+ */
+export function digestBlocks(workspace: WorkspaceId, prompt: string): string[] {
+  const count = Math.min(MAX_BLOCKS, Math.floor(prompt.length / BLOCK_CHARACTERS));
+  let last: string = workspace;
+  return Array.from({ length: count }, (_, index) => {
+    const block = prompt.slice(index * BLOCK_CHARACTERS, (index + 1) * BLOCK_CHARACTERS);
+    const digest = createHash('sha256').update(`${last} `).update(block).digest('base64');
+    last = digest.slice(0, DIGEST_CHARACTERS);
+    return last;
+  });
+}
--- a/packages/entry/src/lib/endpointHeaders.ts
+++ b/packages/entry/src/lib/endpointHeaders.ts
@@ -14,6 +14,18 @@
   }
 }
 
+/** Whether a body holds the secret: plainly, percent-encoded or with JSON escapes. @internal */
+export function bodyHoldsSecret(body: Buffer, secret: string): boolean {
+  if (body.includes(secret)) return true;
+  if (!body.includes('%') && !body.includes('\\u00')) return false;
+  const decoded = body
+    .toString('latin1')
+    .replace(/%([0-9a-f]{2})|\\u00([0-9a-f]{2})/gi, (_, percent: string, escape: string) =>
+      String.fromCharCode(Number.parseInt(percent ?? escape, 16)),
+    );
+  return decoded.includes(secret);
+}
+
 /** The allowed headers of a request that do not hold the secret. @internal */
 export function endpointHeaders(
   headers: IncomingHttpHeaders,
--- a/packages/entry/src/lib/events.ts
+++ b/packages/entry/src/lib/events.ts
@@ -44,4 +44,16 @@
     meaning: 'The entry is unready and waits for its requests to end.',
     action: 'none',
   },
+  requestRetried: {
+    number: 5007,
+    level: 'info',
+    meaning: 'An attempt ended without an answer and the request goes on elsewhere.',
+    action: 'See the result code; look at the endpoint if it recurs.',
+  },
+  entryCut: {
+    number: 5008,
+    level: 'error',
+    meaning: 'The process ended before its requests had.',
+    action: 'Raise shutdown_limit_ms, or look for what held them up.',
+  },
 });
--- a/packages/schema/src/lib/AttemptMessage.ts
+++ b/packages/schema/src/lib/AttemptMessage.ts
@@ -90,6 +90,8 @@
   /** Age of the endpoint's own report, in milliseconds. */
   ageMs: z.number(),
   leaving: z.boolean(),
+  /** No connection to the endpoint can be made. */
+  down: z.boolean().optional(),
   /** Slot credits: attempts that the sidecar will accept now, with a generation number. */
   credits: count,
   generation: count,
--- a/packages/schema/src/lib/requestCodes.ts
+++ b/packages/schema/src/lib/requestCodes.ts
@@ -177,4 +177,11 @@
     meaning: 'No connection to the endpoint could be made.',
     remedy: 'Retry; if it lasts, look at the endpoint.',
   },
+  claimSpent: {
+    number: 4032,
+    status: 409,
+    notRun: true,
+    meaning: 'The request with this Idempotency-Key was given up before it ran; the key is spent.',
+    remedy: 'Send the request again with a new Idempotency-Key.',
+  },
 });
--- a/packages/sidecar/src/lib/LoadMonitor.ts
+++ b/packages/sidecar/src/lib/LoadMonitor.ts
@@ -1,6 +1,7 @@
 import { DisposableStore, type Timer } from '@berylwood/base';
 import type { Load } from '@berylwood/schema';
 import type { AttemptTable } from './AttemptTable';
+import { isUnreached } from './connection';
 import type { Endpoint, EndpointLoad } from './Endpoint';
 
 const INTERVAL_MS = 250;
@@ -26,6 +27,8 @@
 
   #tokensPerSecond = 0;
 
+  #isDown = false;
+
   constructor(timer: Timer, endpoint: Endpoint, attempts: AttemptTable, isLeaving: () => boolean) {
     this.#timer = timer;
     this.#endpoint = endpoint;
@@ -40,9 +43,15 @@
       prefillTokens: this.#report?.prefillTokens ?? 0,
       ageMs: this.#timer.now() - this.#reportedAt,
       leaving: this.#isLeaving(),
+      down: this.#isDown,
     };
   }
 
+  /** Whether the last try to reach the endpoint made no connection. */
+  get isDown(): boolean {
+    return this.#isDown;
+  }
+
   open(): void {
     this.#store.add(this.#timer.every(INTERVAL_MS, () => this.#poll()));
   }
@@ -55,11 +64,14 @@
     this.#endpoint
       .load()
       .then((report) => this.#take(report))
-      .catch(() => {})
+      .catch((error: unknown) => {
+        this.#isDown = isUnreached(error);
+      })
       .finally(() => this.push());
   }
 
   #take(report: EndpointLoad | undefined): void {
+    this.#isDown = false;
     if (!report) return;
     const now = this.#timer.now();
     if (this.#report) {
--- a/packages/sidecar/src/lib/ServiceEndpoint.ts
+++ b/packages/sidecar/src/lib/ServiceEndpoint.ts
@@ -1,6 +1,6 @@
 import { Pool } from 'undici';
 import { noWork, type Dispatch, type Work } from '@berylwood/schema';
-import { CONNECT_TIMEOUT_MS, isCut, isUnreached } from './connection';
+import { CONNECT_TIMEOUT_MS, isCut, isUnreached, probe } from './connection';
 import { Endpoint, EndpointError, type AnswerSink, type EndpointFault } from './Endpoint';
 import { keepAnswerHeaders } from './headers';
 
@@ -8,8 +8,11 @@
 export class ServiceEndpoint extends Endpoint implements Disposable {
   readonly #pool: Pool;
 
+  readonly #address: string;
+
   constructor(address: string, slots: number) {
     super();
+    this.#address = address;
     const connect = { timeout: CONNECT_TIMEOUT_MS };
     this.#pool = new Pool(`http://${address}`, { connections: slots, connect });
   }
@@ -28,6 +31,7 @@
   }
 
   override async load(): Promise<undefined> {
+    await probe(this.#address);
     return undefined;
   }
 
--- a/packages/sidecar/src/lib/Sidecar.ts
+++ b/packages/sidecar/src/lib/Sidecar.ts
@@ -163,6 +163,7 @@
 
   #closedBy(): Code | undefined {
     if (this.#isLeaving) return requestCodes.draining;
+    if (this.#monitor.isDown) return requestCodes.endpointUnreached;
     return this.#subscription.isFresh ? undefined : requestCodes.notFresh;
   }
 
--- a/packages/sidecar/src/lib/connection.ts
+++ b/packages/sidecar/src/lib/connection.ts
@@ -23,17 +23,30 @@
   return ['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET'].includes(codeOf(error));
 }
 
-/** Whether nothing listens on the address any more. @internal */
-export function isGone(address: string): Promise<boolean> {
+/**
+ * Makes a connection and closes it.
+ * @throws the error of the connection.
+ * @internal
+ */
+export function probe(address: string): Promise<void> {
   const { host, port } = splitAddress(address);
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
     const socket = connect({ host, port, timeout: CONNECT_TIMEOUT_MS });
-    const settle = (gone: boolean): void => {
+    socket.once('connect', () => {
       socket.destroy();
-      resolve(gone);
-    };
-    socket.once('connect', () => settle(false));
-    socket.once('timeout', () => settle(false));
-    socket.once('error', (error) => settle(isUnreached(error)));
+      resolve();
+    });
+    socket.once('timeout', () => socket.destroy(new Error('no connection in time')));
+    socket.once('error', reject);
   });
 }
+
+/** Whether nothing listens on the address any more. @internal */
+export async function isGone(address: string): Promise<boolean> {
+  try {
+    await probe(address);
+    return false;
+  } catch (error) {
+    return isUnreached(error);
+  }
+}
