Let a replica stand for election until its own removal is committed

The role now follows the membership before as long as the removal is not committed. A test does the same in a group of two.

Deadlines are looked at twice in a heartbeat instead of four times, which moves the moments of the directed schedules: the two tests of the lease run the same twelve seeds with and without the mechanism instead of one.

--- a/packages/consensus/src/lib/Core.ts
+++ b/packages/consensus/src/lib/Core.ts
@@ -4,7 +4,7 @@
 import { consensusEvents } from './events';
 import type { GroupId, Identity, Incarnation, ReplicaName } from './ids';
 import type { LogStore } from './LogStore';
-import { decodeMembership, quorumSets } from './Membership';
+import { decodeMembership, quorumSets, voters, type Membership } from './Membership';
 import type { MembershipHistory } from './MembershipHistory';
 import type { MessageBody, Message } from './Message';
 import type { HardState } from './records';
@@ -106,8 +106,16 @@
     return unsafe.acknowledgeUnsynced ? this.store.lastIndex : this.store.syncedIndex;
   }
 
+  /**
+   * Whether this replica may stand for election: also until its removal is committed, as its vote
+   * and its log may be needed for that.
+   */
   get isVoter(): boolean {
-    return this.membership.find(this.identity.incarnation)?.kind === 'voter';
+    const { latest, latestIndex } = this.membership;
+    const isIn = (membership: Membership): boolean =>
+      voters(membership).includes(this.identity.incarnation);
+    if (isIn(latest)) return true;
+    return latestIndex > this.#commitIndex && isIn(this.membership.at(latestIndex - 1));
   }
 
   /** Voter sets of which each must agree. */
@@ -135,7 +143,7 @@
       if (entry.kind !== EntryKind.Membership) continue;
       this.membership.add(entry.index, decodeMembership(entry.data));
     }
-    if (this.role !== 'leader') this.updateVotingRole();
+    this.updateVotingRole();
   }
 
   /** Makes a role of a learner or voter out of the present membership. */
@@ -149,9 +157,12 @@
 
   commitTo(index: number): void {
     if (index <= this.#commitIndex) return;
+    const hasNewMembership =
+      this.membership.latestIndex > this.#commitIndex && this.membership.latestIndex <= index;
     this.#commitIndex = index;
     this.membership.compact(index);
     this.onCommit();
+    if (hasNewMembership) this.updateVotingRole();
   }
 
   resetElectionDeadline(): void {
--- a/packages/consensus/src/lib/Joiner.test.ts
+++ b/packages/consensus/src/lib/Joiner.test.ts
@@ -89,3 +89,19 @@
   assert.equal(cluster.committedVoters.length, 2);
   assert.equal(leader.replica?.status.role, 'learner');
 });
+
+test('a leader whose own removal is not committed may still be elected', async () => {
+  const group = await createGroup({ count: 2 });
+  const { cluster, leader, others, invariants } = group;
+  const [other] = others;
+  assert.ok(other);
+  await write(group, leader, 1);
+  cluster.network.partition([leader.name], [other.name]);
+  leader.replica?.removeReplica(leader.name).catch(assert.fail);
+  await cluster.run(500);
+  cluster.network.heal();
+  assert.ok(await cluster.runUntil(() => cluster.committedVoters.length === 1, REPAIR_MS));
+  assert.ok(await awaitLeader(group, [leader]));
+  assert.equal(other.machine.value, 1);
+  assert.deepEqual([...invariants.violations], []);
+});
--- a/packages/consensus/src/lib/LeaderLease.test.ts
+++ b/packages/consensus/src/lib/LeaderLease.test.ts
@@ -4,6 +4,8 @@
 import type { UnsafeDeviations } from './ReplicaOptions';
 
 const LEASE_MS = 120;
+const SEEDS = 12;
+const STALE = 'the history is not linearizable';
 const TWO_LEASES = 'two replicas hold the lease';
 
 /**
@@ -33,18 +35,26 @@
   return invariants.violations;
 }
 
+/** Violations over a few fixed seeds. */
+async function deposeOften(unsafe: UnsafeDeviations, restartsVoter: boolean) {
+  const found = new Set<string>();
+  for (let seed = 1; seed <= SEEDS; seed += 1) {
+    const violations = await deposeUnderLease(seed, unsafe, restartsVoter);
+    violations.forEach((violation) => found.add(violation));
+  }
+  return found;
+}
+
 test('a voter that granted a lease votes for nobody until it has run out', async () => {
-  assert.deepEqual([...(await deposeUnderLease(1, {}, false))], []);
-  const found = await deposeUnderLease(1, { ignoreGrantedLease: true }, false);
-  assert.ok(found.has(TWO_LEASES) && found.has('the history is not linearizable'));
+  assert.deepEqual([...(await deposeOften({}, false))], []);
+  const found = await deposeOften({ ignoreGrantedLease: true }, false);
+  assert.ok(found.has(TWO_LEASES) && found.has(STALE));
 });
 
 test('a new leader waits out a lease that a restarted voter may have granted', async () => {
-  for (let seed = 1; seed <= 8; seed += 1) {
-    assert.deepEqual([...(await deposeUnderLease(seed, {}, true))], []);
-  }
-  const found = await deposeUnderLease(1, { skipLeaseWait: true }, true);
-  assert.ok(found.has(TWO_LEASES) && found.has('the history is not linearizable'));
+  assert.deepEqual([...(await deposeOften({}, true))], []);
+  const found = await deposeOften({ skipLeaseWait: true }, true);
+  assert.ok(found.has(TWO_LEASES) && found.has(STALE));
 });
 
 /** The leader's machine is suspended, so that its monotonic clock stands still. */
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -23,7 +23,7 @@
 import { roleMachine, type Role, type RoleEffects } from './roleMachine';
 
 /** Parts of a heartbeat interval after which deadlines are looked at. */
-const TICKS_PER_HEARTBEAT = 4;
+const TICKS_PER_HEARTBEAT = 2;
 
 /** Election timeouts after which a transfer is not waited for any longer. */
 const TRANSFER_ELECTIONS = 3;
@@ -205,7 +205,7 @@
     core.sendRole = (event) => {
       if (core.role !== 'stopped') this.#actor.send(event);
     };
-    core.onCommit = () => this.#onCommit();
+    core.onCommit = () => this.#applier.apply();
     core.onFailure = (failure) => this.#stop(failure);
     core.store.onFailure = (failure) => this.#stop(failure);
     core.store.onSynced = () => this.#onSynced();
@@ -263,11 +263,6 @@
     this.#applier.saveSnapshot();
   }
 
-  #onCommit(): void {
-    this.#applier.apply();
-    if (this.#core.role === 'leader') this.#core.updateVotingRole();
-  }
-
   #onEntry(entry: Entry, result: Uint8Array): void {
     this.#proposals.settle(entry.index, result);
     if (entry.kind === EntryKind.Command) this.onApplied(entry.index, entry.data, result);
--- a/packages/consensus/src/lib/Replicator.ts
+++ b/packages/consensus/src/lib/Replicator.ts
@@ -69,7 +69,7 @@
 
   /** Tells followers of a commit soon, so that they apply it without waiting for a heartbeat. */
   announceCommit(): void {
-    if (this.#commitTimer) return;
+    if (this.#commitTimer || this.#store.isDisposed) return;
     const tell = (): void => {
       this.#commitTimer = undefined;
       const { commitIndex } = this.#core;
