--- a/packages/consensus/src/lib/LogStore.ts
+++ b/packages/consensus/src/lib/LogStore.ts
@@ -73,6 +73,8 @@
 
   #failed = false;
 
+  readonly #running = new Set<Promise<void>>();
+
   constructor(disk: Disk, recovered: Recovered, limits: LogStoreLimits) {
     this.#disk = disk;
     this.#limits = limits;
@@ -201,10 +203,14 @@
     return undefined;
   }
 
-  /** Ends writing and closes the disk; entries that wait for their write are not written. */
+  /**
+   * Closes the disk after the operations on their way; entries that wait for their write are not
+   * written.
+   */
   async close(): Promise<void> {
     this.#failed = true;
     this.#queue = [];
+    while (this.#running.size > 0) await Promise.allSettled(this.#running);
     await this.#disk.close();
   }
 
@@ -276,6 +282,7 @@
   /** Removes segments and snapshots that the latest snapshot makes obsolete. */
   async #removeObsolete(): Promise<void> {
     while (this.#segments.length > 1 && this.#mayRemove(this.#segments[0] as Segment)) {
+      if (this.#failed) return;
       const segment = this.#segments.shift() as Segment;
       await this.#disk.remove(segmentName(segment.number));
     }
@@ -289,12 +296,18 @@
     return segment.number < this.#firstSegment || segment.lastIndex <= this.#base.index;
   }
 
+  /** Runs an operation of the disk, unless the store has failed or was closed. */
   async #guard(action: () => Promise<void>): Promise<void> {
+    if (this.#failed) throw new Error('the store is closed');
+    const running = action();
+    this.#running.add(running);
     try {
-      await action();
+      await running;
     } catch (error) {
       this.#fail(error);
       throw error;
+    } finally {
+      this.#running.delete(running);
     }
   }
 
--- a/packages/consensus/src/lib/Replica.test.ts
+++ b/packages/consensus/src/lib/Replica.test.ts
@@ -1,6 +1,15 @@
 import assert from 'node:assert/strict';
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import test from 'node:test';
+import { Random, SystemTimer, createSilentJournal } from '@berylwood/base';
+import { RegisterMachine, encodeCommand } from '../simulation/RegisterMachine';
+import { SimulatedNetwork, SimulatedTransport } from '../simulation/SimulatedNetwork';
 import { createGroup, write } from '../simulation/createGroup';
+import { FileDisk } from './FileDisk';
+import { createReplicaName } from './ids';
+import { Replica } from './Replica';
 
 for (const count of [1, 3, 5]) {
   test(`a group of ${count} forms, commits and applies on each replica`, async () => {
@@ -37,3 +46,53 @@
   assert.ok(await cluster.runUntil(() => down.machine.value === 300, 2000));
   assert.ok((down.replica?.status.snapshotIndex ?? 0) > 200);
 });
+
+async function openOnFiles(folder: string) {
+  const timer = new SystemTimer();
+  const machine = new RegisterMachine();
+  const replica = createReplicaName('alone');
+  const random = new Random(1);
+  const opened = await Replica.open({
+    replica,
+    machine,
+    transport: new SimulatedTransport(new SimulatedNetwork(timer, random), replica),
+    disk: await FileDisk.open(folder),
+    timer,
+    journal: createSilentJournal(timer),
+    random,
+    founder: true,
+    heartbeatMs: 10,
+    leaseMs: 30,
+    electionTimeoutMs: 40,
+    snapshotEntries: 20,
+    segmentBytes: 1000,
+  });
+  const log = opened._unsafeUnwrap();
+  while (!log.holdsLease) await timer.sleep(1);
+  return { log, machine };
+}
+
+test('a single replica on real files goes on after each restart', async (t) => {
+  const folder = await mkdtemp(join(tmpdir(), 'consensus-'));
+  t.after(() => rm(folder, { recursive: true }));
+  for (let life = 0; life < 3; life += 1) {
+    const { log, machine } = await openOnFiles(folder);
+    assert.ok((await log.barrier()).isOk());
+    assert.equal(machine.value, life * 50);
+    const writes = Array.from({ length: 50 }, (_, i) => life * 50 + i + 1).map((value) =>
+      log.propose(encodeCommand({ id: value, action: { type: 'write', value } })),
+    );
+    for (const result of await Promise.all(writes)) assert.ok(result.isOk());
+    await log.close();
+    assert.equal((await log.propose(new Uint8Array()))._unsafeUnwrapErr().code.name, 'stopped');
+  }
+});
+
+test('a replica stops when its disk fails, and says so', async () => {
+  const { cluster, leader } = await createGroup();
+  leader.disk.append = () => Promise.reject(new Error('no space'));
+  const answer = leader.replica?.propose(new Uint8Array(1));
+  await cluster.run(50);
+  assert.equal((await answer)?._unsafeUnwrapErr().notRun, 'unknown');
+  assert.equal(leader.replica?.status.failure?.code.name, 'diskFailed');
+});
--- /dev/null
+++ b/packages/consensus/src/lib/roleMachine.test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { createActor } from 'xstate';
+import { roleMachine, type RoleEvent } from './roleMachine';
+
+function createRoles(skipPreVote = false) {
+  const trace: string[] = [];
+  const note = (name: string) => (): void => {
+    trace.push(name);
+  };
+  const effects = {
+    skipPreVote,
+    entered: note('entered'),
+    startPreVote: note('startPreVote'),
+    startVote: note('startVote'),
+    startLeading: note('startLeading'),
+    stopLeading: note('stopLeading'),
+    release: note('release'),
+  };
+  const actor = createActor(roleMachine, { input: { effects } });
+  actor.start();
+  const send = (...types: RoleEvent['type'][]): string => {
+    types.forEach((type) => actor.send({ type }));
+    return String(actor.getSnapshot().value);
+  };
+  return { send, trace };
+}
+
+test('a voter stands with a pre-vote, then a vote, and leads until it is deposed', () => {
+  const { send, trace } = createRoles();
+  assert.equal(send('electionTimeout'), 'learner');
+  assert.equal(send('voteGained'), 'follower');
+  assert.equal(send('voteWon'), 'follower');
+  assert.equal(send('electionTimeout'), 'preCandidate');
+  assert.equal(send('preVoteWon'), 'candidate');
+  assert.equal(send('voteWon'), 'leader');
+  assert.equal(send('electionTimeout'), 'leader');
+  assert.equal(send('newerTerm'), 'follower');
+  const effects = trace.filter((name) => name !== 'entered');
+  assert.deepEqual(effects, ['startPreVote', 'startVote', 'startLeading', 'stopLeading']);
+});
+
+test('a candidate that is not elected asks for pre-votes again', () => {
+  const { send } = createRoles();
+  assert.equal(send('voteGained', 'electionTimeout', 'preVoteWon'), 'candidate');
+  assert.equal(send('electionTimeout'), 'preCandidate');
+  assert.equal(send('leaderSeen'), 'follower');
+  assert.equal(send('transferRequested'), 'candidate');
+});
+
+test('a leader that stops gives up leading first', () => {
+  const { send, trace } = createRoles();
+  send('voteGained', 'transferRequested', 'voteWon');
+  assert.equal(send('stop'), 'stopped');
+  assert.deepEqual(trace.slice(-3), ['stopLeading', 'entered', 'release']);
+});
--- a/packages/consensus/src/simulation/SimulatedNetwork.ts
+++ b/packages/consensus/src/simulation/SimulatedNetwork.ts
@@ -1,4 +1,4 @@
-import type { Random, VirtualTimer } from '@berylwood/base';
+import type { Random, Timer } from '@berylwood/base';
 import type { ReplicaName } from '../lib/ids';
 import type { Message } from '../lib/Message';
 import { Transport } from '../lib/Transport';
@@ -18,7 +18,7 @@
   /** Decides on each message whether it is dropped on purpose. */
   filter: (message: Message) => boolean = () => true;
 
-  readonly #timer: VirtualTimer;
+  readonly #timer: Timer;
 
   readonly #random: Random;
 
@@ -27,7 +27,7 @@
   /** Pairs that can not reach each other, as `from>to`. */
   readonly #cut = new Set<string>();
 
-  constructor(timer: VirtualTimer, random: Random) {
+  constructor(timer: Timer, random: Random) {
     this.#timer = timer;
     this.#random = random;
   }
