Run a range of schedules, with and without incarnations, instead of one

The mechanism's absence was shown on seed 11 alone. The test now demands no violation with the mechanism on each of twenty seeds, where it demanded it on one, and at least one loss without it.

--- a/packages/consensus/src/simulation/explore.test.ts
+++ b/packages/consensus/src/simulation/explore.test.ts
@@ -28,8 +28,12 @@
 });
 
 test('a lost disk under its old incarnation loses commands', async () => {
-  const seed = 11;
-  assert.deepEqual((await explore({ seed })).violations, []);
-  const { violations } = await explore({ seed, unsafe: { keepIncarnation: true } });
-  assert.ok(violations.includes('an acknowledged command was lost'));
+  const lost: number[] = [];
+  for (let seed = 1; seed <= 20; seed += 1) {
+    assert.deepEqual((await explore({ seed })).violations, []);
+    const { violations } = await explore({ seed, unsafe: { keepIncarnation: true } });
+    if (violations.includes('an acknowledged command was lost')) lost.push(seed);
+  }
+  // Which schedules meet the fault moves with any change of timing, so a range of them is run.
+  assert.notDeepEqual(lost, []);
 });
