--- a/packages/testing/src/lib/Relay.ts
+++ b/packages/testing/src/lib/Relay.ts
@@ -26,6 +26,9 @@
 
   readonly #pairs = new Set<Pair>();
 
+  /** Sockets of either side that are still open, also those whose other side has gone. */
+  readonly #sockets = new Set<Socket>();
+
   #mode: RelayMode = 'pass';
 
   #delayMs = 0;
@@ -74,7 +77,8 @@
   }
 
   async close(): Promise<void> {
-    this.reset();
+    this.#mode = 'refuse';
+    for (const socket of this.#sockets) socket.destroy();
     await new Promise((resolve) => {
       this.#server.close(resolve);
     });
@@ -92,9 +96,11 @@
     this.#join(near, far);
     this.#join(far, near);
     for (const socket of [near, far]) {
+      this.#sockets.add(socket);
       socket.setNoDelay(true);
       socket.on('error', () => {});
       socket.once('close', () => {
+        this.#sockets.delete(socket);
         this.#pairs.delete(pair);
         // A cut network tells neither side that the other is gone.
         if (this.#mode !== 'silent') this.#drop(pair);
