--- a/packages/consensus/src/lib/Applier.ts
+++ b/packages/consensus/src/lib/Applier.ts
@@ -50,6 +50,7 @@
       const entry = store.entry(this.#applied + 1);
       if (!entry || !this.#applyEntry(entry)) return;
     }
+    this.#core.membership.compact(this.#applied);
     this.#wake();
     this.saveSnapshot();
     if (this.#applied >= this.#core.commitIndex) return;
--- a/packages/consensus/src/lib/Core.ts
+++ b/packages/consensus/src/lib/Core.ts
@@ -11,6 +11,9 @@
 import type { ReplicaSettings } from './ReplicaOptions';
 import type { Role, RoleEvent } from './roleMachine';
 
+/** Messages that wait for the disk; more are dropped, as on a network that loses them. */
+const MAX_OUTBOX = 1024;
+
 /** A lease that this replica has granted to a leader, by its own monotonic clock. */
 interface GrantedLease {
   readonly term: number;
@@ -148,10 +151,6 @@
 
   /** Makes a role of a learner or voter out of the present membership. */
   updateVotingRole(): void {
-    const isMember = this.membership.find(this.identity.incarnation) !== undefined;
-    if (isMember && !this.store.state.wasMember) {
-      this.#save({ ...this.store.state, wasMember: true });
-    }
     this.sendRole({ type: this.isVoter ? 'voteGained' : 'voteLost' });
   }
 
@@ -160,9 +159,17 @@
     const hasNewMembership =
       this.membership.latestIndex > this.#commitIndex && this.membership.latestIndex <= index;
     this.#commitIndex = index;
-    this.membership.compact(index);
     this.onCommit();
-    if (hasNewMembership) this.updateVotingRole();
+    if (!hasNewMembership) return;
+    this.#noteMembership();
+    this.updateVotingRole();
+  }
+
+  /** Remembers that this incarnation has been a member, once that is committed. */
+  #noteMembership(): void {
+    const isMember = this.membership.find(this.identity.incarnation) !== undefined;
+    if (!isMember || this.store.state.wasMember) return;
+    this.#save({ ...this.store.state, wasMember: true });
   }
 
   resetElectionDeadline(): void {
@@ -205,6 +212,7 @@
   }
 
   #post(replica: ReplicaName, incarnation: Incarnation | '', body: MessageBody): void {
+    if (this.#outbox.length >= MAX_OUTBOX) return;
     const { term, group, identity } = this;
     const message: Message = { group, from: identity, to: { replica, incarnation }, term, body };
     const member = this.membership.latest.members.find((item) => item.incarnation === incarnation);
--- a/packages/consensus/src/lib/Leader.test.ts
+++ b/packages/consensus/src/lib/Leader.test.ts
@@ -2,6 +2,7 @@
 import test from 'node:test';
 import { awaitLeader, createGroup } from '../simulation/createGroup';
 import { encodeCommand } from '../simulation/RegisterMachine';
+import type { Message } from './Message';
 import type { UnsafeDeviations } from './ReplicaOptions';
 
 function command(id: number): Uint8Array {
@@ -25,8 +26,13 @@
   const propose = (node: typeof leader, id: number): void => {
     node.replica?.propose(command(id)).catch(assert.fail);
   };
-  network.filter = ({ body }) =>
-    body.type !== 'append' || body.entries.every(({ term }) => term <= oldTerm);
+  const isStanding = ({ body, from }: Message): boolean =>
+    body.type === 'preVote' && from.replica === voter.name;
+  network.filter = (message) => {
+    const { body } = message;
+    if (body.type === 'append') return body.entries.every(({ term }) => term <= oldTerm);
+    return !isStanding(message);
+  };
   network.partition([leader.name], [voter.name, rival.name]);
   propose(leader, 1);
   propose(leader, 2);
@@ -40,7 +46,7 @@
   assert.ok(await cluster.runUntil(isElectedAgain, 4000));
   await cluster.run(60);
   network.heal();
-  network.filter = () => true;
+  network.filter = (message) => !isStanding(message);
   network.partition([leader.name], [voter.name, rival.name]);
   assert.ok(await cluster.runUntil(isRivalElected, 4000));
   await cluster.run(100);
--- a/packages/consensus/src/lib/LogStore.ts
+++ b/packages/consensus/src/lib/LogStore.ts
@@ -195,12 +195,19 @@
 
   /** Reads the latest snapshot; undefined when there is none. */
   async loadSnapshot(): Promise<Snapshot | undefined> {
-    if (this.#snapshot.index === 0) return undefined;
-    const frame = decodeFrame(await this.#disk.read(snapshotName(this.#snapshot.index)), 0);
-    const body = frame && migrate('snapshot', frame);
-    if (body?.isOk()) return decodeSnapshot(body.value);
-    this.onFailure(new Failure(consensusCodes.logDamaged, 'the latest snapshot is damaged'));
-    return undefined;
+    const { index } = this.#snapshot;
+    if (index === 0) return undefined;
+    try {
+      const frame = decodeFrame(await this.#disk.read(snapshotName(index)), 0);
+      const body = frame && migrate('snapshot', frame);
+      if (body?.isOk()) return decodeSnapshot(body.value);
+      this.onFailure(new Failure(consensusCodes.logDamaged, 'the latest snapshot is damaged'));
+      return undefined;
+    } catch (error) {
+      // A newer snapshot may have taken the place of the file while it was read.
+      if (index === this.#snapshot.index) throw error;
+      return this.loadSnapshot();
+    }
   }
 
   /**
--- a/packages/consensus/src/lib/MembershipHistory.ts
+++ b/packages/consensus/src/lib/MembershipHistory.ts
@@ -42,9 +42,9 @@
     return this.#versions.findLast((item) => item.index <= index)?.membership ?? EMPTY_MEMBERSHIP;
   }
 
-  /** Forgets the versions that a committed one has superseded. */
-  compact(commitIndex: number): void {
-    const first = this.#versions.findLastIndex((item) => item.index <= commitIndex);
+  /** Forgets the versions before the one that is in force at an index. */
+  compact(index: number): void {
+    const first = this.#versions.findLastIndex((item) => item.index <= index);
     if (first > 0) this.#versions = this.#versions.slice(first);
   }
 
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -143,6 +143,10 @@
     return this.holdsLease ? this.#ownLeaseEnd : 0;
   }
 
+  /**
+   * Hands leadership to the most advanced voter. Its lease may begin at once: no effect that this
+   * replica's lease guards may be on its way when this is called.
+   */
   override async transferLeadership(): Promise<void> {
     const leadership = this.#leadership;
     const successor = leadership?.leader.successor;
