Handle an answer of a newer term without the leadership that it has ended

An answer with a newer term made the leader step down, and the same answer was then given to the leadership that had just ended; it sent entries under the newer term, and a replica of that term replaced committed entries by them. Handlers now ask for the present leadership, and a replicator asserts that it sends in its own term only. The new test fails without the change and passes with it.

onRole told of a leader's stepping down while the status still said leader; it is called after.

--- a/packages/consensus/src/lib/Leader.test.ts
+++ b/packages/consensus/src/lib/Leader.test.ts
@@ -88,3 +88,30 @@
   assert.equal(leader.replica?.status.role, 'follower');
   assert.deepEqual([...invariants.violations], []);
 });
+
+test('a leader that learns of a newer term from an answer sends nothing in that term', async () => {
+  const { cluster, leader, others } = await createGroup();
+  const [other] = others;
+  const status = leader.replica?.status;
+  assert.ok(other?.replica && status);
+  let answer: Message | undefined;
+  cluster.network.filter = (message) => {
+    if (message.body.type === 'appendReply') answer = message;
+    return true;
+  };
+  await cluster.run(50);
+  assert.ok(answer?.body.type === 'appendReply');
+  const newer = status.term + 1;
+  const refusal = { ...answer, term: newer, body: { ...answer.body, accepted: false, hint: 1 } };
+  const sent: Message[] = [];
+  cluster.network.filter = (message) => {
+    if (message.term === newer && message.body.type === 'append') sent.push(message);
+    return message.body.type !== 'append';
+  };
+  leader.replica?.propose(command(1)).catch(assert.fail);
+  await cluster.run(10);
+  cluster.network.send(other.name, leader.name, refusal);
+  await cluster.run(10);
+  assert.equal(leader.replica?.status.role, 'follower');
+  assert.deepEqual(sent, []);
+});
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -256,8 +256,8 @@
       elector: this.#elector,
       follower: this.#follower,
       joiner: this.#joiner,
-      leader: this.#leadership?.leader,
-      changer: this.#leadership?.changer,
+      leader: () => this.#leadership?.leader,
+      changer: () => this.#leadership?.changer,
     });
   }
 
@@ -292,9 +292,11 @@
   #enter(role: Role): void {
     const core = this.#core;
     if (core.role === role) return;
+    const hasLed = core.role === 'leader';
     core.role = role;
     core.settings.journal.record(consensusEvents.roleChanged, { role, term: core.term });
     if (role === 'leader') core.leader = core.identity;
+    if (hasLed) this.onRole(this.status);
   }
 
   #startLeading(): void {
@@ -311,7 +313,6 @@
     leadership?.leader[Symbol.dispose]();
     if (this.#core.leader && this.#core.isSelf(this.#core.leader)) this.#core.leader = undefined;
     this.#core.resetElectionDeadline();
-    this.onRole(this.status);
     this.#wakeRoleWaiters();
   }
 
--- a/packages/consensus/src/lib/Replicator.ts
+++ b/packages/consensus/src/lib/Replicator.ts
@@ -1,4 +1,4 @@
-import { DisposableStore } from '@berylwood/base';
+import { DisposableStore, assert } from '@berylwood/base';
 import type { Core } from './Core';
 import type { Entry } from './Entry';
 import { encodeFrame } from './frame';
@@ -14,6 +14,9 @@
 export class Replicator implements Disposable {
   readonly #core: Core;
 
+  /** Term of the leader; nothing may be sent in another one. */
+  readonly #term: number;
+
   readonly #store = new DisposableStore();
 
   readonly #progress = new Map<Incarnation, Progress>();
@@ -27,6 +30,7 @@
 
   constructor(core: Core) {
     this.#core = core;
+    this.#term = core.term;
     this.#store.defer(() => this.#commitTimer?.[Symbol.dispose]());
     this.#syncMembers();
   }
@@ -114,6 +118,7 @@
   }
 
   #sendEntries(progress: Progress, entries: readonly Entry[]): void {
+    assert(this.#core.term === this.#term, 'a leader sends in its own term only');
     const { store, commitIndex } = this.#core;
     // A member that waits for a snapshot gets heartbeats that it refuses; they carry the lease.
     const prevIndex = Math.max(progress.next - 1, store.firstIndex - 1);
@@ -152,6 +157,7 @@
   }
 
   #sendChunk(progress: Progress, transfer: Transfer): void {
+    assert(this.#core.term === this.#term, 'a leader sends in its own term only');
     const { index, term, bytes, offset } = transfer;
     transfer.sentAt = this.#core.now;
     const data = bytes.subarray(offset, offset + this.#core.settings.chunkBytes);
--- a/packages/consensus/src/lib/dispatch.ts
+++ b/packages/consensus/src/lib/dispatch.ts
@@ -13,8 +13,9 @@
   readonly elector: Elector;
   readonly follower: Follower;
   readonly joiner: Joiner;
-  readonly leader: Leader | undefined;
-  readonly changer: MembershipChanger | undefined;
+  /** The leadership of the present term; asked anew after a message has changed the term. */
+  readonly leader: () => Leader | undefined;
+  readonly changer: () => MembershipChanger | undefined;
 }
 
 function as<Body extends MessageBody>(message: Message, body: Body): Message<Body> {
@@ -30,7 +31,7 @@
 
 function handleJoin(message: Message<Join>, { joiner, changer }: Handlers): void {
   joiner.answer(message);
-  changer?.onJoin(message);
+  changer()?.onJoin(message);
 }
 
 function handleTimeoutNow({ from, term }: Message, { core, elector }: Handlers): void {
@@ -62,9 +63,9 @@
     case 'voteReply':
       return elector.onVoteReply(as(message, body));
     case 'appendReply':
-      return leader?.onAppendReply(as(message, body));
+      return leader()?.onAppendReply(as(message, body));
     case 'snapshotReply':
-      return leader?.onSnapshotReply(as(message, body));
+      return leader()?.onSnapshotReply(as(message, body));
     case 'timeoutNow':
       return handleTimeoutNow(message, handlers);
     default:
