--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -32,5 +32,6 @@
   type Incarnation,
   type ReplicaName,
 } from './lib/ids';
+export { isMessage } from './lib/isMessage';
 export { consensusCodes } from './lib/codes';
 export { consensusEvents } from './lib/events';
--- a/packages/consensus/src/lib/Follower.ts
+++ b/packages/consensus/src/lib/Follower.ts
@@ -63,7 +63,7 @@
       return;
     }
     const whole = this.#receiver.add(message.term, body);
-    if (whole) this.#install(whole).catch(() => {});
+    if (whole) this.#install(whole).catch((error: unknown) => core.failDisk(error));
     else {
       const { index } = body;
       const nextOffset = this.#receiver.received;
--- /dev/null
+++ b/packages/consensus/src/lib/isMessage.ts
@@ -0,0 +1,78 @@
+import { EntryKind } from './Entry';
+import type { Message, MessageBody } from './Message';
+
+type Check = (value: unknown) => boolean;
+
+type Shape = Readonly<Record<string, Check>>;
+
+const isNumber: Check = (value) => typeof value === 'number' && !Number.isNaN(value);
+const isText: Check = (value) => typeof value === 'string';
+const isBoolean: Check = (value) => typeof value === 'boolean';
+const isBytes: Check = (value) => value instanceof Uint8Array;
+
+/** Whether a value is a count: an index, a term, an offset or a size. */
+const isCount: Check = (value) => Number.isSafeInteger(value) && (value as number) >= 0;
+
+function hasShape(shape: Shape): Check {
+  return (value) => {
+    if (typeof value !== 'object' || value === null) return false;
+    const record = value as Record<string, unknown>;
+    return Object.entries(shape).every(([name, check]) => check(record[name]));
+  };
+}
+
+const isStamp = hasShape({ mono: isNumber, wall: isNumber });
+const isIdentity = hasShape({ replica: isText, incarnation: isText });
+const isKind: Check = (value) => typeof value === 'number' && EntryKind[value] !== undefined;
+const isEntry = hasShape({ index: isCount, term: isCount, kind: isKind, data: isBytes });
+const isEntries: Check = (value) => Array.isArray(value) && value.every(isEntry);
+
+/** Fields of each kind of message beside its type. */
+const BODIES: Readonly<Record<MessageBody['type'], Shape>> = {
+  preVote: { nextTerm: isCount, lastIndex: isCount, lastTerm: isCount },
+  preVoteReply: { nextTerm: isCount, granted: isBoolean },
+  vote: { lastIndex: isCount, lastTerm: isCount, transferOf: isCount },
+  voteReply: { granted: isBoolean, leaseRemainingMs: isNumber },
+  append: {
+    prevIndex: isCount,
+    prevTerm: isCount,
+    entries: isEntries,
+    commitIndex: isCount,
+    stamp: isStamp,
+  },
+  appendReply: { accepted: isBoolean, match: isCount, hint: isCount, stamp: isStamp },
+  snapshotChunk: {
+    index: isCount,
+    indexTerm: isCount,
+    offset: isCount,
+    totalBytes: isCount,
+    data: isBytes,
+    stamp: isStamp,
+  },
+  snapshotReply: { index: isCount, nextOffset: isCount, stamp: isStamp },
+  timeoutNow: {},
+  join: { address: isText },
+  joinReply: { hasGroup: isBoolean },
+};
+
+const isBody: Check = (value) => {
+  const type = (value as Partial<MessageBody> | null | undefined)?.type;
+  return type !== undefined && Object.hasOwn(BODIES, type) && hasShape(BODIES[type])(value);
+};
+
+const isEnvelope = hasShape({
+  group: isText,
+  from: isIdentity,
+  to: isIdentity,
+  term: isCount,
+  body: isBody,
+});
+
+/**
+ * Whether a value that came from another process has the form of a message. A transport checks it
+ * before it passes the value on.
+ * @public
+ */
+export function isMessage(value: unknown): value is Message {
+  return isEnvelope(value);
+}
