--- a/packages/consensus/src/lib/Joiner.test.ts
+++ b/packages/consensus/src/lib/Joiner.test.ts
@@ -126,3 +126,23 @@
   assert.equal(other.machine.value, 1);
   assert.deepEqual([...invariants.violations], []);
 });
+
+test('a replica that is admitted as a learner follows and never votes', async () => {
+  const group = await createGroup();
+  const { cluster, leader, others } = group;
+  const learner = cluster.add('observer');
+  await cluster.startNow(learner);
+  leader.replica?.addReplica(learner.name, false).catch(assert.fail);
+  await cluster.run(1000);
+  await write(group, leader, 1);
+  await cluster.run(100);
+  assert.equal(learner.machine.value, 1);
+  assert.equal(learner.replica?.status.role, 'learner');
+  const refused = await learner.replica?.propose(new Uint8Array(1));
+  assert.equal(refused?._unsafeUnwrapErr().code.name, 'notLeader');
+  // With both other voters down, the learner is no help to a quorum.
+  others.forEach((node) => cluster.crash(node));
+  await cluster.run(1000);
+  assert.equal(leader.replica?.holdsLease, false);
+  assert.equal(cluster.committedVoters.length, 3);
+});
