--- a/packages/consensus/src/lib/Replica.test.ts
+++ b/packages/consensus/src/lib/Replica.test.ts
@@ -96,3 +96,22 @@
   assert.equal((await answer)?._unsafeUnwrapErr().notRun, 'unknown');
   assert.equal(leader.replica?.status.failure?.code.name, 'diskFailed');
 });
+
+test('a replica whose state machine refuses its snapshot does not open', async () => {
+  const group = await createGroup({ replica: { snapshotEntries: 5 } });
+  const { cluster, others } = group;
+  for (let value = 1; value <= 20; value += 1) await write(group, group.leader, value);
+  await cluster.run(200);
+  const [node] = others;
+  assert.ok(node?.replica && node.replica.status.snapshotIndex > 0);
+  cluster.crash(node);
+  const restore = (): void => {
+    throw new Error('unknown format');
+  };
+  const { prototype } = RegisterMachine;
+  const original = prototype.restore;
+  prototype.restore = restore;
+  await cluster.startNow(node);
+  prototype.restore = original;
+  assert.equal(node.refusal, 'internal');
+});
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -4,6 +4,7 @@
 import { Applier } from './Applier';
 import { consensusCodes } from './codes';
 import { Core } from './Core';
+import { dispatch } from './dispatch';
 import { Elector } from './Elector';
 import { EntryKind, type Entry } from './Entry';
 import { consensusEvents } from './events';
@@ -15,7 +16,6 @@
 import { decodeMembership, type Membership } from './Membership';
 import { MembershipChanger } from './MembershipChanger';
 import type { Message } from './Message';
-import { dispatch } from './dispatch';
 import { openCore } from './openCore';
 import { Proposals } from './Proposals';
 import { ReplicatedLog, type Applied, type LogStatus } from './ReplicatedLog';
@@ -84,11 +84,13 @@
     const { maxProposals, maxProposalBytes } = core.settings;
     this.#proposals = new Proposals(maxProposals, maxProposalBytes);
     this.#actor = createActor(roleMachine, { input: { effects: this.#createEffects() } });
+    core.onFailure = (failure) => this.#stop(failure);
+    core.store.onFailure = (failure) => this.#stop(failure);
   }
 
   /**
    * Reads the disk and starts the replica. Fails with `logDamaged`, `versionUnknown` or
-   * `diskFailed`.
+   * `diskFailed`, and with `internal` if the state machine refuses its snapshot.
    */
   static async open(options: ReplicaOptions): Promise<Result<Replica, Failure>> {
     const settings = withDefaults(options);
@@ -210,8 +212,6 @@
       if (core.role !== 'stopped') this.#actor.send(event);
     };
     core.onCommit = () => this.#applier.apply();
-    core.onFailure = (failure) => this.#stop(failure);
-    core.store.onFailure = (failure) => this.#stop(failure);
     core.store.onSynced = () => this.#onSynced();
     core.store.onWriting = () => this.#leadership?.leader.replicator.replicate();
     this.#elector.ownLeaseEnd = () => this.#ownLeaseEnd;
--- a/packages/consensus/src/lib/records.ts
+++ b/packages/consensus/src/lib/records.ts
@@ -33,17 +33,20 @@
 const TERM_OFFSET = 7;
 const LENGTH_OFFSET = 13;
 
-/** Encodes entries that are written and synced together. @internal */
+/** Encodes entries that are written and synced together, into one buffer. @internal */
 export function encodeEntries(entries: readonly Entry[]): Buffer {
-  const parts = entries.flatMap((entry) => {
-    const header = Buffer.alloc(ENTRY_HEADER_BYTES);
-    header.writeUInt8(entry.kind, 0);
-    header.writeUIntBE(entry.index, INDEX_OFFSET, INTEGER_BYTES);
-    header.writeUIntBE(entry.term, TERM_OFFSET, INTEGER_BYTES);
-    header.writeUInt32BE(entry.data.byteLength, LENGTH_OFFSET);
-    return [header, entry.data];
-  });
-  return Buffer.concat(parts);
+  const size = entries.reduce((sum, { data }) => sum + ENTRY_HEADER_BYTES + data.byteLength, 0);
+  const body = Buffer.allocUnsafe(size);
+  let offset = 0;
+  for (const { kind, index, term, data } of entries) {
+    body.writeUInt8(kind, offset);
+    body.writeUIntBE(index, offset + INDEX_OFFSET, INTEGER_BYTES);
+    body.writeUIntBE(term, offset + TERM_OFFSET, INTEGER_BYTES);
+    body.writeUInt32BE(data.byteLength, offset + LENGTH_OFFSET);
+    body.set(data, offset + ENTRY_HEADER_BYTES);
+    offset += ENTRY_HEADER_BYTES + data.byteLength;
+  }
+  return body;
 }
 
 /** @internal */
