--- a/packages/consensus/src/lib/Core.ts
+++ b/packages/consensus/src/lib/Core.ts
@@ -11,6 +11,12 @@
 import type { ReplicaSettings } from './ReplicaOptions';
 import type { Role, RoleEvent } from './roleMachine';
 
+/** Least time until an election is tried again, as a share of the election timeout. */
+const MIN_RETRY_SHARE = 0.2;
+
+/** Messages that wait for the disk; more are dropped, as on a network that loses them. */
+const MAX_OUTBOX = 1024;
+
 /** A lease that this replica has granted to a leader, by its own monotonic clock. */
 interface GrantedLease {
   readonly term: number;
@@ -148,10 +154,6 @@
 
   /** Makes a role of a learner or voter out of the present membership. */
   updateVotingRole(): void {
-    const isMember = this.membership.find(this.identity.incarnation) !== undefined;
-    if (isMember && !this.store.state.wasMember) {
-      this.#save({ ...this.store.state, wasMember: true });
-    }
     this.sendRole({ type: this.isVoter ? 'voteGained' : 'voteLost' });
   }
 
@@ -160,9 +162,17 @@
     const hasNewMembership =
       this.membership.latestIndex > this.#commitIndex && this.membership.latestIndex <= index;
     this.#commitIndex = index;
-    this.membership.compact(index);
     this.onCommit();
-    if (hasNewMembership) this.updateVotingRole();
+    if (!hasNewMembership) return;
+    this.#noteMembership();
+    this.updateVotingRole();
+  }
+
+  /** Remembers that this incarnation has been a member, once that is committed. */
+  #noteMembership(): void {
+    const isMember = this.membership.find(this.identity.incarnation) !== undefined;
+    if (!isMember || this.store.state.wasMember) return;
+    this.#save({ ...this.store.state, wasMember: true });
   }
 
   resetElectionDeadline(): void {
@@ -170,6 +180,13 @@
     this.electionDeadline = this.now + random.between(electionTimeoutMs, 2 * electionTimeoutMs);
   }
 
+  /** Sets the deadline of an election that has begun: sooner, so that a split vote costs little. */
+  setElectionRetry(): void {
+    const { electionTimeoutMs, random } = this.settings;
+    const delayMs = random.between(MIN_RETRY_SHARE * electionTimeoutMs, electionTimeoutMs);
+    this.electionDeadline = this.now + delayMs;
+  }
+
   /** Moves to a term with a vote; messages that follow wait until it is durable. */
   saveTerm(term: number, vote: Incarnation | ''): void {
     if (term > this.term) {
@@ -205,6 +222,7 @@
   }
 
   #post(replica: ReplicaName, incarnation: Incarnation | '', body: MessageBody): void {
+    if (this.#outbox.length >= MAX_OUTBOX) return;
     const { term, group, identity } = this;
     const message: Message = { group, from: identity, to: { replica, incarnation }, term, body };
     const member = this.membership.latest.members.find((item) => item.incarnation === incarnation);
