Add property tests and exercises of the policy package; mend probes and scaling hysteresis

Found by the tests: a probed endpoint stayed among the probes until something was sent to it; the condition for stopping an endpoint did not have to hold for the whole time, so that a wave of 10% in demand started and stopped endpoints all the time.

--- a/packages/policy/src/lib/FairScheduler.test.ts
+++ b/packages/policy/src/lib/FairScheduler.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import { asId } from '@berylwood/base';
-import { FairScheduler } from './FairScheduler';
-import type { Decision } from './Job';
+import { asId, Random } from '@berylwood/base';
+import type { RequestId } from '@berylwood/schema';
+import fc from 'fast-check';
 import {
   createCandidates,
   createClass,
@@ -10,6 +10,10 @@
   createJob,
   createLoad,
 } from '../fixtures';
+import { Exercise, type Arrival, type ExerciseOptions, type Trace } from '../fixtures/Exercise';
+import { FairScheduler } from './FairScheduler';
+import type { Decision } from './Job';
+import { FairLocalQueue } from './local/FairLocalQueue';
 
 function createScheduler(endpoints = 1, slots = 1): FairScheduler {
   const scheduler = new FairScheduler();
@@ -107,3 +111,207 @@
   }
   assert.equal(sentBefore, 10);
 });
+
+const SLOTS = 8;
+const ENDPOINTS = 4;
+const DECODE_MS = 25;
+const PROMPT_TOKENS = 80;
+/** Requests a second that the endpoints of the exercise can serve, of 150 tokens each. */
+const CAPACITY = (SLOTS * ENDPOINTS * 1_000) / (150 * DECODE_MS + 35);
+
+interface Stream {
+  readonly workspace: string;
+  readonly class: string;
+  readonly tier: number;
+  readonly share?: number;
+  readonly requestsPerSecond: number;
+  readonly answerTokens?: number;
+  readonly until?: number;
+}
+
+const exerciseClasses = {
+  guidance: createClass({ firstTokenMs: 1_400, maxWaitMs: 20_000 }),
+  chat: createClass({ firstTokenMs: 2_000, maxWaitMs: 20_000, minimumShare: 0.02 }),
+  letter: createClass({ firstTokenMs: 20_000, maxWaitMs: 60_000, minimumShare: 0.02 }),
+};
+
+function createArrivals(streams: readonly Stream[], endMs: number, seed: number): Arrival[] {
+  const random = new Random(seed);
+  const arrivals: Arrival[] = [];
+  for (const stream of streams) {
+    const { firstTokenMs, maxWaitMs } =
+      exerciseClasses[stream.class as keyof typeof exerciseClasses];
+    const mean = stream.answerTokens ?? 150;
+    let at = 0;
+    for (;;) {
+      at += random.exponential(1_000 / stream.requestsPerSecond);
+      if (at >= Math.min(endMs, stream.until ?? Infinity)) break;
+      const job = createJob({
+        workspace: asId(stream.workspace),
+        class: stream.class,
+        tier: stream.tier,
+        share: stream.share ?? 1,
+        promptTokens: PROMPT_TOKENS,
+        answerTokens: 150,
+        arrivedAt: at,
+        targetAt: at + firstTokenMs,
+        expiresAt: at + maxWaitMs,
+      });
+      // Log-normal lengths with the given mean.
+      const answer = Math.ceil(mean * Math.exp(0.8 * random.normal() - 0.32));
+      arrivals.push({ job, answer });
+    }
+  }
+  return arrivals.sort((a, b) => a.job.arrivedAt - b.job.arrivedAt);
+}
+
+function runExercise(
+  streams: readonly Stream[],
+  endMs: number,
+  options: Partial<ExerciseOptions> & { readonly entries?: number } = {},
+): Trace[] {
+  const { entries = 3, seed = 1 } = options;
+  const exercise = new Exercise({
+    schedulers: Array.from({ length: entries }, (_, i) => new FairScheduler({ seed: i + 1 })),
+    queues: Array.from(
+      { length: ENDPOINTS },
+      () => new FairLocalQueue({ slots: SLOTS, capacity: 64 }),
+    ),
+    slots: SLOTS,
+    configuration: createConfiguration({ classes: exerciseClasses }),
+    ...options,
+  });
+  exercise.offer(createArrivals(streams, endMs, seed));
+  exercise.runUntil(endMs);
+  return [...exercise.traces.values()];
+}
+
+const isAttained = ({ firstTokenAt = Infinity, job }: Trace) => firstTokenAt <= job.targetAt;
+
+const overload = (factor: number): Stream[] => [
+  { workspace: 'crew', class: 'guidance', tier: 1, requestsPerSecond: 0.4 * CAPACITY },
+  { workspace: 'shop', class: 'chat', tier: 2, requestsPerSecond: 0.4 * factor * CAPACITY },
+  { workspace: 'office', class: 'letter', tier: 5, requestsPerSecond: 0.4 * factor * CAPACITY },
+];
+
+test('the top tier attains 99% at three times the capacity when its own demand fits', () => {
+  for (const seed of [1, 2, 3]) {
+    const traces = runExercise(overload(3), 60_000, { seed });
+    const guidance = traces.filter(({ job }) => job.class === 'guidance' && job.targetAt <= 60_000);
+    const attained = guidance.filter(isAttained).length;
+    assert.ok(attained >= 0.99 * guidance.length, `${attained} of ${guidance.length}`);
+  }
+});
+
+test('no class starves and no wait exceeds its limit, whatever the top tier does', () => {
+  const streams = [
+    { workspace: 'crew', class: 'guidance', tier: 1, requestsPerSecond: 3 * CAPACITY },
+    { workspace: 'shop', class: 'chat', tier: 2, requestsPerSecond: 0.5 },
+    { workspace: 'office', class: 'letter', tier: 5, requestsPerSecond: 0.5 },
+  ];
+  const traces = runExercise(streams, 180_000);
+  for (const [name, { maxWaitMs }] of Object.entries(exerciseClasses)) {
+    const own = traces.filter(({ job }) => job.class === name);
+    const starts = own.flatMap(({ startedAt }) => startedAt ?? []).sort((a, b) => a - b);
+    const gaps = [0, ...starts].map((at, i) => (starts[i] ?? 180_000) - at);
+    assert.ok(Math.max(...gaps) <= maxWaitMs, `${name}: ${Math.max(...gaps)} ms without a start`);
+    for (const { job, startedAt, refusedAt } of own) {
+      const waitMs = Math.min(startedAt ?? Infinity, refusedAt ?? 180_000) - job.arrivedAt;
+      assert.ok(waitMs <= maxWaitMs + 1_100, `${name}: waited ${waitMs} ms`);
+    }
+  }
+});
+
+test('the worst-served workspace gets at least 90% of its fair share of the work', () => {
+  const shares = { flood: 1, small: 1, long: 1, large: 3 };
+  const stream = (workspace: keyof typeof shares, factor: number, answerTokens = 150): Stream => ({
+    workspace,
+    class: 'chat',
+    tier: 2,
+    share: shares[workspace],
+    requestsPerSecond: (factor * CAPACITY * shares[workspace] * 150) / 6 / answerTokens,
+    answerTokens,
+  });
+  const streams = [
+    stream('flood', 10),
+    stream('small', 2),
+    stream('long', 2, 400),
+    stream('large', 2),
+  ];
+  for (const seed of [1, 2]) {
+    const traces = runExercise(streams, 400_000, { seed });
+    const work = new Map<string, number>();
+    for (const { job, tokensDone } of traces) {
+      const tokens = tokensDone > 0 ? PROMPT_TOKENS + tokensDone : 0;
+      work.set(job.workspace, (work.get(job.workspace) ?? 0) + tokens);
+    }
+    const total = [...work.values()].reduce((sum, tokens) => sum + tokens, 0);
+    for (const [workspace, share] of Object.entries(shares)) {
+      const part = (work.get(workspace) ?? 0) / ((total * share) / 6);
+      assert.ok(part >= 0.9, `${workspace} got ${part} of its share with seed ${seed}`);
+    }
+  }
+});
+
+test('a slow endpoint costs hardly any request its target', () => {
+  const slowness = (endpoint: number, now: number) => (endpoint === 0 && now > 10_000 ? 10 : 1);
+  const streams: Stream[] = [
+    { workspace: 'shop', class: 'chat', tier: 2, requestsPerSecond: 0.6 * CAPACITY },
+  ];
+  const traces = runExercise(streams, 90_000, { slowness }).filter(
+    ({ job }) => job.targetAt <= 90_000,
+  );
+  const late = traces.filter((trace) => !isAttained(trace)).length;
+  assert.ok(late <= 0.02 * traces.length, `${late} of ${traces.length}`);
+});
+
+test('refuses early under overload, and a retry after the told time finds room', () => {
+  const streams: Stream[] = [
+    { workspace: 'shop', class: 'chat', tier: 2, requestsPerSecond: 4 * CAPACITY, until: 60_000 },
+  ];
+  const traces = runExercise(streams, 60_000, { entries: 1 });
+  const refused = traces.filter(({ refusedAt }) => refusedAt !== undefined);
+  const early = refused.filter(({ job, refusedAt = 0 }) => refusedAt < job.expiresAt - 10_000);
+  assert.ok(early.length >= 0.5 * refused.length, `${early.length} of ${refused.length}`);
+  const told = refused.map(({ retryAfterMs = 0 }) => retryAfterMs);
+  // The queue holds about one longest wait of work; it drains in that time without new arrivals.
+  assert.ok(told.every((retryAfterMs) => retryAfterMs > 0 && retryAfterMs <= 25_000));
+  const longest = Math.max(...told);
+  assert.ok(longest >= 15_000, `${longest}`);
+});
+
+/** Random events at one entry; checks each refusal against a plain list of what waits. */
+function checkRefusals(steps: readonly (readonly [number, number, number])[]): void {
+  const scheduler = createScheduler(2, 2);
+  const waiting = new Map<string, number>();
+  const running: RequestId[] = [];
+  let now = 0;
+  for (const [kind, tier, delay] of steps) {
+    now += delay;
+    const request = kind === 0 ? running.shift() : undefined;
+    if (request) scheduler.ended({ request, outcome: 'completed', answerTokens: 5 }, now);
+    else {
+      const job = createJob({ tier, arrivedAt: now, targetAt: now + 200, expiresAt: now + 500 });
+      waiting.set(job.request, tier);
+      scheduler.offer(job, now);
+    }
+    for (const decision of scheduler.decide(now)) {
+      const own = waiting.get(decision.request) as number;
+      waiting.delete(decision.request);
+      if (decision.type === 'dispatch') running.push(decision.request);
+      else assert.ok([...waiting.values()].every((other) => other <= own));
+    }
+    for (const [other, count] of scheduler.waitingByTier()) {
+      assert.equal([...waiting.values()].filter((item) => item === other).length, count);
+    }
+  }
+}
+
+test('never refuses a higher tier while lower work waits, in any history', () => {
+  const step = fc.tuple(
+    fc.integer({ min: 0, max: 2 }),
+    fc.integer({ min: 1, max: 5 }),
+    fc.integer({ min: 0, max: 150 }),
+  );
+  fc.assert(fc.property(fc.array(step, { maxLength: 80 }), checkRefusals), { seed: 1 });
+});
--- /dev/null
+++ b/packages/policy/src/lib/health/CircuitBreaker.test.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { CircuitBreaker } from './CircuitBreaker';
+
+function createOpen(): CircuitBreaker {
+  const breaker = new CircuitBreaker({ failures: 2, openMs: 100 });
+  breaker.failed(0);
+  assert.equal(breaker.allows(0), true);
+  breaker.failed(0);
+  return breaker;
+}
+
+test('failures in a row open it; one probe closes it again', () => {
+  const breaker = createOpen();
+  assert.equal(breaker.allows(99), false);
+  assert.equal(breaker.allows(100), true);
+  breaker.sent();
+  assert.equal(breaker.allows(100), false);
+  breaker.succeeded();
+  assert.equal(breaker.state, 'closed');
+});
+
+test('a failed probe doubles the time that it stays open', () => {
+  const breaker = createOpen();
+  breaker.allows(100);
+  breaker.sent();
+  breaker.failed(100);
+  assert.equal(breaker.allows(299), false);
+  assert.equal(breaker.allows(300), true);
+});
+
+test('a success between failures keeps it closed', () => {
+  const breaker = new CircuitBreaker({ failures: 2 });
+  breaker.failed(0);
+  breaker.succeeded();
+  breaker.failed(0);
+  assert.equal(breaker.state, 'closed');
+});
--- a/packages/policy/src/lib/routing/Router.ts
+++ b/packages/policy/src/lib/routing/Router.ts
@@ -221,6 +221,7 @@
     const probe = pool.drawProbe(job, this.#random);
     if (!probe) return undefined;
     pool.slow.probed(probe, now);
+    pool.update(probe, now);
     return probe;
   }
 
--- /dev/null
+++ b/packages/policy/src/lib/scaling/RolloutPolicy.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { asId } from '@berylwood/base';
+import type { EngineSetup, RolloutEndpoint } from './RolloutPolicy';
+import { RolloutPolicy } from './RolloutPolicy';
+
+const GIGABYTE = 1e9;
+const old: EngineSetup = { model: 'model', version: '1', adapters: [], role: 'both' };
+const wanted: EngineSetup = { ...old, version: '2' };
+
+const createEndpoint = (index: number): RolloutEndpoint => ({
+  endpoint: asId(`e${index}`),
+  dataCentre: asId(`dc${index % 3}`),
+  setup: old,
+  wanted,
+  state: 'serving',
+  load: 2,
+  loadBytes: 10 * GIGABYTE,
+});
+
+test('rolls out within the store rate, keeps the capacity, one data centre at a time', () => {
+  const policy = new RolloutPolicy({ storeBytesPerSecond: GIGABYTE, minimumServing: 0.75 });
+  let endpoints = Array.from({ length: 9 }, (_, i) => createEndpoint(i));
+  const loadedAt: number[] = [];
+  for (let now = 0; now < 300_000; now += 1_000) {
+    const decisions = policy.decide(endpoints, now);
+    endpoints = endpoints.map((endpoint) => {
+      const decision = decisions.find((item) => item.endpoint === endpoint.endpoint);
+      if (decision?.type === 'drain') return { ...endpoint, state: 'draining' };
+      if (decision?.type === 'load') {
+        assert.equal(endpoint.load, 0);
+        loadedAt.push(now);
+        return { ...endpoint, state: 'loading' };
+      }
+      if (endpoint.state === 'draining') return { ...endpoint, load: 0 };
+      const isLoaded = endpoint.state === 'loading' && now - (loadedAt.at(-1) ?? 0) >= 10_000;
+      return isLoaded ? { ...endpoint, state: 'serving', setup: wanted } : endpoint;
+    });
+    const away = endpoints.filter(({ state }) => state !== 'serving');
+    assert.ok(away.length <= 2);
+    assert.ok(new Set(away.map(({ dataCentre }) => dataCentre)).size <= 1);
+  }
+  assert.ok(endpoints.every(({ setup }) => setup.version === '2'));
+  const gaps = loadedAt.slice(1).map((at, i) => at - (loadedAt[i] as number));
+  assert.ok(
+    gaps.every((gap) => gap >= 10_000),
+    `${gaps}`,
+  );
+});
+
+test('leaves alone what has the wanted setup', () => {
+  const policy = new RolloutPolicy({ storeBytesPerSecond: GIGABYTE });
+  assert.deepEqual(policy.decide([{ ...createEndpoint(1), setup: wanted }], 0), []);
+});
--- a/packages/policy/src/lib/scaling/ScalingPolicy.ts
+++ b/packages/policy/src/lib/scaling/ScalingPolicy.ts
@@ -65,14 +65,16 @@
     const spare = topTierEndpoints(demands, capacity);
     const isExposed = input.zones.length > 1 && !survivesLoss(active, spare);
     const needsMore = active.length < wanted.atLeast || isExposed;
-    const needsLess = active.length > wanted.atMost;
+    // What could be stopped must stay so for the whole time, also as to the loss of a zone.
+    const excess =
+      active.length > wanted.atMost ? this.#excess(input, active, spare, now) : undefined;
     state.moreSince = needsMore ? (state.moreSince ?? now) : undefined;
-    state.lessSince = needsLess ? (state.lessSince ?? now) : undefined;
-    return [
-      ...stops,
-      ...this.#start(input, active, wanted.atLeast, state, now),
-      ...this.#drain(input, active, spare, state, now),
-    ];
+    state.lessSince = excess ? (state.lessSince ?? now) : undefined;
+    const isDue =
+      state.lessSince !== undefined && now - state.lessSince >= this.#options.stopAfterMs;
+    const starts = this.#start(input, active, wanted.atLeast, state, now);
+    if (!excess || !isDue) return [...stops, ...starts];
+    return [...stops, ...starts, { type: 'drain', endpoint: excess.endpoint }];
   }
 
   /** Brings draining endpoints back first, then starts new ones, as many as are missing. */
@@ -107,23 +109,23 @@
     }
   }
 
-  #drain(
+  /** An endpoint that has run long enough and can be spared. */
+  #excess(
     input: ScalingInput,
     active: readonly ScaledEndpoint[],
     spare: number,
-    state: ModelState,
     now: number,
-  ): ScalingDecision[] {
-    if (state.lessSince === undefined) return [];
-    if (now - state.lessSince < this.#options.stopAfterMs) return [];
-    const idle = active.filter(
-      ({ state: phase, startedAt }) =>
-        phase === 'running' && now - startedAt >= this.#options.minimumRunMs,
+  ): ScaledEndpoint | undefined {
+    const old = active.filter(
+      ({ state, startedAt }) =>
+        state === 'running' && now - startedAt >= this.#options.minimumRunMs,
+    );
+    return selectStop(
+      input.zones,
+      active,
+      old,
+      (left) => input.zones.length === 1 || survivesLoss(left, spare),
     );
-    const isAcceptable = (left: readonly ScaledEndpoint[]) =>
-      input.zones.length === 1 || survivesLoss(left, spare);
-    const chosen = selectStop(input.zones, active, idle, isAcceptable);
-    return chosen ? [{ type: 'drain', endpoint: chosen.endpoint }] : [];
   }
 
   /** Numbers of endpoints at which one more, or one less, is no longer worth while. */
