Keep a workspace's lag when its queue empties

Cause: the requests of a workspace that lags were refused at the end of their longest wait, its queue emptied, and on the next request it joined at the others' virtual time: its lag was forgotten. Now it joins up to 8 mean requests behind, the same bound as for late requests.

--- a/packages/policy/src/lib/queue/FairQueue.ts
+++ b/packages/policy/src/lib/queue/FairQueue.ts
@@ -32,7 +32,7 @@
 }
 
 /** Mean items by which a workspace may fall behind because its items are late. */
-const MAX_DEBT_ITEMS = 16;
+const MAX_DEBT_ITEMS = 8;
 
 /** Dead items in a list before it is compacted. */
 const COMPACT_AT = 64;
@@ -70,7 +70,8 @@
     const flow = this.#flowOf(item.workspace);
     flow.share = item.share;
     if (flow.waiting === 0) {
-      flow.virtualTime = Math.max(flow.virtualTime, this.#lowestVirtualTime());
+      const earliest = this.#lowestVirtualTime() - this.#maxDebt(flow, item.work);
+      flow.virtualTime = Math.max(flow.virtualTime, earliest);
       this.#active.push(flow);
     }
     flow.waiting += 1;
@@ -135,8 +136,13 @@
 
   /** Whether a workspace with late items only has fallen too far behind another one. */
   #isOwed(late: Flow<T>, onTime: Flow<T>): boolean {
-    const maxDebt = (MAX_DEBT_ITEMS * this.#backlog) / this.#waiting / late.share;
-    return onTime.virtualTime - late.virtualTime > maxDebt;
+    const meanWork = this.#backlog / this.#waiting;
+    return onTime.virtualTime - late.virtualTime > this.#maxDebt(late, meanWork);
+  }
+
+  /** Virtual time by which a workspace may be behind the others, for the usual work of an item. */
+  #maxDebt({ share }: Flow<T>, work: number): number {
+    return (MAX_DEBT_ITEMS * work) / share;
   }
 
   /** Virtual time at which a workspace that has had nothing waiting joins the others. */
