At the end of a wait give the room first to requests that are still in time

Cause: at three times the capacity a request that had reached its longest wait took a slot by preempting lower work, although it could not meet its target, while others of its tier waited in time: 99 slots of about 900 in 60 s. Now what room lower work can make goes to those first; the expired request is refused only when no more room is known.

Ruled out: refusing it at once, since lower work that may be preempted runs.

--- a/packages/policy/src/lib/FairScheduler.ts
+++ b/packages/policy/src/lib/FairScheduler.ts
@@ -209,13 +209,28 @@
       for (;;) {
         const ticket = queue.firstToExpire();
         if (!ticket || ticket.job.expiresAt > now) break;
-        const endpoint = this.#lastResort(pool, ticket, now);
-        if (endpoint) this.#dispatch(pool, ticket, endpoint, true, now, decisions);
-        else this.#refuse(pool, ticket, requestCodes.overloaded, now, decisions);
+        this.#endWait(pool, ticket, now, decisions);
       }
     }
   }
 
+  /**
+   * Refuses a ticket that may wait no longer, unless lower work can make room. What room there is
+   * goes first to tickets of its tier or higher ones that can still meet their target.
+   */
+  #endWait(pool: WaitingPool, ticket: Ticket, now: number, decisions: Decision[]): void {
+    while (ticket.isWaiting) {
+      const endpoint = this.#lastResort(pool, ticket, now);
+      if (!endpoint) {
+        this.#refuse(pool, ticket, requestCodes.overloaded, now, decisions);
+        return;
+      }
+      const first = pool.onTime(ticket.job.tier, now);
+      const isFit = first !== undefined && this.#router.mayUse(first.job, endpoint);
+      this.#dispatch(pool, isFit ? first : ticket, endpoint, true, now, decisions);
+    }
+  }
+
   /** Endpoint for a ticket that may wait no longer while lower work waits or runs. */
   #lastResort(pool: WaitingPool, { job }: Ticket, now: number): EndpointId | undefined {
     const urgent = this.#router.selectUrgent(job, now);
--- a/packages/policy/src/lib/fair/WaitingPool.ts
+++ b/packages/policy/src/lib/fair/WaitingPool.ts
@@ -143,6 +143,15 @@
     return ticket && ticket.startBy - now <= URGENT_SLACK_MS ? ticket : undefined;
   }
 
+  /** The next ticket of the tier or a higher one among those that can still start in time. */
+  onTime(tier: number, now: number): Ticket | undefined {
+    for (const queue of this.#tiers) {
+      if (queue.tier > tier) return undefined;
+      if (queue.mostUrgent(now)) return queue.fair.peek(now);
+    }
+    return undefined;
+  }
+
   /** The youngest ticket of the lowest tier, of the workspace with the largest backlog. */
   lowest(): Ticket | undefined {
     for (let i = this.#tiers.length - 1; i >= 0; i -= 1) {
--- a/packages/policy/src/lib/routing/Router.ts
+++ b/packages/policy/src/lib/routing/Router.ts
@@ -139,6 +139,12 @@
     );
   }
 
+  /** Whether the job may go to the endpoint at all. */
+  mayUse(job: Job, id: EndpointId): boolean {
+    const endpoint = this.#endpoints.get(id);
+    return endpoint !== undefined && isSuitable(endpoint, job);
+  }
+
   /** The job was sent to the endpoint. */
   sent(job: Job, id: EndpointId, isUrgent: boolean, now: number): void {
     const endpoint = this.#endpoints.get(id);
