--- a/packages/policy/src/lib/LeastLoadScheduler.ts
+++ b/packages/policy/src/lib/LeastLoadScheduler.ts
@@ -5,6 +5,7 @@
   type RequestId,
 } from '@berylwood/schema';
 import type { Candidate, Decision, Ending, Job, LoadReport } from './Job';
+import { PoolMap } from './PoolMap';
 import { Scheduler } from './Scheduler';
 
 const RETRY_AFTER_MS = 1_000;
@@ -65,9 +66,10 @@
   override decide(now: number): Decision[] {
     const decisions: Decision[] = [];
     const tiers = [...this.#tiers].sort(([a], [b]) => a - b);
+    const full = new PoolMap(() => ({ isFull: false }));
     for (const [, jobs] of tiers) {
       for (const job of jobs.values()) {
-        const decision = this.#decideOne(job, now);
+        const decision = this.#decideOne(job, full.get(job), now);
         if (!decision) continue;
         jobs.delete(job.request);
         decisions.push(decision);
@@ -89,14 +91,18 @@
     return new Map(tiers.map(([tier, jobs]) => [tier, jobs.size]));
   }
 
-  #decideOne(job: Job, now: number): Decision | undefined {
+  /** `pool` remembers within one round that its endpoints are full. */
+  #decideOne(job: Job, pool: { isFull: boolean }, now: number): Decision | undefined {
     const { request } = job;
     if (now >= job.expiresAt) {
       const code = requestCodes.overloaded;
       return { type: 'refuse', request, code, retryAfterMs: RETRY_AFTER_MS };
     }
-    const endpoint = this.#leastLoaded(job);
-    if (!endpoint) return undefined;
+    const endpoint = pool.isFull ? undefined : this.#leastLoaded(job);
+    if (!endpoint) {
+      if (job.avoid.length === 0) Object.assign(pool, { isFull: true });
+      return undefined;
+    }
     this.#busy.set(endpoint, (this.#busy.get(endpoint) ?? 0) + 1);
     this.#running.set(request, endpoint);
     return { type: 'dispatch', request, endpoint };
--- a/packages/policy/src/lib/routing/EndpointLoad.ts
+++ b/packages/policy/src/lib/routing/EndpointLoad.ts
@@ -90,6 +90,7 @@
     this.#running.delete(request);
     this.#runningByTier[tier] = (this.#runningByTier[tier] ?? 1) - 1;
     this.#endedSince += 1;
+    this.#urgentSends[tier] = Math.max(0, (this.#urgentSends[tier] ?? 0) - 1);
     if (outcome === 'refused') this.#window = Math.max(1, this.#window * WINDOW_DECREASE);
     if (outcome === 'completed') {
       this.#window = Math.min(this.slots, this.#window + 1 / this.#window);
--- a/packages/policy/src/lib/routing/EndpointPool.ts
+++ b/packages/policy/src/lib/routing/EndpointPool.ts
@@ -3,7 +3,8 @@
 import type { Job } from '../Job';
 import { OutlierDetector } from '../health/OutlierDetector';
 import type { Endpoint } from './Endpoint';
-import { HashRing } from './HashRing';
+
+import { RendezvousHash } from './RendezvousHash';
 import { SampledSet } from './SampledSet';
 
 /** Time between judgements of slow endpoints, in milliseconds. */
@@ -32,7 +33,7 @@
 
   #members: readonly Endpoint[] = [];
 
-  #ring = new HashRing<Endpoint>([], () => '');
+  #homes = new RendezvousHash<Endpoint>([], () => '');
 
   readonly #near = new SampledSet<Endpoint>();
 
@@ -78,8 +79,10 @@
       this.#setRunningTier(old, 0);
       this.#runningTiers.delete(old);
     }
+    const isSame =
+      present.size === this.#members.length && this.#members.every((old) => present.has(old));
     this.#members = members;
-    this.#ring = new HashRing(members, ({ id }) => id);
+    if (!isSame) this.#homes = new RendezvousHash(members, ({ id }) => id);
     for (const member of members) this.update(member, now);
   }
 
@@ -117,7 +120,7 @@
 
   /** The endpoint that all entries prefer for a prefix key. */
   home(key: string): Endpoint | undefined {
-    return this.#ring.find(key);
+    return this.#homes.find(key);
   }
 
   /** A random endpoint with room that suits the job. */
