--- a/packages/policy/bench/decisions.ts
+++ b/packages/policy/bench/decisions.ts
@@ -64,6 +64,7 @@
 
 interface Figures {
   readonly meanUs: number;
+  readonly medianUs: number;
   readonly p99Us: number;
 }
 
@@ -80,7 +81,8 @@
   const sorted = [...times].sort((a, b) => a - b);
   const round = (us: number) => Math.round(us * 100) / 100;
   const meanUs = round(times.reduce((sum, time) => sum + time, 0) / times.length);
-  return { meanUs, p99Us: round(sorted[Math.floor(0.99 * sorted.length)] as number) };
+  const medianUs = round(sorted[Math.floor(sorted.length / 2)] as number);
+  return { meanUs, medianUs, p99Us: round(sorted[Math.floor(0.99 * sorted.length)] as number) };
 }
 
 /** Endings come one at a time; each frees a slot, and the decision fills it from the queue. */
