Halve the urgent sends between two reports

Cause: three entries each sent up to two urgent requests to one endpoint between its reports, where often one attempt could be preempted; the rest waited there.

--- a/packages/policy/src/lib/routing/Router.ts
+++ b/packages/policy/src/lib/routing/Router.ts
@@ -29,7 +29,7 @@
 const HOME_PART = 0.5;
 
 /** Urgent sends beyond the credits between two reports, as a part of the endpoint's slots. */
-const URGENT_PART = 0.25;
+const URGENT_PART = 0.125;
 
 /** An endpoint that a job may go to, with the part of the prompt that it is thought to hold. */
 interface Option {
