Let entries tell each other which tier they are about to shed

Before it refuses a tier it now raises a floor, tells the others through floors() and floorLearned(), and refuses after floorNoticeMs; meanwhile all refuse what is lower. Both methods of Scheduler have a default that does nothing, so nothing changes for the baselines.

A class without service is due after a quarter of its longest wait now (half before), since a floor refuses its requests in between: a gap of 22.5 s had shown against a limit of 20 s.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,5 +1,13 @@
 /** Pure decisions: time and randomness are arguments, nothing here does I/O. */
-export type { Candidate, Decision, Ending, Job, LoadReport, QueuedAttempt } from './lib/Job';
+export type {
+  Candidate,
+  Decision,
+  Ending,
+  Job,
+  LoadReport,
+  PoolFloor,
+  QueuedAttempt,
+} from './lib/Job';
 export { Scheduler } from './lib/Scheduler';
 export { RoundRobinScheduler } from './lib/RoundRobinScheduler';
 export { LeastLoadScheduler } from './lib/LeastLoadScheduler';
--- a/packages/policy/src/lib/FairScheduler.ts
+++ b/packages/policy/src/lib/FairScheduler.ts
@@ -6,8 +6,9 @@
   type RequestId,
 } from '@berylwood/schema';
 import type { Code } from '@berylwood/base';
-import type { Candidate, Decision, Ending, Job, LoadReport } from './Job';
+import type { Candidate, Decision, Ending, Job, LoadReport, PoolFloor } from './Job';
 import { Scheduler } from './Scheduler';
+import { RunTable } from './fair/RunTable';
 import { Ticket } from './fair/Ticket';
 import { WaitingPool } from './fair/WaitingPool';
 import { WorkEstimate } from './fair/WorkEstimate';
@@ -18,6 +19,11 @@
 export interface FairSchedulerOptions extends RouterOptions {
   /** Requests that may wait; above it the lowest are refused. Default 20000. */
   readonly maxWaiting?: number;
+  /**
+   * Time in which a floor reaches the other entries, in milliseconds; a tier is refused only after
+   * it. 0 when floors are not passed on. Default 0.
+   */
+  readonly floorNoticeMs?: number;
 }
 
 const DEFAULT_MAX_WAITING = 20_000;
@@ -31,18 +37,6 @@
 /** Tickets that find no suitable endpoint before the others wait for the next decision. */
 const MAX_PARKED = 8;
 
-/** A dispatched job. */
-interface Run {
-  readonly ticket: Ticket;
-  readonly endpoint: EndpointId;
-  readonly sentAt: number;
-  readonly isUrgent: boolean;
-  /** Work charged to the workspace so far, in tokens. */
-  charged: number;
-  answerTokens: number;
-  progressedAt: number;
-}
-
 /**
  * Tiers with a guaranteed minimum for each class, weighted fairness between workspaces counted in
  * work, deadlines by class, early refusal under overload, and routing by prefix affinity and load.
@@ -60,7 +54,9 @@
 
   readonly #tickets = new Map<RequestId, Ticket>();
 
-  readonly #runs = new Map<RequestId, Run>();
+  readonly #runs: RunTable;
+
+  readonly #floorNoticeMs: number;
 
   #configuration: Configuration | undefined;
 
@@ -69,7 +65,9 @@
   constructor(options: FairSchedulerOptions = {}) {
     super();
     this.#router = new Router(options);
+    this.#runs = new RunTable(this.#router, this.#estimate);
     this.#maxWaiting = options.maxWaiting ?? DEFAULT_MAX_WAITING;
+    this.#floorNoticeMs = options.floorNoticeMs ?? 0;
   }
 
   override configure(configuration: Configuration): void {
@@ -103,35 +101,24 @@
   }
 
   override progressed(request: RequestId, answerTokens: number, now: number): void {
-    const run = this.#runs.get(request);
-    if (!run || answerTokens <= run.answerTokens) return;
-    const { job } = run.ticket;
-    const { pool } = run.ticket;
-    if (run.answerTokens === 0) {
-      if (!run.isUrgent && pool.isDelayed(now - run.sentAt)) this.#router.queued(run.endpoint);
-      pool.observeLead(now - run.sentAt);
-    } else {
-      const msPerToken = (now - run.progressedAt) / (answerTokens - run.answerTokens);
-      this.#router.observed(job, run.endpoint, msPerToken, now);
-    }
-    run.answerTokens = answerTokens;
-    run.progressedAt = now;
-    const excess = job.promptTokens + answerTokens - run.charged;
-    if (excess > 0) FairScheduler.#charge(run, excess);
+    this.#runs.progressed(request, answerTokens, now);
+  }
+
+  override ended(ending: Ending, now: number): void {
+    this.#runs.ended(ending, now);
   }
 
-  override ended({ request, outcome, answerTokens }: Ending, now: number): void {
-    const run = this.#runs.get(request);
-    if (!run) return;
-    this.#runs.delete(request);
-    const { job } = run.ticket;
-    const done = outcome === 'refused' ? 0 : job.promptTokens + answerTokens;
-    FairScheduler.#charge(run, done - run.charged);
-    if (outcome === 'completed') {
-      this.#estimate.completed(job, answerTokens);
-      if (job.kind === 'service') this.#router.observed(job, run.endpoint, now - run.sentAt, now);
+  override floors(now: number): PoolFloor[] {
+    const floors: PoolFloor[] = [];
+    for (const pool of this.#pools.values()) {
+      const own = pool.floor.own(now);
+      if (own) floors.push({ ...pool.key, ...own });
     }
-    this.#router.ended(job, run.endpoint, outcome, now);
+    return floors;
+  }
+
+  override floorLearned(floor: PoolFloor, now: number): void {
+    this.#pools.get(floor).floor.learned(floor.tier, floor.ttlMs, now);
   }
 
   override decide(now: number): Decision[] {
@@ -144,6 +131,7 @@
         pool.drainRate.setSaturated(false, now);
         continue;
       }
+      this.#refuseBelowFloor(pool, now, decisions);
       this.#sendToFree(pool, now, decisions);
       this.#sendUrgent(pool, now, decisions);
       this.#endWaits(pool, now, decisions);
@@ -209,26 +197,47 @@
       for (;;) {
         const ticket = queue.firstToExpire();
         if (!ticket || ticket.job.expiresAt > now) break;
-        this.#endWait(pool, ticket, now, decisions);
+        if (!this.#endWait(pool, ticket, now, decisions)) break;
       }
     }
   }
 
   /**
    * Refuses a ticket that may wait no longer, unless lower work can make room. What room there is
-   * goes first to tickets of its tier or higher ones that can still meet their target.
+   * goes first to tickets of its tier or higher ones that can still meet their target. False when
+   * it has to wait until the other entries have refused lower work.
    */
-  #endWait(pool: WaitingPool, ticket: Ticket, now: number, decisions: Decision[]): void {
+  #endWait(pool: WaitingPool, ticket: Ticket, now: number, decisions: Decision[]): boolean {
     while (ticket.isWaiting) {
       const endpoint = this.#lastResort(pool, ticket, now);
       if (!endpoint) {
+        const isOverdue = now >= ticket.job.expiresAt + this.#floorNoticeMs;
+        if (!this.#mayRefuse(pool, ticket, now) && !isOverdue) return false;
         this.#refuse(pool, ticket, requestCodes.overloaded, now, decisions);
-        return;
+        return true;
       }
       const first = pool.onTime(ticket.job.tier, now);
       const isFit = first !== undefined && this.#router.mayUse(first.job, endpoint);
       this.#dispatch(pool, isFit ? first : ticket, endpoint, true, now, decisions);
     }
+    return true;
+  }
+
+  /** Raises the floor to a ticket's tier; true when other entries have had time to follow. */
+  #mayRefuse(pool: WaitingPool, { job }: Ticket, now: number): boolean {
+    pool.floor.raise(job.tier, now);
+    return pool.floor.isNoticed(job.tier, this.#floorNoticeMs, now);
+  }
+
+  /** Refuses what is lower than a tier that is shed here or in another entry. */
+  #refuseBelowFloor(pool: WaitingPool, now: number, decisions: Decision[]): void {
+    const floor = pool.floor.current(now);
+    while (floor !== undefined && pool.hasLower(floor)) {
+      const ticket = pool.lowest();
+      if (!ticket || pool.isProtected(ticket, now)) return;
+      if (!pool.floor.isNoticed(ticket.job.tier, this.#floorNoticeMs, now)) return;
+      this.#refuseOne(pool, ticket, requestCodes.overloaded, now, decisions);
+    }
   }
 
   /** Endpoint for a ticket that may wait no longer while lower work waits or runs. */
@@ -253,6 +262,7 @@
     while (pool.overloadedTier(now) !== undefined) {
       const ticket = pool.lowest();
       if (!ticket || pool.isProtected(ticket, now)) return;
+      if (!this.#mayRefuse(pool, ticket, now)) return;
       this.#refuse(pool, ticket, requestCodes.overloaded, now, decisions);
     }
   }
@@ -295,21 +305,11 @@
     now: number,
     decisions: Decision[],
   ): void {
-    const { job, work } = ticket;
     this.#take(ticket);
     pool.sent(ticket, now);
-    this.#router.sent(job, endpoint, isUrgent, now);
-    const run = {
-      ticket,
-      endpoint,
-      sentAt: now,
-      isUrgent,
-      charged: work,
-      answerTokens: 0,
-      progressedAt: now,
-    };
-    this.#runs.set(job.request, run);
-    const decision = { type: 'dispatch', request: job.request, endpoint } as const;
+    this.#runs.started(ticket, endpoint, isUrgent, now);
+    const { request } = ticket.job;
+    const decision = { type: 'dispatch', request, endpoint } as const;
     decisions.push(isUrgent ? { ...decision, isUrgent } : decision);
   }
 
@@ -330,9 +330,4 @@
     if (this.#configuration) pool.configure(this.#configuration.classes);
     return pool;
   }
-
-  static #charge(run: Run, work: number): void {
-    run.ticket.pool.charge(run.ticket, work);
-    run.charged += work;
-  }
 }
--- a/packages/policy/src/lib/Job.ts
+++ b/packages/policy/src/lib/Job.ts
@@ -75,6 +75,16 @@
       readonly retryAfterMs: number;
     };
 
+/** An entry's notice to the others that it is about to refuse a tier of a pool. @public */
+export interface PoolFloor {
+  readonly kind: 'engine' | 'service';
+  readonly target: string;
+  /** Requests of tiers with a greater number are to be refused first. */
+  readonly tier: number;
+  /** Time for which it holds, in milliseconds. */
+  readonly ttlMs: number;
+}
+
 /** A report on an endpoint's load, with the time of its arrival. @public */
 export interface LoadReport {
   readonly endpoint: EndpointId;
--- a/packages/policy/src/lib/Scheduler.ts
+++ b/packages/policy/src/lib/Scheduler.ts
@@ -1,5 +1,5 @@
 import type { CacheEvent, Configuration, EndpointId, RequestId } from '@berylwood/schema';
-import type { Candidate, Decision, Ending, Job, LoadReport } from './Job';
+import type { Candidate, Decision, Ending, Job, LoadReport, PoolFloor } from './Job';
 
 /**
  * Decides in an entry which request goes where and when, and which is refused. It does no I/O and
@@ -39,4 +39,14 @@
 
   /** Requests that wait, by tier, for metrics. */
   abstract waitingByTier(): ReadonlyMap<number, number>;
+
+  /** Floors to tell the other entries of, after each round of decisions; none by default. */
+  floors(_now: number): PoolFloor[] {
+    return [];
+  }
+
+  /** Takes in another entry's floor; ignored by default. */
+  floorLearned(_floor: PoolFloor, _now: number): void {
+    // A scheduler that does not shed by tier has no use for it.
+  }
 }
--- a/packages/policy/src/lib/fair/WaitingPool.ts
+++ b/packages/policy/src/lib/fair/WaitingPool.ts
@@ -5,6 +5,7 @@
 import { FairQueue } from '../queue/FairQueue';
 import { MinimumShare } from '../queue/MinimumShare';
 import { MovingAverage } from './MovingAverage';
+import { ShedFloor } from './ShedFloor';
 import type { Ticket } from './Ticket';
 import { TierQueue } from './TierQueue';
 
@@ -60,6 +61,8 @@
 
   readonly minimumShare = new MinimumShare();
 
+  readonly floor = new ShedFloor();
+
   /** Highest tier first. */
   readonly #tiers: TierQueue[] = [];
 
--- a/packages/policy/src/lib/queue/MinimumShare.ts
+++ b/packages/policy/src/lib/queue/MinimumShare.ts
@@ -18,7 +18,7 @@
 const SAVED_REQUESTS = 2;
 
 /** Part of the longest wait after which a class without any service is due. */
-const UNSERVED_PART = 0.5;
+const UNSERVED_PART = 0.25;
 
 const UNKNOWN_CLASS: Pick<RequestClass, 'minimumShare' | 'maxWaitMs'> = {
   minimumShare: 0.01,
@@ -28,7 +28,7 @@
 /**
  * Guaranteed minimum of each class, as a deficit counter: while a class has demand, each unit of
  * work served to any class adds its minimum share to its deficit. A class is due when the deficit
- * covers its next request, or when it has had no service for half of its longest wait.
+ * covers its next request, or when it has had no service for a quarter of its longest wait.
  * @internal
  */
 export class MinimumShare {
