--- a/packages/testing/bench/run/runScenario.ts
+++ b/packages/testing/bench/run/runScenario.ts
@@ -50,9 +50,8 @@
 const GIVE_UP_S = 30;
 
 async function giveKeys(deployment: Deployment, names: readonly string[]) {
-  const keys = new Map<string, Key>();
-  for (const name of names) keys.set(name, await deployment.giveKey(name));
-  return keys;
+  const given = names.map(async (name) => [name, await deployment.giveKey(name)] as const);
+  return new Map<string, Key>(await Promise.all(given));
 }
 
 function createScenario(bench: BenchScenario, seed: number, deployment: Deployment): LoadScenario {
