Report the share of the slots in use

At three times the capacity goodput was 72% of what the slots could generate; whether slots stood empty or generated late answers could not be told from the report.

--- a/packages/testing/bench/decisions.ts
+++ b/packages/testing/bench/decisions.ts
@@ -26,7 +26,16 @@
 }
 
 function formatRuns(runs: readonly BenchRun[]): string {
-  const head = ['scenario', 'contestant', 'top class', 'all', 'worst ws', 'goodput', 'wasted'];
+  const head = [
+    'scenario',
+    'contestant',
+    'top class',
+    'all',
+    'worst ws',
+    'goodput',
+    'in use',
+    'wasted',
+  ];
   const rows = scenarios.flatMap(({ name }) =>
     contestants.flatMap((contestant) => {
       const own = runs.filter((run) => run.scenario === name && run.contestant === contestant);
@@ -41,6 +50,7 @@
           figures(({ report }) => report.attained / report.sent, 3),
           figures(worstWorkspace, 2),
           figures(({ goodput }) => goodput, 0),
+          figures(({ report }) => report.utilisation, 2),
           figures(({ report }) => report.wastedShare, 3),
         ],
       ];
@@ -81,6 +91,7 @@
   ...run,
   classes: report.classes,
   workspaces: report.workspaces,
+  utilisation: report.utilisation,
   wastedShare: report.wastedShare,
   costPerAttained: report.costPerAttained,
   generatorLateMs: report.generatorLateMs,
--- a/packages/testing/src/lib/load/EndpointProbe.ts
+++ b/packages/testing/src/lib/load/EndpointProbe.ts
@@ -10,6 +10,15 @@
   readonly running: number;
   /** Their price, in units of money an hour. */
   readonly pricePerHour: number;
+  /** Streams that generate, and the slots for them, over the endpoints that answer. */
+  readonly busy: number;
+  readonly slots: number;
+}
+
+interface Report {
+  readonly slots?: number;
+  readonly running?: number;
+  readonly generated_tokens?: number;
 }
 
 interface Counter {
@@ -71,21 +80,26 @@
     const atMs = this.#timer.now() - this.#startedAt;
     const answers = await Promise.all(this.#endpoints.map(({ address }) => this.#read(address)));
     const running = this.#endpoints.filter((_, index) => answers[index]);
-    const pricePerHour = running.reduce((sum, endpoint) => sum + endpoint.pricePerHour, 0);
-    this.samples.push({ atMs, running: running.length, pricePerHour });
+    this.samples.push({
+      atMs,
+      running: running.length,
+      pricePerHour: running.reduce((sum, endpoint) => sum + endpoint.pricePerHour, 0),
+      busy: answers.reduce((sum, report) => sum + (report?.running ?? 0), 0),
+      slots: answers.reduce((sum, report) => sum + (report?.slots ?? 0), 0),
+    });
   }
 
-  /** Reads one report; false when the endpoint does not answer. */
-  async #read(address: string): Promise<boolean> {
+  /** Reads one report; undefined when the endpoint does not answer. */
+  async #read(address: string): Promise<Report | undefined> {
     try {
       const signal = AbortSignal.timeout(TIMEOUT_MS);
       const url = `http://${address}/load?present`;
       const answer = await request(url, { signal, dispatcher: this.#agent });
-      const report = (await answer.body.json()) as { generated_tokens?: number };
+      const report = (await answer.body.json()) as Report;
       this.#count(address, report.generated_tokens ?? 0);
-      return true;
+      return report;
     } catch {
-      return false;
+      return undefined;
     }
   }
 
--- a/packages/testing/src/lib/load/LoadReport.ts
+++ b/packages/testing/src/lib/load/LoadReport.ts
@@ -62,6 +62,8 @@
   readonly generatedTokens: number;
   /** Generated tokens that were not part of a whole answer, from 0 to 1. */
   readonly wastedShare: number;
+  /** Mean share of the slots that generated while the load lasted, from 0 to 1. */
+  readonly utilisation: number;
   /** The worst served first. */
   readonly workspaces: readonly WorkspaceSummary[];
   readonly seconds: readonly Second[];
--- a/packages/testing/src/lib/load/formatReport.ts
+++ b/packages/testing/src/lib/load/formatReport.ts
@@ -65,10 +65,11 @@
 /** The report of a load as text; latencies are p50 / p95 / p99. @public */
 export function formatReport(report: LoadReport): string {
   const { name, seed, sent, attained, durationS, goodTokensPerSecond } = report;
-  const { wastedShare, cost, costPerAttained, generatorLateMs } = report;
+  const { wastedShare, utilisation, cost, costPerAttained, generatorLateMs } = report;
   const totals = [
     `${name}, seed ${seed}: ${attained} of ${sent} requests attained in ${durationS} s`,
-    `goodput ${goodTokensPerSecond.toFixed(1)} tokens/s, wasted ${percent(wastedShare)}`,
+    `goodput ${goodTokensPerSecond.toFixed(1)} tokens/s, wasted ${percent(wastedShare)}, ` +
+      `slots in use ${percent(utilisation)}`,
     `endpoints cost ${cost.toFixed(4)}, ${costPerAttained.toFixed(6)} for each attained request`,
     `generator at most ${Math.round(generatorLateMs)} ms late`,
   ];
--- a/packages/testing/src/lib/load/summarize.ts
+++ b/packages/testing/src/lib/load/summarize.ts
@@ -131,6 +131,13 @@
   return sum(costs);
 }
 
+/** Mean share of the slots that generated while requests arrived. */
+function utilisationOf({ samples, scenario }: LoadRecords): number {
+  const during = samples.filter(({ atMs }) => atMs <= scenario.load.durationS * MS_PER_S);
+  const slots = sum(during.map((sample) => sample.slots));
+  return slots > 0 ? sum(during.map(({ busy }) => busy)) / slots : 0;
+}
+
 /** Works out the report of a load from its records. @public */
 export function summarize(records: LoadRecords): LoadReport {
   const { outcomes, configuration, scenario, generatedTokens, samples, lateMs } = records;
@@ -152,6 +159,7 @@
     goodTokensPerSecond: goodTokens / scenario.load.durationS,
     generatedTokens,
     wastedShare: generatedTokens > 0 ? wasted / generatedTokens : 0,
+    utilisation: utilisationOf(records),
     workspaces: summarizeWorkspaces(records),
     seconds: summarizeSeconds(records),
     endpoints: samples,
