--- a/apps/berylwood/src/lib/createProgram.ts
+++ b/apps/berylwood/src/lib/createProgram.ts
@@ -7,6 +7,7 @@
 import { operatorCommands } from './operatorCommands';
 import { readSettings } from './readSettings';
 import { runProcess } from './runProcess';
+import { timelineCommand } from './timelineCommand';
 
 /** Version of the build; the bundler fills it in. */
 const VERSION = process.env.BERYLWOOD_VERSION ?? 'development';
@@ -72,6 +73,7 @@
     runCommand(),
     checkCommand(),
     standInCommand(),
+    timelineCommand(),
     loadCommand(),
     ...operatorCommands(),
   ];
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -2,3 +2,41 @@
 export type { Candidate, Decision, Ending, Job, LoadReport, QueuedAttempt } from './lib/Job';
 export { Scheduler } from './lib/Scheduler';
 export { RoundRobinScheduler } from './lib/RoundRobinScheduler';
+export { LeastLoadScheduler } from './lib/LeastLoadScheduler';
+export { FairScheduler, type FairSchedulerOptions } from './lib/FairScheduler';
+export { Router, type RouterOptions } from './lib/routing/Router';
+export {
+  LocalQueue,
+  type LocalDecision,
+  type LocalQueueOptions,
+  type QueueLoad,
+} from './lib/local/LocalQueue';
+export { FairLocalQueue } from './lib/local/FairLocalQueue';
+export { FifoLocalQueue } from './lib/local/FifoLocalQueue';
+export { OutlierDetector, type OutlierOptions } from './lib/health/OutlierDetector';
+export { CircuitBreaker, type BreakerOptions } from './lib/health/CircuitBreaker';
+export { Quarantine, type QuarantineOptions, type Standing } from './lib/health/Quarantine';
+export {
+  GRANT_TERM_MS,
+  type LimitGrant,
+  type LimitGrants,
+  type LimitUse,
+} from './lib/limits/LimitGrant';
+export { WorkspaceLimiter } from './lib/limits/WorkspaceLimiter';
+export { LimitDivider } from './lib/limits/LimitDivider';
+export { RetryBudget, type RetryBudgetOptions } from './lib/limits/RetryBudget';
+export type {
+  ClassDemand,
+  ScaledEndpoint,
+  ScalingDecision,
+  ScalingInput,
+  ScalingOptions,
+} from './lib/scaling/ScalingTypes';
+export { ScalingPolicy } from './lib/scaling/ScalingPolicy';
+export {
+  RolloutPolicy,
+  type EngineSetup,
+  type RolloutDecision,
+  type RolloutEndpoint,
+  type RolloutOptions,
+} from './lib/scaling/RolloutPolicy';
--- a/packages/schema/src/lib/Settings.ts
+++ b/packages/schema/src/lib/Settings.ts
@@ -69,6 +69,8 @@
   data: z.string().min(1),
   /** Listener for the other processes of the system. */
   listen: addressSchema,
+  /** Address that other replicas use, when it differs from the listener. */
+  announce: addressSchema.optional(),
   /** Listener for operators' commands. */
   operator: addressSchema,
   /** Founding voters with this one; only the first start of an empty group reads them. */
@@ -86,6 +88,14 @@
   demoKey: z.string().min(16).optional(),
 });
 
+/** Read-only replica between a data centre's nodes and the control group. */
+const observerSchema = z.strictObject({
+  /** Listener for entries and sidecars. */
+  listen: addressSchema,
+  /** Addresses of the control replicas. */
+  control: z.array(addressSchema).min(1),
+});
+
 const sidecarSchema = z.strictObject({
   /** Listener for entries. */
   listen: addressSchema,
@@ -153,6 +163,7 @@
   tls: tlsSchema.optional(),
   entry: entrySchema.optional(),
   control: controlSchema.optional(),
+  observer: observerSchema.optional(),
   sidecars: z.array(sidecarSchema).default([]),
   standIns: z.array(standInSchema).default([]),
 });
@@ -161,6 +172,7 @@
 export type ProcessSettings = Settings['process'];
 export type EntrySettings = NonNullable<Settings['entry']>;
 export type ControlSettings = NonNullable<Settings['control']>;
+export type ObserverSettings = NonNullable<Settings['observer']>;
 export type SidecarSettings = Settings['sidecars'][number];
 export type StandInSettings = Settings['standIns'][number];
 export type TlsSettings = NonNullable<Settings['tls']>;
--- a/packages/sidecar/src/lib/LoadMonitor.ts
+++ b/packages/sidecar/src/lib/LoadMonitor.ts
@@ -1,6 +1,7 @@
 import { DisposableStore, type Timer } from '@berylwood/base';
 import type { Load } from '@berylwood/schema';
 import type { AttemptTable } from './AttemptTable';
+import { isUnreached } from './connection';
 import type { Endpoint, EndpointLoad } from './Endpoint';
 
 const INTERVAL_MS = 250;
@@ -26,7 +27,7 @@
 
   #tokensPerSecond = 0;
 
-  #generation = 0;
+  #isDown = false;
 
   constructor(timer: Timer, endpoint: Endpoint, attempts: AttemptTable, isLeaving: () => boolean) {
     this.#timer = timer;
@@ -36,22 +37,21 @@
   }
 
   get current(): Load {
-    const { slots, runningCount, queuedCount } = this.#attempts;
     return {
-      slots,
-      running: runningCount,
-      waiting: queuedCount,
+      ...this.#attempts.load,
       tokensPerSecond: this.#tokensPerSecond,
       prefillTokens: this.#report?.prefillTokens ?? 0,
-      waitingTier: 0,
-      runningTier: 0,
       ageMs: this.#timer.now() - this.#reportedAt,
       leaving: this.#isLeaving(),
-      credits: Math.max(0, slots - runningCount - queuedCount),
-      generation: this.#generation,
+      down: this.#isDown,
     };
   }
 
+  /** Whether the last try to reach the endpoint made no connection. */
+  get isDown(): boolean {
+    return this.#isDown;
+  }
+
   open(): void {
     this.#store.add(this.#timer.every(INTERVAL_MS, () => this.#poll()));
   }
@@ -64,11 +64,14 @@
     this.#endpoint
       .load()
       .then((report) => this.#take(report))
-      .catch(() => {})
-      .finally(() => this.#push());
+      .catch((error: unknown) => {
+        this.#isDown = isUnreached(error);
+      })
+      .finally(() => this.push());
   }
 
   #take(report: EndpointLoad | undefined): void {
+    this.#isDown = false;
     if (!report) return;
     const now = this.#timer.now();
     if (this.#report) {
@@ -80,8 +83,8 @@
     this.#reportedAt = now;
   }
 
-  #push(): void {
-    this.#generation += 1;
+  /** Tells the load now. */
+  push(): void {
     this.onLoad(this.current);
   }
 }
