--- a/packages/testing/bench/decisions.ts
+++ b/packages/testing/bench/decisions.ts
@@ -70,6 +70,9 @@
   return formatTable([['scenario', 'aim', 'figure', 'limit', ''], ...rows]);
 }
 
+/** Delay of the load generator beyond which a run measures the machine and not the decisions. */
+const VOID_LATE_MS = 100;
+
 const runs: BenchRun[] = [];
 for (const bench of scenarios) {
   if (!chosen([bench.name], options.scenarios).length) continue;
@@ -80,17 +83,26 @@
       const { report, violations } = run;
       process.stderr.write(
         `${bench.name} ${contestant} seed ${seed}: ${report.attained} of ${report.sent} attained, ` +
-          `${violations.length} violations, generator ${Math.round(report.generatorLateMs)} ms late\n`,
+          `${violations.length} violations, generator ${Math.round(report.generatorLateMs)} ms late, errors ${JSON.stringify(report.errors)}\n`,
       );
     }
   }
 }
-const aims = judge(runs);
+const valid = runs.filter(({ report }) => report.generatorLateMs <= VOID_LATE_MS);
+const aims = judge(valid);
 process.stdout.write(`${formatRuns(runs)}\n\n${formatAims(aims)}\n\n`);
+const voidRuns = runs.filter((run) => !valid.includes(run));
+for (const { scenario, contestant, seed, report } of voidRuns) {
+  const late = Math.round(report.generatorLateMs);
+  process.stdout.write(
+    `void: ${scenario} ${contestant} seed ${seed}: the machine was busy, generator ${late} ms late\n`,
+  );
+}
 const figures = runs.map(({ report, violations, ...run }) => ({
   ...run,
   classes: report.classes,
   workspaces: report.workspaces,
+  errors: report.errors,
   utilisation: report.utilisation,
   wastedShare: report.wastedShare,
   costPerAttained: report.costPerAttained,
--- a/packages/testing/bench/run/scenarios.ts
+++ b/packages/testing/bench/run/scenarios.ts
@@ -2,7 +2,7 @@
 import type { DeploymentName } from './deployments';
 
 /** Something that happens to a deployment during the load. */
-export interface Fault {
+interface Fault {
   readonly atS: number;
   readonly apply: (deployment: Deployment) => Promise<unknown> | unknown;
 }
--- a/packages/testing/src/lib/load/LoadReport.ts
+++ b/packages/testing/src/lib/load/LoadReport.ts
@@ -57,6 +57,8 @@
   readonly attained: number;
   /** By tier, the highest first. */
   readonly classes: readonly ClassSummary[];
+  /** Requests by the stated error that ended them. */
+  readonly errors: Readonly<Record<string, number>>;
   /** Answer tokens of attained requests, a second of the load. */
   readonly goodTokensPerSecond: number;
   readonly generatedTokens: number;
--- a/packages/testing/src/lib/load/formatReport.ts
+++ b/packages/testing/src/lib/load/formatReport.ts
@@ -50,6 +50,11 @@
   return formatTable([head, ...rows]);
 }
 
+function formatErrors({ errors }: LoadReport): string {
+  const counts = Object.entries(errors).map(([error, count]) => `${error} ${count}`);
+  return counts.length > 0 ? counts.join(', ') : 'none';
+}
+
 function workspaceTable({ workspaces }: LoadReport): string {
   const head = ['workspace', 'of fair share', 'served', 'demanded', 'attained'];
   const rows = workspaces.map(({ name, ofFairShare, servedWork, demandedWork, attainment }) => [
@@ -71,6 +76,7 @@
     `goodput ${goodTokensPerSecond.toFixed(1)} tokens/s, wasted ${percent(wastedShare)}, ` +
       `slots in use ${percent(utilisation)}`,
     `endpoints cost ${cost.toFixed(4)}, ${costPerAttained.toFixed(6)} for each attained request`,
+    `errors: ${formatErrors(report)}`,
     `generator at most ${Math.round(generatorLateMs)} ms late`,
   ];
   return [totals.join('\n'), classTable(report), workspaceTable(report)].join('\n\n');
--- a/packages/testing/src/lib/load/summarize.test.ts
+++ b/packages/testing/src/lib/load/summarize.test.ts
@@ -42,6 +42,11 @@
   );
 });
 
+test('errors are counted by their names', () => {
+  const { errors } = summarize(createRecords(OUTCOMES));
+  assert.deepEqual(errors, { overloaded: 1, connection: 1 });
+});
+
 test('tokens outside of whole answers are wasted', () => {
   assert.equal(summarize(createRecords(OUTCOMES)).wastedShare, 0.25);
 });
--- a/packages/testing/src/lib/load/summarize.ts
+++ b/packages/testing/src/lib/load/summarize.ts
@@ -131,6 +131,12 @@
   return sum(costs);
 }
 
+function countErrors(outcomes: readonly Outcome[]): Record<string, number> {
+  const groups = groupBy(outcomes, ({ error }) => error ?? '');
+  groups.delete('');
+  return Object.fromEntries([...groups].map(([error, group]) => [error, group.length]));
+}
+
 /** Mean share of the slots that generated while requests arrived. */
 function utilisationOf({ samples, scenario }: LoadRecords): number {
   const during = samples.filter(({ atMs }) => atMs <= scenario.load.durationS * MS_PER_S);
@@ -156,6 +162,7 @@
     sent: outcomes.length,
     attained: attained.length,
     classes: classes.sort((a, b) => a.tier - b.tier || a.name.localeCompare(b.name)),
+    errors: countErrors(outcomes),
     goodTokensPerSecond: goodTokens / scenario.load.durationS,
     generatedTokens,
     wastedShare: generatedTokens > 0 ? wasted / generatedTokens : 0,
