--- a/packages/testing/src/lib/load/formatReport.ts
+++ b/packages/testing/src/lib/load/formatReport.ts
@@ -50,6 +50,11 @@
   return formatTable([head, ...rows]);
 }
 
+function formatErrors({ errors }: LoadReport): string {
+  const counts = Object.entries(errors).map(([error, count]) => `${error} ${count}`);
+  return counts.length > 0 ? counts.join(', ') : 'none';
+}
+
 function workspaceTable({ workspaces }: LoadReport): string {
   const head = ['workspace', 'of fair share', 'served', 'demanded', 'attained'];
   const rows = workspaces.map(({ name, ofFairShare, servedWork, demandedWork, attainment }) => [
@@ -65,11 +70,13 @@
 /** The report of a load as text; latencies are p50 / p95 / p99. @public */
 export function formatReport(report: LoadReport): string {
   const { name, seed, sent, attained, durationS, goodTokensPerSecond } = report;
-  const { wastedShare, cost, costPerAttained, generatorLateMs } = report;
+  const { wastedShare, utilisation, cost, costPerAttained, generatorLateMs } = report;
   const totals = [
     `${name}, seed ${seed}: ${attained} of ${sent} requests attained in ${durationS} s`,
-    `goodput ${goodTokensPerSecond.toFixed(1)} tokens/s, wasted ${percent(wastedShare)}`,
+    `goodput ${goodTokensPerSecond.toFixed(1)} tokens/s, wasted ${percent(wastedShare)}, ` +
+      `slots in use ${percent(utilisation)}`,
     `endpoints cost ${cost.toFixed(4)}, ${costPerAttained.toFixed(6)} for each attained request`,
+    `errors: ${formatErrors(report)}`,
     `generator at most ${Math.round(generatorLateMs)} ms late`,
   ];
   return [totals.join('\n'), classTable(report), workspaceTable(report)].join('\n\n');
--- a/packages/testing/src/lib/load/summarize.ts
+++ b/packages/testing/src/lib/load/summarize.ts
@@ -131,6 +131,19 @@
   return sum(costs);
 }
 
+function countErrors(outcomes: readonly Outcome[]): Record<string, number> {
+  const groups = groupBy(outcomes, ({ error }) => error ?? '');
+  groups.delete('');
+  return Object.fromEntries([...groups].map(([error, group]) => [error, group.length]));
+}
+
+/** Mean share of the slots that generated while requests arrived. */
+function utilisationOf({ samples, scenario }: LoadRecords): number {
+  const during = samples.filter(({ atMs }) => atMs <= scenario.load.durationS * MS_PER_S);
+  const slots = sum(during.map((sample) => sample.slots));
+  return slots > 0 ? sum(during.map(({ busy }) => busy)) / slots : 0;
+}
+
 /** Works out the report of a load from its records. @public */
 export function summarize(records: LoadRecords): LoadReport {
   const { outcomes, configuration, scenario, generatedTokens, samples, lateMs } = records;
@@ -149,9 +162,11 @@
     sent: outcomes.length,
     attained: attained.length,
     classes: classes.sort((a, b) => a.tier - b.tier || a.name.localeCompare(b.name)),
+    errors: countErrors(outcomes),
     goodTokensPerSecond: goodTokens / scenario.load.durationS,
     generatedTokens,
     wastedShare: generatedTokens > 0 ? wasted / generatedTokens : 0,
+    utilisation: utilisationOf(records),
     workspaces: summarizeWorkspaces(records),
     seconds: summarizeSeconds(records),
     endpoints: samples,
