Follow the role of the replica after its status has changed; add tests of real processes

A leader that lost its quorum kept its leadership: the log calls back before its status shows the new role, so the former leader sent no node on (seen by a workload that stayed connected to it and got 'the leader is not known' for 4 s).

--- /dev/null
+++ b/packages/control/src/lib/Control.process.test.ts
@@ -0,0 +1,181 @@
+import assert from 'node:assert/strict';
+import { mkdirSync, rmSync } from 'node:fs';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { createChangeId, emptyConfiguration } from '@berylwood/schema';
+import { checkFences, checkWindows, until } from '@berylwood/testing';
+import { GroupWorkload } from '../testing/GroupWorkload';
+import { startGroup, type ReplicaGroup } from '../testing/startGroup';
+
+/** Longer than the lease and the election timeout together. */
+const FAULT_MS = 2500;
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
+
+/** Waits until another replica leads and gives orders, and returns the former leader's name. */
+async function replaceLeader(group: ReplicaGroup, fault: (name: string) => void): Promise<string> {
+  const before = await group.leader();
+  fault(before.replica);
+  await until('another replica leads', async () => (await group.leader()).fence > before.fence);
+  return before.replica;
+}
+
+interface TokenLine {
+  readonly work: { readonly outputTokens: number };
+}
+
+test('leaders that freeze, are cut off or die give no orders or reports after a newer one', async () => {
+  const group = await startGroup(3);
+  try {
+    const { deployment, operators } = group;
+    const workload = new GroupWorkload(operators, group.nodeAddresses);
+    workload.start();
+    await sleep(500);
+    const frozen = await replaceLeader(group, (name) => deployment.process(name).freeze());
+    await sleep(FAULT_MS);
+    deployment.process(frozen).thaw();
+    await sleep(500);
+    const cut = await replaceLeader(group, (name) => group.cut(name));
+    await sleep(FAULT_MS);
+    group.heal(cut);
+    await sleep(500);
+    const killed = await replaceLeader(group, (name) => deployment.process(name).signal('SIGKILL'));
+    deployment.process(killed).start();
+    await sleep(500);
+    await workload.stop();
+
+    await until('all accepted orders are answered', async () => {
+      const orders = await operators.ask((client) => client.orders.query());
+      const answered = new Set(
+        orders.filter(({ step }) => step === 'answered').map((o) => o.order),
+      );
+      return workload.accepted.every((order) => answered.has(order as never));
+    });
+    await until('all usage is reported', async () => {
+      const windows = await operators.ask((client) => client.windows.query());
+      const open = await operators.ask((client) => client.usage.query());
+      return open.length === 0 && windows.every(({ state }) => state === 'reported');
+    });
+    const history = await deployment.history('platform');
+    assert.deepEqual(checkFences('platform', history), []);
+    assert.deepEqual(checkWindows(history), []);
+    const given = new Set(
+      history.filter(({ kind }) => kind === 'order').map((r) => r.fields.order),
+    );
+    assert.ok(
+      workload.accepted.every((order) => given.has(order)),
+      'each accepted order was given',
+    );
+    const reports = new Map(
+      history
+        .filter(({ kind }) => kind === 'usage')
+        .map(({ fields }) => [
+          fields.window,
+          JSON.parse(String(fields.body)) as { lines: TokenLine[] },
+        ]),
+    );
+    const tokens = [...reports.values()].flatMap(({ lines }) =>
+      lines.map(({ work }) => work.outputTokens),
+    );
+    assert.equal(
+      tokens.reduce((sum, count) => sum + count, 0),
+      workload.counted,
+    );
+  } finally {
+    await group.deployment.close();
+  }
+});
+
+test('a replica that lost its disk joins as another, and a second loss right after loses nothing', async () => {
+  const group = await startGroup(3);
+  try {
+    const { deployment, operators } = group;
+    const workload = new GroupWorkload(operators, group.nodeAddresses);
+    workload.start();
+    await sleep(300);
+    const membership = () => operators.ask((client) => client.replicas.query());
+    const { replica: leader } = await group.leader();
+    const [lost, other] = group.names.filter((name) => name !== leader) as [string, string];
+    const incarnationOf = async (name: string) =>
+      (await membership()).members.find(({ replica }) => replica === name);
+    const before = await incarnationOf(lost);
+
+    await deployment.process(lost).kill();
+    rmSync(join(deployment.folder, lost), { recursive: true });
+    mkdirSync(join(deployment.folder, lost));
+    deployment.process(lost).start();
+    await until('the replica is a voter with another incarnation', async () => {
+      const now = await incarnationOf(lost);
+      return now?.kind === 'voter' && now.incarnation !== before?.incarnation;
+    });
+    await deployment.process(leader).kill();
+    rmSync(join(deployment.folder, leader), { recursive: true });
+    await sleep(300);
+    await workload.stop();
+
+    const orders = await operators.ask((client) => client.orders.query());
+    const known = new Set<string>(orders.map(({ order }) => order));
+    assert.ok(workload.accepted.length > 0);
+    assert.ok(
+      workload.accepted.every((order) => known.has(order)),
+      'no accepted order is lost',
+    );
+    assert.equal((await incarnationOf(other))?.kind, 'voter');
+  } finally {
+    await group.deployment.close();
+  }
+});
+
+/** Makes changes one after another, each against the newest revision that it has seen. */
+async function race(group: ReplicaGroup, operator: string, count: number): Promise<number[]> {
+  const { operators } = group;
+  const won: number[] = [];
+  while (won.length < count) {
+    const { index, revision: expected } = await operators.ask((client) => client.position.query());
+    const change = createChangeId(index);
+    const customers = { [operator]: { plan: String(won.length) } };
+    const configuration = { ...emptyConfiguration, customers };
+    const input = { change, operator, expected, configuration };
+    const send = () => operators.ask((client) => client.applyPlans.mutate(input));
+    // Each change is sent a second time, as after a lost answer.
+    const [first, second] = await Promise.allSettled([send(), send()]);
+    assert.equal(first.status, second.status);
+    if (first.status === 'rejected') {
+      assert.match(String(first.reason), /3000: made against revision/);
+    } else if (second.status === 'fulfilled') {
+      assert.deepEqual(first.value, second.value);
+      won.push(first.value.revision);
+    }
+  }
+  return won;
+}
+
+test('of operators that race with equal revisions one wins each, also over lost answers', async () => {
+  const group = await startGroup(3);
+  try {
+    const races = [race(group, 'asha', 150), race(group, 'orla', 150)];
+    const { replica } = await group.leader();
+    await sleep(300);
+    await group.deployment.process(replica).kill();
+    group.deployment.process(replica).start();
+    const won = (await Promise.all(races)).flat();
+    assert.equal(new Set(won).size, won.length, 'no revision was given twice');
+    const history = await group.operators.ask((client) => client.history.query());
+    const revisions = history.map(({ revision }) => revision);
+    assert.deepEqual(
+      revisions,
+      revisions.map((_, index) => index + 1),
+    );
+    assert.ok(
+      won.every((revision) => revisions.includes(revision)),
+      'no accepted change is lost',
+    );
+    assert.ok(group.operators.resends > 0, 'answers were lost');
+  } finally {
+    await group.deployment.close();
+  }
+});
--- a/packages/control/src/lib/Leadership.ts
+++ b/packages/control/src/lib/Leadership.ts
@@ -82,7 +82,8 @@
   open(): void {
     const { log } = this.#options;
     this.#actor.start();
-    log.onRole = (status) => this.#follow(status);
+    // The log tells of a change before its own status shows it.
+    log.onRole = () => queueMicrotask(() => this.#follow(log.status));
     this.#follow(log.status);
   }
 
--- /dev/null
+++ b/packages/control/src/testing/OperatorGroup.ts
@@ -0,0 +1,53 @@
+import { createTRPCClient, httpLink } from '@trpc/client';
+import type { OperatorRouter } from '../lib/operatorRouter';
+
+const ANSWER_MS = 2000;
+const PAUSE_MS = 50;
+const LIMIT_MS = 20_000;
+
+/** Refusals that say nothing about the change: no leader, or a change of leader. */
+const PASSING = /^(3100|120[0-8]):/;
+
+function createClient(address: string) {
+  const link = httpLink({
+    url: `http://${address}`,
+    fetch: (url, options) =>
+      fetch(url, { ...(options as RequestInit), signal: AbortSignal.timeout(ANSWER_MS) }),
+  });
+  return createTRPCClient<OperatorRouter>({ links: [link] });
+}
+
+export type OperatorClient = ReturnType<typeof createClient>;
+
+/** Asks the replicas of a deployment in turn, and resends after a lost answer. @internal */
+export class OperatorGroup {
+  /** Answers that were lost or passing, so that the question was sent again. */
+  resends = 0;
+
+  readonly #clients: OperatorClient[];
+
+  #next = 0;
+
+  constructor(addresses: string) {
+    this.#clients = addresses.split(',').map(createClient);
+  }
+
+  /** @throws the refusal of the group, or the last error after 20 s. */
+  async ask<T>(question: (client: OperatorClient) => Promise<T>): Promise<T> {
+    const deadline = Date.now() + LIMIT_MS;
+    for (;;) {
+      const client = this.#clients[this.#next % this.#clients.length] as OperatorClient;
+      try {
+        return await question(client);
+      } catch (error) {
+        const { message, data } = error as Error & { data?: unknown };
+        if ((data && !PASSING.test(message)) || Date.now() > deadline) throw error;
+        this.resends += 1;
+        this.#next += 1;
+        await new Promise((resolve) => {
+          setTimeout(resolve, PAUSE_MS);
+        });
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/testing/startGroup.ts
@@ -0,0 +1,85 @@
+import { Deployment } from '@berylwood/testing';
+import { OperatorGroup } from './OperatorGroup';
+
+const PLANS = `[classes.chat]
+first_token_ms = 1400
+[plans.basic]
+classes = { chat = 2 }
+default_class = "chat"
+models = ["m"]
+`;
+
+const CUSTOMERS = `[customers.acme]
+plan = "basic"
+`;
+
+/** Length of usage windows in these tests. */
+const SETTINGS = 'usage_window_ms = 1000\n';
+
+/** A deployment of control replicas and the platform behind relays, with what tests do to it. @internal */
+export class ReplicaGroup {
+  readonly deployment: Deployment;
+
+  readonly operators: OperatorGroup;
+
+  readonly #count: number;
+
+  constructor(count: number) {
+    this.#count = count;
+    this.deployment = new Deployment({
+      entries: 0,
+      controls: count,
+      dataCentres: ['naas', 'portlaoise', 'drogheda'],
+      endpoints: [],
+      relays: true,
+      plans: PLANS,
+      customers: CUSTOMERS,
+      extra: { control: SETTINGS },
+    });
+    this.operators = new OperatorGroup(this.deployment.operatorAddresses);
+  }
+
+  get names(): string[] {
+    return Array.from({ length: this.#count }, (_, index) => `control-${index + 1}`);
+  }
+
+  /** Addresses of the replicas for nodes. */
+  get nodeAddresses(): string[] {
+    const operators = this.deployment.operatorAddresses.split(',');
+    return operators.map((address) => {
+      const [host, port] = address.split(':');
+      return `${host}:${Number(port) - 500}`;
+    });
+  }
+
+  /** Status of the leader. */
+  leader() {
+    return this.operators.ask(async (client) => {
+      await client.position.query();
+      return client.status.query();
+    });
+  }
+
+  /** Cuts a replica from the others and the platform, in silence; bytes on the way wait. */
+  cut(name: string): void {
+    for (const relay of this.#relaysOf(name)) relay.set('silent');
+  }
+
+  /** Heals a cut and lets the bytes go. */
+  heal(name: string): void {
+    for (const relay of this.#relaysOf(name)) relay.set('pass');
+  }
+
+  #relaysOf(name: string) {
+    return [...this.deployment.relays]
+      .filter(([route]) => route.split('>').includes(name))
+      .map(([, relay]) => relay);
+  }
+}
+
+/** Starts control replicas and the platform. @internal */
+export async function startGroup(count: number): Promise<ReplicaGroup> {
+  const group = new ReplicaGroup(count);
+  await group.deployment.start();
+  return group;
+}
