--- a/apps/berylwood/src/lib/createProgram.ts
+++ b/apps/berylwood/src/lib/createProgram.ts
@@ -3,9 +3,11 @@
 import { ExitCode } from './codes';
 import { CommandError } from './CommandError';
 import { createStandIn } from './createStandIn';
+import { loadCommand } from './loadCommand';
 import { operatorCommands } from './operatorCommands';
 import { readSettings } from './readSettings';
 import { runProcess } from './runProcess';
+import { timelineCommand } from './timelineCommand';
 
 /** Version of the build; the bundler fills it in. */
 const VERSION = process.env.BERYLWOOD_VERSION ?? 'development';
@@ -67,7 +69,14 @@
   const program = new Command('berylwood')
     .description('Router for language-model traffic with service levels and priorities')
     .version(VERSION);
-  const commands = [runCommand(), checkCommand(), standInCommand(), ...operatorCommands()];
+  const commands = [
+    runCommand(),
+    checkCommand(),
+    standInCommand(),
+    timelineCommand(),
+    loadCommand(),
+    ...operatorCommands(),
+  ];
   for (const command of commands) program.addCommand(command);
   return program;
 }
--- a/packages/consensus/src/lib/Replica.test.ts
+++ b/packages/consensus/src/lib/Replica.test.ts
@@ -1,30 +1,98 @@
 import assert from 'node:assert/strict';
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import test from 'node:test';
-import { SimulatedCluster } from '../simulation/SimulatedCluster';
+import { Random, SystemTimer, createSilentJournal } from '@berylwood/base';
+import { RegisterMachine, encodeCommand } from '../simulation/RegisterMachine';
+import { SimulatedNetwork, SimulatedTransport } from '../simulation/SimulatedNetwork';
+import { createGroup, write } from '../simulation/createGroup';
+import { FileDisk } from './FileDisk';
+import { createReplicaName } from './ids';
+import { Replica } from './Replica';
 
-const SECOND_MS = 1000;
+for (const count of [1, 3, 5]) {
+  test(`a group of ${count} forms, commits and applies on each replica`, async () => {
+    const group = await createGroup({ count });
+    await write(group, group.leader, 7);
+    await group.cluster.run(100);
+    for (const node of group.cluster.nodes) assert.equal(node.machine.value, 7);
+    assert.deepEqual([...group.invariants.violations], []);
+  });
+}
 
-async function createGroup(count: number, seed = 1): Promise<SimulatedCluster> {
-  const names = ['a', 'b', 'c', 'd', 'e'].slice(0, count);
-  const cluster = new SimulatedCluster({ seed, names });
+test('a whole group that restarts has all that was acknowledged', async () => {
+  const group = await createGroup();
+  const { cluster } = group;
+  for (let value = 1; value <= 5; value += 1) await write(group, group.leader, value);
+  cluster.nodes.forEach((node) => cluster.crash(node));
   await cluster.startAll();
-  const isFormed = (): boolean =>
-    cluster.leader?.replica?.status.membership.members.filter(({ kind }) => kind === 'voter')
-      .length === count && cluster.leader.replica.holdsLease;
-  assert.ok(await cluster.runUntil(isFormed, 10 * SECOND_MS), 'the group forms');
-  return cluster;
-}
+  const isLed = (): boolean => cluster.leader?.replica?.holdsLease ?? false;
+  assert.ok(await cluster.runUntil(isLed, 2000));
+  assert.equal(cluster.leader?.machine.value, 5);
+});
 
-for (const count of [1, 3, 5]) {
-  test(`a group of ${count} forms and commits`, async () => {
-    const cluster = await createGroup(count);
-    let value: string | undefined;
-    const command = Buffer.from(JSON.stringify({ type: 'write', id: 1, value: 7 }));
-    cluster.leader?.replica?.propose(command).then((result) => {
-      value = Buffer.from(result._unsafeUnwrap().result).toString();
-    });
-    assert.ok(await cluster.runUntil(() => value !== undefined, SECOND_MS));
-    await cluster.run(200);
-    for (const node of cluster.nodes) assert.equal(node.machine.value, 7);
+test('a follower that is down takes no memory, and catches up by a snapshot', async () => {
+  const limits = { snapshotEntries: 50, trailingEntries: 10, chunkBytes: 16 };
+  const group = await createGroup({ replica: limits });
+  const { cluster, leader, others } = group;
+  const [down] = others;
+  assert.ok(down);
+  cluster.crash(down);
+  for (let value = 1; value <= 300; value += 1) await write(group, leader, value);
+  const { lastIndex, snapshotIndex } = leader.replica?.status ?? {};
+  assert.ok((lastIndex ?? 0) - (snapshotIndex ?? 0) <= 60);
+  await cluster.startNow(down);
+  assert.ok(await cluster.runUntil(() => down.machine.value === 300, 2000));
+  assert.ok((down.replica?.status.snapshotIndex ?? 0) > 200);
+});
+
+async function openOnFiles(folder: string) {
+  const timer = new SystemTimer();
+  const machine = new RegisterMachine();
+  const replica = createReplicaName('alone');
+  const random = new Random(1);
+  const opened = await Replica.open({
+    replica,
+    machine,
+    transport: new SimulatedTransport(new SimulatedNetwork(timer, random), replica),
+    disk: await FileDisk.open(folder),
+    timer,
+    journal: createSilentJournal(timer),
+    random,
+    founder: true,
+    heartbeatMs: 10,
+    leaseMs: 30,
+    electionTimeoutMs: 40,
+    snapshotEntries: 20,
+    segmentBytes: 1000,
   });
+  const log = opened._unsafeUnwrap();
+  while (!log.holdsLease) await timer.sleep(1);
+  return { log, machine };
 }
+
+test('a single replica on real files goes on after each restart', async (t) => {
+  const folder = await mkdtemp(join(tmpdir(), 'consensus-'));
+  t.after(() => rm(folder, { recursive: true }));
+  for (let life = 0; life < 3; life += 1) {
+    const { log, machine } = await openOnFiles(folder);
+    assert.ok((await log.barrier()).isOk());
+    assert.equal(machine.value, life * 50);
+    const writes = Array.from({ length: 50 }, (_, i) => life * 50 + i + 1).map((value) =>
+      log.propose(encodeCommand({ id: value, action: { type: 'write', value } })),
+    );
+    for (const result of await Promise.all(writes)) assert.ok(result.isOk());
+    await log.close();
+    assert.equal((await log.propose(new Uint8Array()))._unsafeUnwrapErr().code.name, 'stopped');
+  }
+});
+
+test('a replica stops when its disk fails, and says so', async () => {
+  const { cluster, leader } = await createGroup();
+  leader.disk.append = () => Promise.reject(new Error('no space'));
+  const answer = leader.replica?.propose(new Uint8Array(1));
+  await cluster.run(50);
+  assert.equal((await answer)?._unsafeUnwrapErr().notRun, 'unknown');
+  assert.equal(leader.replica?.status.failure?.code.name, 'diskFailed');
+});
