--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -143,6 +143,10 @@
     return this.holdsLease ? this.#ownLeaseEnd : 0;
   }
 
+  /**
+   * Hands leadership to the most advanced voter. Its lease may begin at once: no effect that this
+   * replica's lease guards may be on its way when this is called.
+   */
   override async transferLeadership(): Promise<void> {
     const leadership = this.#leadership;
     const successor = leadership?.leader.successor;
@@ -252,8 +256,8 @@
       elector: this.#elector,
       follower: this.#follower,
       joiner: this.#joiner,
-      leader: this.#leadership?.leader,
-      changer: this.#leadership?.changer,
+      leader: () => this.#leadership?.leader,
+      changer: () => this.#leadership?.changer,
     });
   }
 
@@ -288,9 +292,11 @@
   #enter(role: Role): void {
     const core = this.#core;
     if (core.role === role) return;
+    const hasLed = core.role === 'leader';
     core.role = role;
     core.settings.journal.record(consensusEvents.roleChanged, { role, term: core.term });
     if (role === 'leader') core.leader = core.identity;
+    if (hasLed) this.onRole(this.status);
   }
 
   #startLeading(): void {
@@ -307,7 +313,6 @@
     leadership?.leader[Symbol.dispose]();
     if (this.#core.leader && this.#core.isSelf(this.#core.leader)) this.#core.leader = undefined;
     this.#core.resetElectionDeadline();
-    this.onRole(this.status);
     this.#wakeRoleWaiters();
   }
 
