--- a/packages/control/src/lib/OperatorService.ts
+++ b/packages/control/src/lib/OperatorService.ts
@@ -53,6 +53,8 @@
   readonly revision: number;
   readonly fence: number;
   readonly holdsLease: boolean;
+  /** Syncs of the replica's log since its start. */
+  readonly syncs: number;
   readonly nodes: { process: string; dataCentre: string; applied: number }[];
   readonly members: Member[];
 }
@@ -184,7 +186,7 @@
   /** State of the replica, its nodes and its endpoints, as this replica knows them. */
   status(): StatusReport {
     const { log, ledger, publisher, members } = this.#options;
-    const { replica, role, term, leader, commitIndex, appliedIndex } = log.status;
+    const { replica, role, term, leader, commitIndex, appliedIndex, syncs } = log.status;
     const { revision, fence } = ledger.feed;
     const nodes = publisher.subscribers.map(({ hello, applied }) => ({
       process: hello.process,
@@ -193,7 +195,7 @@
     }));
     return {
       ...{ replica, role, term, leader, commitIndex, appliedIndex, holdsLease: log.holdsLease },
-      ...{ revision, fence, nodes, members: members.members },
+      ...{ syncs, revision, fence, nodes, members: members.members },
     };
   }
 
--- a/packages/control/src/testing/GroupWorkload.ts
+++ b/packages/control/src/testing/GroupWorkload.ts
@@ -51,6 +51,8 @@
   start(): void {
     this.#subscription.open();
     this.#loops.push(this.#giveOrders(), this.#handInUsage());
+    // An error is thrown by `stop`; until then it is no unhandled rejection.
+    for (const loop of this.#loops) loop.catch(() => {});
   }
 
   async stop(): Promise<void> {
--- a/packages/control/src/testing/OperatorGroup.ts
+++ b/packages/control/src/testing/OperatorGroup.ts
@@ -3,7 +3,7 @@
 
 const ANSWER_MS = 2000;
 const PAUSE_MS = 50;
-const LIMIT_MS = 20_000;
+const LIMIT_MS = 30_000;
 
 /** Refusals that say nothing about the change: no leader, or a change of leader. */
 const PASSING = /^(3100|120[0-8]):/;
@@ -26,24 +26,26 @@
 
   readonly #clients: OperatorClient[];
 
-  #next = 0;
+  /** The replica that answered last; each question goes on from there by itself. */
+  #latest = 0;
 
   constructor(addresses: string) {
     this.#clients = addresses.split(',').map(createClient);
   }
 
-  /** @throws the refusal of the group, or the last error after 20 s. */
+  /** @throws the refusal of the group, or the last error after 30 s. */
   async ask<T>(question: (client: OperatorClient) => Promise<T>): Promise<T> {
     const deadline = Date.now() + LIMIT_MS;
-    for (;;) {
-      const client = this.#clients[this.#next % this.#clients.length] as OperatorClient;
+    for (let next = this.#latest; ; next += 1) {
+      const client = this.#clients[next % this.#clients.length] as OperatorClient;
       try {
-        return await question(client);
+        const answer = await question(client);
+        this.#latest = next;
+        return answer;
       } catch (error) {
         const { message, data } = error as Error & { data?: unknown };
         if ((data && !PASSING.test(message)) || Date.now() > deadline) throw error;
         this.resends += 1;
-        this.#next += 1;
         await new Promise((resolve) => {
           setTimeout(resolve, PAUSE_MS);
         });
