Tell a restarted engine from one that has dropped a stream, and back off idle resumptions

With 10,000 slow streams an overloaded stand-in dropped streams between resumptions, and each 404 was taken for a crash and its request suspected. Now a crash needs a closed port or a token counter that has started anew; resumptions that bring nothing double their patience.

--- a/packages/entry/bench/entry.ts
+++ b/packages/entry/bench/entry.ts
@@ -12,6 +12,9 @@
 const STREAMS = 2000;
 const ENGINES = 4;
 const IDLE_STREAMS = 10_000;
+
+/** Tokens a second of an idle stream: fewer than one between two signs of life. */
+const IDLE_RATE = 0.7;
 const MEASURED_MS = 10_000;
 const TICK_MS = 20;
 const CLOCK_TICKS_PER_S = 100;
@@ -101,7 +104,7 @@
     const names = ['entry-1', 'sidecar-engine-1'];
     const pids = names.map((name) => deployment.process(name).pid ?? 0);
     const before = pids.map(processorSeconds);
-    const {tokens} = callers.count;
+    const { tokens } = callers.count;
     const startedAt = performance.now();
     await openOver(callers, (REQUESTS_PER_S * MEASURED_MS) / 1000, MEASURED_MS);
     const seconds = (performance.now() - startedAt) / 1000;
@@ -121,7 +124,7 @@
 process.stdout.write(`${JSON.stringify(steady)}\n`);
 
 const idle = await withDeployment(
-  createPlan(1, IDLE_STREAMS, 0.05),
+  createPlan(ENGINES, IDLE_STREAMS / ENGINES + 100, IDLE_RATE),
   async (deployment, callers) => {
     const pid = deployment.process('entry-1').pid ?? 0;
     for (let index = 0; index < IDLE_STREAMS; index += 1) {
--- a/packages/sidecar/src/lib/EngineEndpoint.ts
+++ b/packages/sidecar/src/lib/EngineEndpoint.ts
@@ -2,7 +2,7 @@
 import type { Dispatch, Work } from '@berylwood/schema';
 import { CONNECT_TIMEOUT_MS } from './connection';
 import { Endpoint, type AnswerSink, type EndpointLoad } from './Endpoint';
-import { EngineRun } from './EngineRun';
+import { EngineRun, type Engine } from './EngineRun';
 
 /** Connections to the engine beyond its slots, for load reports and cancels. */
 const SPARE_CONNECTIONS = 4;
@@ -11,26 +11,34 @@
 const CALL_TIMEOUT_MS = 1000;
 
 /** Model engine with the OpenAI wire form. @public */
-export class EngineEndpoint extends Endpoint implements Disposable {
-  readonly #pool: Pool;
+export class EngineEndpoint extends Endpoint implements Disposable, Engine {
+  readonly pool: Pool;
 
-  readonly #address: string;
+  readonly address: string;
+
+  #restarts = 0;
+
+  #generatedTokens = 0;
 
   constructor(address: string, slots: number) {
     super();
-    this.#address = address;
+    this.address = address;
     const connect = { timeout: CONNECT_TIMEOUT_MS };
     const connections = slots + SPARE_CONNECTIONS;
-    this.#pool = new Pool(`http://${address}`, { connections, connect });
+    this.pool = new Pool(`http://${address}`, { connections, connect });
+  }
+
+  get restarts(): number {
+    return this.#restarts;
   }
 
   override run(dispatch: Dispatch, sink: AnswerSink, signal: AbortSignal): Promise<Work> {
-    return new EngineRun(this.#pool, this.#address, dispatch, sink, signal).run();
+    return new EngineRun(this, dispatch, sink, signal).run();
   }
 
   override async cancel(dispatch: Dispatch): Promise<void> {
     const path = `/v1/streams/${dispatch.attempt}`;
-    const answer = await this.#pool.request({
+    const answer = await this.pool.request({
       method: 'DELETE',
       path,
       headersTimeout: CALL_TIMEOUT_MS,
@@ -39,21 +47,25 @@
   }
 
   override async load(): Promise<EndpointLoad | undefined> {
-    const answer = await this.#pool.request({
+    const answer = await this.pool.request({
       method: 'GET',
       path: '/load',
       headersTimeout: CALL_TIMEOUT_MS,
     });
     const report = (await answer.body.json()) as Record<string, number>;
+    const generatedTokens = report.generated_tokens ?? 0;
+    // The counter starts anew with the engine.
+    if (generatedTokens < this.#generatedTokens) this.#restarts += 1;
+    this.#generatedTokens = generatedTokens;
     return {
       running: report.running ?? 0,
       waiting: report.waiting ?? 0,
       prefillTokens: report.prefill_tokens ?? 0,
-      generatedTokens: report.generated_tokens ?? 0,
+      generatedTokens,
     };
   }
 
   [Symbol.dispose](): void {
-    this.#pool.destroy().catch(() => {});
+    this.pool.destroy().catch(() => {});
   }
 }
--- a/packages/sidecar/src/lib/EngineRun.ts
+++ b/packages/sidecar/src/lib/EngineRun.ts
@@ -10,23 +10,35 @@
 /** Silence of a stream after which it is resumed on a new connection, in milliseconds. */
 const SILENCE_MS = 2000;
 
-/** Resumptions without a new byte after which the run has failed: a long prefill has many. */
-const MAX_IDLE_RESUMPTIONS = 150;
+/** Longest silence after resumptions that brought nothing: the engine itself is slow then. */
+const MAX_SILENCE_MS = 16_000;
+
+/** Resumptions without a new token after which the run has failed. */
+const MAX_IDLE_RESUMPTIONS = 20;
 
 const NOT_FOUND = 404;
 
-/** The engine does not know the stream any more: it was restarted. */
+/** The engine does not know the stream any more: it was restarted, or has dropped it. */
 class StreamLostError extends Error {}
 
+/** What a run needs to know of its engine. @internal */
+export interface Engine {
+  readonly pool: Pool;
+  readonly address: string;
+  /** Restarts noticed so far. */
+  readonly restarts: number;
+  load(): Promise<unknown>;
+}
+
 /**
  * One run on a model engine. A stream whose connection breaks or falls silent is resumed by its id
  * and the number of tokens received, on a new connection.
  * @internal
  */
 export class EngineRun {
-  readonly #pool: Pool;
+  readonly #engine: Engine;
 
-  readonly #address: string;
+  readonly #restarts: number;
 
   readonly #dispatch: Dispatch;
 
@@ -41,15 +53,9 @@
 
   #isStream = false;
 
-  constructor(
-    pool: Pool,
-    address: string,
-    dispatch: Dispatch,
-    sink: AnswerSink,
-    signal: AbortSignal,
-  ) {
-    this.#pool = pool;
-    this.#address = address;
+  constructor(engine: Engine, dispatch: Dispatch, sink: AnswerSink, signal: AbortSignal) {
+    this.#engine = engine;
+    this.#restarts = engine.restarts;
     this.#dispatch = dispatch;
     this.#sink = sink;
     this.#signal = signal;
@@ -66,7 +72,7 @@
 
   async #start(): Promise<void> {
     const dispatch = this.#dispatch;
-    const answer = await this.#pool.request({
+    const answer = await this.#engine.pool.request({
       method: 'POST',
       path: dispatch.path,
       headers: {
@@ -110,12 +116,12 @@
       if (fault) throw new EndpointError(fault, this.#reader?.work ?? noWork, error);
       const before = this.#reader?.tokens;
       try {
-        await this.#resume();
+        await this.#resume(Math.min(MAX_SILENCE_MS, SILENCE_MS * 2 ** idle));
         return;
       } catch (next) {
         error = next;
       }
-      if (this.#reader?.tokens !== before) idle = 0;
+      if (this.#reader?.tokens !== before) idle = -1;
     }
     throw new EndpointError('failed', this.#reader?.work ?? noWork, error);
   }
@@ -123,17 +129,23 @@
   /** The fault when the run can not go on; undefined when the stream may be resumed. */
   async #faultOf(error: unknown): Promise<EndpointFault | undefined> {
     if (this.#signal.aborted) return 'failed';
-    if (error instanceof StreamLostError) return 'crashed';
+    if (error instanceof StreamLostError)
+      return (await this.#hasRestarted()) ? 'crashed' : 'failed';
     if (!this.#reader && isUnreached(error)) return 'unreached';
-    if (await isGone(this.#address)) return 'crashed';
+    if (await isGone(this.#engine.address)) return 'crashed';
     return this.#isStream ? undefined : 'failed';
   }
 
-  async #resume(): Promise<void> {
+  async #hasRestarted(): Promise<boolean> {
+    await this.#engine.load().catch(() => {});
+    return this.#engine.restarts > this.#restarts;
+  }
+
+  async #resume(silenceMs: number): Promise<void> {
     const { tokens = 0, bytesAfterToken = 0 } = this.#reader ?? {};
     this.#skip = bytesAfterToken;
     const form = this.#dispatch.path.includes('/chat/') ? 'chat' : 'text';
-    const client = new Client(`http://${this.#address}`, {
+    const client = new Client(`http://${this.#engine.address}`, {
       connect: { timeout: CONNECT_TIMEOUT_MS },
     });
     try {
@@ -142,7 +154,7 @@
         path: `/v1/streams/${this.#dispatch.attempt}?offset=${tokens}&form=${form}`,
         signal: this.#signal,
         headersTimeout: SILENCE_MS,
-        bodyTimeout: SILENCE_MS,
+        bodyTimeout: silenceMs,
       });
       if (answer.statusCode === NOT_FOUND) throw new StreamLostError('no such stream');
       await this.#read(answer);
