--- a/packages/policy/src/lib/fair/WaitingPool.ts
+++ b/packages/policy/src/lib/fair/WaitingPool.ts
@@ -1,5 +1,6 @@
 import type { RequestClass } from '@berylwood/schema';
 import type { Job } from '../Job';
+import type { PoolKey } from '../PoolMap';
 import { DrainRate } from '../queue/DrainRate';
 import { FairQueue } from '../queue/FairQueue';
 import { MinimumShare } from '../queue/MinimumShare';
@@ -22,6 +23,9 @@
 /** Factor over the average up to which a time to the first token is counted. */
 const MAX_LEAD_GROWTH = 2;
 
+/** Factor over the average from which a time to the first token shows a queue. */
+const DELAYED_FACTOR = 3;
+
 /** Part of a job's time to its target that the lead takes at most. */
 const MAX_LEAD_PART = 0.5;
 
@@ -46,6 +50,9 @@
  * @internal
  */
 export class WaitingPool {
+  /** The model or service. */
+  readonly key: PoolKey;
+
   readonly drainRate = new DrainRate();
 
   /** Time from the dispatch to the first token, in milliseconds. */
@@ -60,6 +67,10 @@
 
   #waiting = 0;
 
+  constructor(key: PoolKey) {
+    this.key = key;
+  }
+
   get waiting(): number {
     return this.#waiting;
   }
@@ -79,6 +90,11 @@
     this.#leadMs.observe(Math.min(leadMs, MAX_LEAD_GROWTH * this.#leadMs.value));
   }
 
+  /** Whether a first token took so long after the dispatch that it must have waited. */
+  isDelayed(leadMs: number): boolean {
+    return leadMs > DELAYED_FACTOR * this.#leadMs.value;
+  }
+
   /** Time before its target at which the job must be sent, in milliseconds. */
   leadMsOf(job: Job): number {
     return Math.min(this.#leadMs.value, MAX_LEAD_PART * (job.targetAt - job.arrivedAt));
@@ -196,12 +212,16 @@
     let late: Ticket | undefined;
     for (const queue of this.#tiers) {
       if (queue.fair.waiting === 0) continue;
-      const first = late ? this.mostUrgent(queue, now) : queue.fair.peekOnTime(now);
-      if (first) return first;
-      if (late) continue;
+      if (late) {
+        const urgent = this.mostUrgent(queue, now);
+        if (urgent) return urgent;
+        continue;
+      }
+      const first = queue.fair.peek(now);
+      if (first && queue.mostUrgent(now)) return first;
       const expiring = queue.firstToExpire();
       if (expiring && isExpiring(expiring, now)) return expiring;
-      late = queue.fair.peekLate(now);
+      late = first;
     }
     return late;
   }
--- a/packages/policy/src/lib/queue/FairQueue.ts
+++ b/packages/policy/src/lib/queue/FairQueue.ts
@@ -31,6 +31,9 @@
   arrivals: T[];
 }
 
+/** Mean items by which a workspace may fall behind because its items are late. */
+const MAX_DEBT_ITEMS = 16;
+
 /** Dead items in a list before it is compacted. */
 const COMPACT_AT = 64;
 
@@ -46,6 +49,7 @@
 
   readonly #active: Flow<T>[] = [];
 
+  /** Virtual time at which the queue was empty last. */
   #virtualTime = 0;
 
   #waiting = 0;
@@ -66,7 +70,7 @@
     const flow = this.#flowOf(item.workspace);
     flow.share = item.share;
     if (flow.waiting === 0) {
-      flow.virtualTime = Math.max(flow.virtualTime, this.#virtualTime);
+      flow.virtualTime = Math.max(flow.virtualTime, this.#lowestVirtualTime());
       this.#active.push(flow);
     }
     flow.waiting += 1;
@@ -88,30 +92,28 @@
     else this.#deactivate(flow);
   }
 
-  /** The item to serve next, or undefined: of those in time if there are any, else a late one. */
+  /**
+   * The item to serve next: one that can still start in time, unless that would take the workspace
+   * of a late one too far below its fair share.
+   */
   peek(now: number): T | undefined {
-    return this.peekOnTime(now) ?? this.peekLate(now);
-  }
-
-  /** The item to serve next among those that can still start in time. */
-  peekOnTime(now: number): T | undefined {
-    let best: Flow<T> | undefined;
+    let onTime: Flow<T> | undefined;
+    let late: Flow<T> | undefined;
     for (const flow of this.#active) {
-      if (best && flow.virtualTime >= best.virtualTime) continue;
-      if (FairQueue.#onTimeHead(flow, now)) best = flow;
+      if (onTime && flow.virtualTime >= onTime.virtualTime) continue;
+      if (FairQueue.#onTimeHead(flow, now)) onTime = flow;
+      else if (!late || flow.virtualTime < late.virtualTime) late = flow;
     }
-    return best && FairQueue.#onTimeHead(best, now);
+    const chosen = onTime && !(late && this.#isOwed(late, onTime)) ? onTime : late;
+    return chosen && (FairQueue.#onTimeHead(chosen, now) ?? FairQueue.#lateHead(chosen));
   }
 
-  /** The item to serve next among those that have missed their time. */
-  peekLate(now: number): T | undefined {
-    let best: Flow<T> | undefined;
-    for (const flow of this.#active) {
-      if (best && flow.virtualTime >= best.virtualTime) continue;
+  /** All items that have missed their time. */
+  listLate(now: number): T[] {
+    return this.#active.flatMap((flow) => {
       FairQueue.#onTimeHead(flow, now);
-      if (FairQueue.#lateHead(flow)) best = flow;
-    }
-    return best && FairQueue.#lateHead(best);
+      return flow.late.slice(flow.lateHead).filter(({ isWaiting }) => isWaiting);
+    });
   }
 
   /** The youngest item of the workspace with the largest backlog for its share. */
@@ -128,14 +130,20 @@
   /** Counts served work, in tokens, against a workspace; negative work corrects an estimate. */
   charge(workspace: WorkspaceId, share: number, work: number): void {
     const flow = this.#flowOf(workspace);
-    this.#virtualTime = Math.max(this.#virtualTime, this.#lowestVirtualTime(flow.virtualTime));
     flow.virtualTime += work / share;
   }
 
-  #lowestVirtualTime(otherwise: number): number {
+  /** Whether a workspace with late items only has fallen too far behind another one. */
+  #isOwed(late: Flow<T>, onTime: Flow<T>): boolean {
+    const maxDebt = (MAX_DEBT_ITEMS * this.#backlog) / this.#waiting / late.share;
+    return onTime.virtualTime - late.virtualTime > maxDebt;
+  }
+
+  /** Virtual time at which a workspace that has had nothing waiting joins the others. */
+  #lowestVirtualTime(): number {
     let lowest = Infinity;
     for (const flow of this.#active) lowest = Math.min(lowest, flow.virtualTime);
-    return lowest === Infinity ? otherwise : lowest;
+    return lowest === Infinity ? this.#virtualTime : lowest;
   }
 
   #flowOf(workspace: WorkspaceId): Flow<T> {
@@ -184,6 +192,7 @@
     const index = this.#active.indexOf(flow);
     const last = this.#active.pop() as Flow<T>;
     if (last !== flow) this.#active[index] = last;
+    if (this.#active.length === 0) this.#virtualTime = flow.virtualTime;
     Object.assign(flow, { backlog: 0, late: [], lateHead: 0, arrivals: [] });
   }
 
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -11,3 +11,4 @@
 export * from './lib/Settings';
 export * from './lib/AttemptMessage';
 export * from './lib/ControlMessage';
+export * from './lib/Order';
--- a/packages/testing/src/lib/ServiceServer.ts
+++ b/packages/testing/src/lib/ServiceServer.ts
@@ -1,5 +1,5 @@
-import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { contentDigest } from './contentDigest';
 import { StandIn, sendJson } from './StandIn';
 
 /** Options of a stand-in of a plain service. @public */
@@ -24,6 +24,8 @@
 
   readonly #delayMs: number;
 
+  #running = 0;
+
   readonly #runs = new Map<string, number>();
 
   constructor(options: ServiceOptions) {
@@ -38,7 +40,8 @@
     url: URL,
     body: Buffer,
   ): Promise<void> {
-    const digest = createHash('sha256').update(body).digest('hex').slice(0, 16);
+    if (url.pathname === '/load') return sendJson(response, 200, { running: this.#running });
+    const digest = contentDigest(body);
     const call = `${request.method} ${url.pathname} ${digest}`;
     const { headers } = request;
     const identities = IDENTITY_HEADERS.map((name) => headers[name]).filter(Boolean);
@@ -46,11 +49,13 @@
     const identityRuns = Math.max(0, ...identities.map((value) => this.#count(String(value))));
     const path = url.pathname + url.search;
     const text = body.toString('utf8', 0, LOG_BODY_BYTES);
-    this.history.add('call', { call, path, headers, body: text, runs, identityRuns });
+    this.history.add('call', { call, digest, path, headers, body: text, runs, identityRuns });
+    this.#running += 1;
     await new Promise((resolve) => {
       setTimeout(resolve, this.#delayMs);
     });
-    sendJson(response, 200, { service: this.name, call, runs, echo: body.toString() });
+    this.#running -= 1;
+    return sendJson(response, 200, { service: this.name, call, runs, echo: body.toString() });
   }
 
   #count(identity: string): number {
--- a/packages/testing/src/lib/engine/EngineServer.ts
+++ b/packages/testing/src/lib/engine/EngineServer.ts
@@ -1,8 +1,9 @@
-import { createHash } from 'node:crypto';
+import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Random, SystemTimer } from '@berylwood/base';
+import { contentDigest } from '../contentDigest';
 import { HttpFault, StandIn, parseJson, sendJson } from '../StandIn';
-import type { CompletionRequest } from './answer';
+import { promptOf, type CompletionRequest } from './answer';
 import { Batch } from './Batch';
 import { CacheEventLog } from './CacheEventLog';
 import type { EngineOptions } from './EngineOptions';
@@ -64,7 +65,11 @@
     const { method = 'GET' } = request;
     switch (`${method} ${url.pathname}`) {
       case 'GET /load':
-        return sendJson(response, 200, this.#load.load);
+        return sendJson(
+          response,
+          200,
+          url.search === '?present' ? this.#load.present : this.#load.load,
+        );
       case 'GET /cache-events':
         return this.#sendEvents(response, url);
       case 'GET /v1/models':
@@ -140,8 +145,8 @@
   ): Promise<void> {
     const completion = parseJson<CompletionRequest>(body);
     const { headers } = request;
-    const digest = createHash('sha256').update(body).digest('hex');
-    const id = String(headers['x-stream-id'] ?? digest);
+    const digest = contentDigest(promptOf(completion));
+    const id = String(headers['x-stream-id'] ?? randomUUID());
     const path = url.pathname + url.search;
     const text = body.toString('utf8', 0, LOG_BODY_BYTES);
     this.history.add('run', { id, path, headers, body: text, digest });
