--- a/packages/sidecar/src/lib/OutcomeReporter.ts
+++ b/packages/sidecar/src/lib/OutcomeReporter.ts
@@ -36,6 +36,8 @@
 
   #isSending = false;
 
+  #crashes = 0;
+
   #isDisposed = false;
 
   constructor(options: OutcomeReporterOptions) {
@@ -87,7 +89,9 @@
     const fingerprints = [...this.#suspects].slice(0, MAX_FINGERPRINTS);
     this.#suspects = new Set();
     journal.record(sidecarEvents.endpointCrashed, { endpoint, suspects: fingerprints.length });
-    this.#add({ type: 'suspect', endpoint, incarnation, fingerprints });
+    this.#crashes += 1;
+    const crash = `${incarnation}-${this.#crashes}`;
+    this.#add({ type: 'suspect', endpoint, incarnation, fingerprints, crash });
   }
 
   #add(report: Report): void {
--- a/packages/testing/src/lib/Relay.ts
+++ b/packages/testing/src/lib/Relay.ts
@@ -26,6 +26,8 @@
 
   readonly #pairs = new Set<Pair>();
 
+  readonly #forgotten = new Set<Pair>();
+
   #mode: RelayMode = 'pass';
 
   #delayMs = 0;
@@ -65,6 +67,23 @@
     this.#delayMs = delayMs;
   }
 
+  /** Connections that pass bytes. */
+  get openCount(): number {
+    return this.#pairs.size;
+  }
+
+  /**
+   * Lets the open connections fall silent for good, without a sign to either end, while new ones
+   * work: as when something in between has lost track of them.
+   */
+  forget(): void {
+    for (const pair of this.#pairs) {
+      this.#forgotten.add(pair);
+      for (const socket of [pair.near, pair.far]) socket.removeAllListeners('data').pause();
+    }
+    this.#pairs.clear();
+  }
+
   /** Resets all open connections, in whatever frame they are. */
   reset(): void {
     for (const { near, far } of this.#pairs) {
@@ -75,6 +94,7 @@
 
   async close(): Promise<void> {
     this.reset();
+    for (const pair of this.#forgotten) this.#drop(pair);
     await new Promise((resolve) => {
       this.#server.close(resolve);
     });
@@ -97,7 +117,7 @@
       socket.once('close', () => {
         this.#pairs.delete(pair);
         // A cut network tells neither side that the other is gone.
-        if (this.#mode !== 'silent') this.#drop(pair);
+        if (this.#mode !== 'silent' && !this.#forgotten.has(pair)) this.#drop(pair);
       });
     }
     if (this.#mode === 'silent') pause(near, far);
