--- a/packages/entry/src/lib/Admission.ts
+++ b/packages/entry/src/lib/Admission.ts
@@ -5,7 +5,7 @@
 import type { Order } from './classify';
 
 /** Crashes after which a fingerprint is held back. */
-const QUARANTINE_CRASHES = 2;
+export const QUARANTINE_CRASHES = 2;
 
 /** Holds back content that has crashed endpoints, and marks suspects. @internal */
 export class Admission {
--- a/packages/entry/src/lib/AnswerWriter.ts
+++ b/packages/entry/src/lib/AnswerWriter.ts
@@ -1,4 +1,6 @@
 import type { ServerResponse } from 'node:http';
+import type { Failure } from '@berylwood/base';
+import { sendFailure } from './sendFailure';
 
 /** Bytes received after which the sidecar is told, so that it may forget them. */
 const ACKNOWLEDGE_BYTES = 32 * 1024;
@@ -65,6 +67,12 @@
     this.#response.end();
   }
 
+  /** Ends with an error, also when a part of the answer was sent. */
+  fail(failure: Failure): void {
+    if (!this.#isAtEventEnd) this.#response.write(EVENT_END);
+    sendFailure(this.#response, failure);
+  }
+
   /** Lets the caller of a quiet stream know that the connection lives. */
   keepAlive(): void {
     const isQuiet = !this.#isActive && this.#isAtEventEnd && this.#response.writableLength === 0;
@@ -77,7 +85,10 @@
 
   #sendHead(): void {
     if (!this.#head || this.#response.headersSent) return;
-    this.#response.writeHead(this.#head.status, this.#head.headers);
+    const { status, headers } = this.#head;
+    // Only headers that were set can be read again when the answer fails.
+    for (const [name, value] of Object.entries(headers)) this.#response.setHeader(name, value);
+    this.#response.writeHead(status);
   }
 
   #awaitDrain(): void {
--- a/packages/entry/src/lib/Dispatcher.ts
+++ b/packages/entry/src/lib/Dispatcher.ts
@@ -8,6 +8,7 @@
   type RequestId,
   type SidecarMessage,
 } from '@berylwood/schema';
+import type { Admission } from './Admission';
 import type { ClaimClient } from './ClaimClient';
 import { ClaimRun } from './ClaimRun';
 import type { EndpointTable } from './EndpointTable';
@@ -25,10 +26,14 @@
   readonly endpoints: EndpointTable;
   readonly claims: ClaimClient;
   readonly recovery: Recovery;
+  readonly admission: Admission;
   /** Whether new work may be started now. */
   readonly mayStart: () => boolean;
 }
 
+/** States in which no attempt is under way. */
+const WAITING = new Set(['waiting', 'deferred', 'lost', 'broken']);
+
 const MIN_WAKE_MS = 1;
 const KEEP_ALIVE_MS = 1000;
 
@@ -110,7 +115,7 @@
   /** Refuses what has not been dispatched and matches. */
   refuseWaiting(failure: Failure, matches: (exchange: Exchange) => boolean): void {
     for (const exchange of [...this.#exchanges.values()]) {
-      const isWaiting = ['waiting', 'deferred'].includes(exchange.lifecycle.state);
+      const isWaiting = WAITING.has(exchange.lifecycle.state);
       if (isWaiting && matches(exchange)) exchange.fail(failure);
     }
   }
@@ -246,13 +251,22 @@
 
   #retry(exchange: Exchange, isSuspect: boolean): void {
     if (exchange.hasEnded) return;
-    const { order, place } = exchange;
+    const { place } = exchange;
+    const admitted = this.#options.admission.admit(exchange.order);
+    if (admitted.isErr()) {
+      exchange.fail(admitted.error);
+      return;
+    }
+    const order = admitted.value;
     const { job } = order;
     const failed = place && !job.avoid.includes(place.endpoint) ? [place.endpoint] : [];
     const avoid = [...job.avoid, ...failed];
     const open = suitable(job, this.#options.endpoints.candidates);
     const isAnyLeft = open.some((endpoint) => !avoid.includes(endpoint));
-    exchange.retry({ ...order, job: { ...job, isSuspect, avoid: isAnyLeft ? avoid : [] } });
+    exchange.retry({
+      ...order,
+      job: { ...job, isSuspect: isSuspect || job.isSuspect, avoid: isAnyLeft ? avoid : [] },
+    });
     this.#offer(exchange);
   }
 
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -90,6 +90,7 @@
       }),
     );
     this.#endpoints = this.store.add(new EndpointTable(options));
+    this.#admission = new Admission(this.#subscription, timer);
     this.#dispatcher = this.store.add(
       new Dispatcher({
         ...options,
@@ -97,10 +98,10 @@
         endpoints: this.#endpoints,
         claims: new ClaimClient(this.#subscription, timer),
         recovery: new Recovery(random),
+        admission: this.#admission,
         mayStart: () => this.#subscription.isFresh,
       }),
     );
-    this.#admission = new Admission(this.#subscription, timer);
     this.#failures = new FailureLimiter(timer);
     this.#server = new CallerServer(settings, {
       serve: (request, response) => this.#serve(request, response),
--- a/packages/entry/src/lib/Exchange.ts
+++ b/packages/entry/src/lib/Exchange.ts
@@ -12,7 +12,6 @@
 import type { Order } from './classify';
 import type { SidecarLink } from './EndpointTable';
 import { exchangeTable, type ExchangeEvent, type ExchangeNote } from './exchangeMachine';
-import { sendFailure } from './sendFailure';
 
 export type AttemptMessage = Exclude<SidecarMessage, { type: 'hello' | 'load' | 'cache' }>;
 
@@ -67,6 +66,9 @@
   /** Attempts that were dispatched. */
   attempts = 0;
 
+  /** Endpoints that crashed while they ran the request. */
+  crashes = 0;
+
   tokens = 0;
 
   /** Timeout of the present state. */
@@ -224,7 +226,7 @@
     const told = new Failure(code, message, { retryAfterMs, notRun });
     this.#endAttempt();
     this.send('fail');
-    sendFailure(this.response, told);
+    this.writer.fail(told);
     this.onEnd('failed', told);
   }
 
--- a/packages/entry/src/lib/Recovery.ts
+++ b/packages/entry/src/lib/Recovery.ts
@@ -1,4 +1,6 @@
-import type { Failure, Random } from '@berylwood/base';
+import { Failure, type Random } from '@berylwood/base';
+import { requestCodes } from '@berylwood/schema';
+import { QUARANTINE_CRASHES } from './Admission';
 import type { Exchange, Setback } from './Exchange';
 import { RetryBudget } from './RetryBudget';
 
@@ -37,6 +39,11 @@
   }
 
   decide(exchange: Exchange, { failure, crashed }: Setback, now: number): Remedy {
+    if (crashed) exchange.crashes += 1;
+    if (exchange.crashes >= QUARANTINE_CRASHES) {
+      const { quarantined } = requestCodes;
+      return { type: 'fail', failure: new Failure(quarantined, quarantined.meaning) };
+    }
     const isSuspect = exchange.order.job.isSuspect || crashed;
     const isDeferred = exchange.lifecycle.state === 'deferred';
     const delayMs = this.#delay(exchange, isDeferred, isSuspect);
--- a/packages/entry/src/process/links.process.test.ts
+++ b/packages/entry/src/process/links.process.test.ts
@@ -10,9 +10,10 @@
   const relay = fixture.deployment.relay('entries', 'sidecar-engine-1');
   const prompts = ['reset', 'silent', 'delayed'];
   const replies = prompts.map((prompt) => stream(fixture, prompt, TOKENS));
-  await until('the engine runs them', async () => {
-    return (await countRecords(fixture, 'engine-1', 'run')) === prompts.length;
-  });
+  await until(
+    'the engine runs them',
+    async () => (await countRecords(fixture, 'engine-1', 'run')) === prompts.length,
+  );
   relay.reset();
   await until('the entry is back', () => relay.openCount > 0);
   relay.delay(30);
@@ -29,9 +30,10 @@
   const fixture = await createDeployment(t, { relays: true });
   const relay = fixture.deployment.relay('sidecar-engine-1', 'engine-1');
   const reply = stream(fixture, 'quiet', TOKENS);
-  await until('the engine runs it', async () => {
-    return (await countRecords(fixture, 'engine-1', 'run')) === 1;
-  });
+  await until(
+    'the engine runs it',
+    async () => (await countRecords(fixture, 'engine-1', 'run')) === 1,
+  );
   relay.forget();
   const { text, isWhole, durationMs } = await reply;
   assert.ok(isWhole);
