Show attempt machines in the docs, gate orders by fence in the sidecar, serve TLS to callers

The page on attempts is compared with the machines by a test. Certificates of callers are read again when they change.

--- /dev/null
+++ b/packages/entry/src/lib/CallerServer.test.ts
@@ -0,0 +1,95 @@
+import assert from 'node:assert/strict';
+import { copyFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { get } from 'node:https';
+import { connect } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import test, { type TestContext } from 'node:test';
+import { SystemTimer, VirtualTimer, createSilentJournal } from '@berylwood/base';
+import { splitAddress } from '@berylwood/link';
+import { settingsSchema } from '@berylwood/schema';
+import { createAuthority } from '@berylwood/testing';
+import { CallerServer } from './CallerServer';
+import { CertificateWatch } from './CertificateWatch';
+
+function createSettings() {
+  const entry = { listen: '127.0.0.1:0', control: ['127.0.0.1:1'], headersTimeoutMs: 300 };
+  const { entry: settings } = settingsSchema.parse({ process: { name: 'test' }, entry });
+  assert.ok(settings);
+  return settings;
+}
+
+async function createServer(t: TestContext, watch?: CertificateWatch): Promise<string> {
+  const handlers = {
+    serve: async () => {},
+    isReady: () => true,
+    metrics: async () => '',
+  };
+  const server = new CallerServer(createSettings(), handlers, watch);
+  const address = await server.listen();
+  t.after(() => server.close());
+  return address;
+}
+
+/** Sends bytes and resolves to what came back until the server closed. */
+function exchange(address: string, text: string): Promise<string> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve) => {
+    const socket = connect(port, host, () => socket.write(text));
+    let received = '';
+    socket.on('data', (chunk) => {
+      received += chunk;
+    });
+    socket.on('close', () => resolve(received));
+    socket.on('error', () => {});
+  });
+}
+
+function fetchSubject(address: string, authority: string): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const ca = readFileSync(authority);
+    const checkServerIdentity = () => undefined;
+    const url = `https://${address}/healthz`;
+    get(url, { ca, checkServerIdentity, agent: false }, (answer) => {
+      const { subject } = (answer.socket as import('node:tls').TLSSocket).getPeerCertificate();
+      answer.resume().on('end', () => resolve(String(subject.CN)));
+    }).on('error', reject);
+  });
+}
+
+test('new connections get a certificate that has changed, and an unusable one is left out', async (t) => {
+  const folder = mkdtempSync(join(tmpdir(), 'berylwood-tls-'));
+  t.after(() => rmSync(folder, { recursive: true }));
+  const authority = createAuthority(folder);
+  const [first, second] = [authority.sign('first'), authority.sign('second')];
+  const files = { certificate: join(folder, 'used.pem'), key: join(folder, 'used.key') };
+  const use = ({ certificate, key }: typeof first): void => {
+    copyFileSync(certificate, files.certificate);
+    copyFileSync(key, files.key);
+  };
+  use(first);
+  const timer = new VirtualTimer();
+  const watch = new CertificateWatch(files, timer, createSilentJournal(timer));
+  const address = await createServer(t, watch);
+  assert.equal(await fetchSubject(address, authority.file), 'first');
+  use(second);
+  timer.advance(2000);
+  assert.equal(await fetchSubject(address, authority.file), 'second');
+  writeFileSync(files.certificate, 'broken');
+  timer.advance(2000);
+  assert.equal(await fetchSubject(address, authority.file), 'second');
+});
+
+test('requests of ambiguous length and slow headers are refused', async (t) => {
+  const address = await createServer(t);
+  const head = 'POST /v1/completions HTTP/1.1\r\nhost: a\r\n';
+  const both = `${head}content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n`;
+  const twice = `${head}content-length: 3\r\ncontent-length: 4\r\n\r\nabcd`;
+  const folded = `${head}content-length : 3\r\n\r\nabc`;
+  for (const text of [both, twice, folded]) {
+    assert.match(await exchange(address, text), /^HTTP\/1\.1 400 /);
+  }
+  const startedAt = new SystemTimer().now();
+  assert.match(await exchange(address, head), /^HTTP\/1\.1 408 /);
+  assert.ok(new SystemTimer().now() - startedAt < 3000);
+});
--- a/packages/entry/src/lib/CallerServer.ts
+++ b/packages/entry/src/lib/CallerServer.ts
@@ -1,8 +1,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createServer as createSecureServer, type Server as SecureServer } from 'node:https';
 import type { AddressInfo } from 'node:net';
 import { Failure, baseCodes } from '@berylwood/base';
 import { splitAddress } from '@berylwood/link';
 import type { EntrySettings } from '@berylwood/schema';
+import type { CertificateWatch } from './CertificateWatch';
 import { sendFailure } from './sendFailure';
 
 /** What the caller server needs of its entry. @internal */
@@ -16,7 +18,7 @@
 const MAX_HEADER_BYTES = 32 * 1024;
 const CONNECTION_CHECK_MS = 1000;
 
-/** HTTP/1.1 listener for callers, with health, readiness and metrics. @internal */
+/** HTTP/1.1 listener for callers, with TLS when a certificate is given, with health, readiness and metrics. @internal */
 export class CallerServer {
   readonly #settings: EntrySettings;
 
@@ -26,19 +28,28 @@
 
   #isClosing = false;
 
-  constructor(settings: EntrySettings, handlers: CallerHandlers) {
+  constructor(settings: EntrySettings, handlers: CallerHandlers, watch?: CertificateWatch) {
     this.#settings = settings;
     this.#handlers = handlers;
-    this.#server = createServer(
-      {
-        headersTimeout: settings.headersTimeoutMs,
-        requestTimeout: settings.bodyTimeoutMs,
-        keepAliveTimeout: KEEP_ALIVE_MS,
-        connectionsCheckingInterval: CONNECTION_CHECK_MS,
-        maxHeaderSize: MAX_HEADER_BYTES,
-      },
-      (request, response) => this.#answer(request, response),
-    );
+    const options = {
+      headersTimeout: settings.headersTimeoutMs,
+      requestTimeout: settings.bodyTimeoutMs,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      connectionsCheckingInterval: CONNECTION_CHECK_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      noDelay: true,
+    };
+    const answer = (request: IncomingMessage, response: ServerResponse): void => {
+      this.#answer(request, response);
+    };
+    this.#server = watch
+      ? createSecureServer({ ...options, ...watch.current, minVersion: 'TLSv1.2' }, answer)
+      : createServer(options, answer);
+    if (watch) {
+      watch.onChange = (certificate) => {
+        (this.#server as SecureServer).setSecureContext(certificate);
+      };
+    }
     this.#server.maxConnections = settings.maxConnections;
   }
 
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -20,6 +20,7 @@
 import { Admission } from './Admission';
 import { authenticate, type Identity } from './authenticate';
 import { CallerServer } from './CallerServer';
+import { CertificateWatch, type CertificateFiles } from './CertificateWatch';
 import { checkHeaders } from './checkHeaders';
 import { ClaimClient } from './ClaimClient';
 import { classify } from './classify';
@@ -43,6 +44,8 @@
   readonly journal: Journal;
   readonly metrics: Metrics;
   readonly identity?: LinkIdentity;
+  /** Certificate shown to callers; they speak plain HTTP when it is left out. */
+  readonly certificate?: CertificateFiles;
 }
 
 const DRAIN_POLL_MS = 20;
@@ -103,11 +106,15 @@
       }),
     );
     this.#failures = new FailureLimiter(timer);
-    this.#server = new CallerServer(settings, {
-      serve: (request, response) => this.#serve(request, response),
+    const { certificate, journal } = options;
+    const watch = certificate && new CertificateWatch(certificate, timer, journal);
+    if (watch) this.store.add(watch);
+    const handlers = {
+      serve: (request: IncomingMessage, response: ServerResponse) => this.#serve(request, response),
       isReady: () => this.#subscription.isFresh && !this.#isDraining,
       metrics: () => options.metrics.expose(),
-    });
+    };
+    this.#server = new CallerServer(settings, handlers, watch);
   }
 
   override async start(): Promise<void> {
--- a/packages/entry/src/lib/events.ts
+++ b/packages/entry/src/lib/events.ts
@@ -56,4 +56,16 @@
     meaning: 'The process ended before its requests had.',
     action: 'Raise shutdown_limit_ms, or look for what held them up.',
   },
+  certificateReloaded: {
+    number: 5009,
+    level: 'info',
+    meaning: 'New connections of callers get the new certificate.',
+    action: 'none',
+  },
+  certificateUnusable: {
+    number: 5010,
+    level: 'error',
+    meaning: 'The files of the certificate can not be used; the one before stays in use.',
+    action: 'Correct the files named in [tls.callers].',
+  },
 });
--- a/packages/sidecar/src/lib/Endpoint.ts
+++ b/packages/sidecar/src/lib/Endpoint.ts
@@ -1,4 +1,4 @@
-import type { Dispatch, Work } from '@berylwood/schema';
+import type { Dispatch, EndpointAction, OrderId, Work } from '@berylwood/schema';
 
 /** Takes an answer as it comes from an endpoint. @public */
 export interface AnswerSink {
@@ -15,6 +15,12 @@
   readonly generatedTokens: number;
 }
 
+/** What the endpoint said to an order. @public */
+export interface OrderOutcome {
+  readonly accepted: boolean;
+  readonly message: string;
+}
+
 /** How a run has failed. @public */
 export type EndpointFault =
   /** No connection was made, so nothing has run. */
@@ -49,6 +55,9 @@
   /** Ends work that nobody waits for any more. */
   abstract cancel(dispatch: Dispatch): Promise<void>;
 
+  /** Gives the endpoint an order of the control group. */
+  abstract order(order: OrderId, fence: number, action: EndpointAction): Promise<OrderOutcome>;
+
   /** Asks the endpoint for its load; undefined when it does not report any. */
   abstract load(): Promise<EndpointLoad | undefined>;
 }
--- a/packages/sidecar/src/lib/EngineEndpoint.ts
+++ b/packages/sidecar/src/lib/EngineEndpoint.ts
@@ -1,7 +1,7 @@
 import { Pool } from 'undici';
-import type { Dispatch, Work } from '@berylwood/schema';
+import type { Dispatch, EndpointAction, OrderId, Work } from '@berylwood/schema';
 import { CONNECT_TIMEOUT_MS } from './connection';
-import { Endpoint, type AnswerSink, type EndpointLoad } from './Endpoint';
+import { Endpoint, type AnswerSink, type EndpointLoad, type OrderOutcome } from './Endpoint';
 import { EngineRun, type Engine } from './EngineRun';
 
 /** Connections to the engine beyond its slots, for load reports and cancels. */
@@ -10,6 +10,9 @@
 /** Time for the answer to a load report or a cancel, in milliseconds. */
 const CALL_TIMEOUT_MS = 1000;
 
+/** Time for the answer to an order, in milliseconds. */
+const ORDER_TIMEOUT_MS = 5000;
+
 /** Model engine with the OpenAI wire form. @public */
 export class EngineEndpoint extends Endpoint implements Disposable, Engine {
   readonly pool: Pool;
@@ -46,6 +49,21 @@
     await answer.body.dump();
   }
 
+  override async order(
+    order: OrderId,
+    fence: number,
+    action: EndpointAction,
+  ): Promise<OrderOutcome> {
+    const answer = await this.pool.request({
+      method: 'POST',
+      path: '/orders',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ order, fence, ...action }),
+      headersTimeout: ORDER_TIMEOUT_MS,
+    });
+    return { accepted: answer.statusCode < 300, message: await answer.body.text() };
+  }
+
   override async load(): Promise<EndpointLoad | undefined> {
     const answer = await this.pool.request({
       method: 'GET',
--- /dev/null
+++ b/packages/sidecar/src/lib/OrderGate.test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { SystemTimer, asId, createSilentJournal } from '@berylwood/base';
+import type { EndpointOrder } from '@berylwood/feed';
+import type { NodeCall } from '@berylwood/schema';
+import { ok } from 'neverthrow';
+import type { Endpoint } from './Endpoint';
+import { OrderGate } from './OrderGate';
+
+function createOrder(id: string, fence: number): EndpointOrder {
+  const endpoint = asId<'endpoint'>('engine-1');
+  const action = { type: 'role', endpoint, role: 'prefill' } as const;
+  return { type: 'order', order: asId(id), fence, action };
+}
+
+function createGate(isFresh = true) {
+  const passed: string[] = [];
+  const calls: NodeCall[] = [];
+  const group = {
+    isFresh,
+    state: { fence: 3 } as never,
+    call: async (call: NodeCall) => {
+      calls.push(call);
+      return ok(true as never);
+    },
+  };
+  const endpoint = {
+    order: async (id: string) => {
+      passed.push(id);
+      return { accepted: true, message: '' };
+    },
+  } as unknown as Endpoint;
+  const gate = new OrderGate(group, endpoint, createSilentJournal(new SystemTimer()));
+  return { gate, passed, calls };
+}
+
+test('refuses an order with an old fencing number, also after a newer one', async () => {
+  const { gate, passed, calls } = createGate();
+  await gate.take(createOrder('old', 2));
+  await gate.take(createOrder('new', 5));
+  await gate.take(createOrder('late', 4));
+  assert.deepEqual(passed, ['new']);
+  const accepted = calls.map((call) => call.type === 'orderAnswer' && call.accepted);
+  assert.deepEqual(accepted, [false, true, false]);
+});
+
+test('passes an order once however often it comes', async () => {
+  const { gate, passed } = createGate();
+  await Promise.all([gate.take(createOrder('a', 3)), gate.take(createOrder('a', 3))]);
+  await gate.take(createOrder('a', 3));
+  assert.deepEqual(passed, ['a']);
+});
+
+test('passes nothing while the present number is not proved', async () => {
+  const { gate, passed, calls } = createGate(false);
+  await gate.take(createOrder('a', 9));
+  assert.deepEqual([passed, calls], [[], []]);
+});
--- a/packages/sidecar/src/lib/ServiceEndpoint.ts
+++ b/packages/sidecar/src/lib/ServiceEndpoint.ts
@@ -1,7 +1,13 @@
 import { Pool } from 'undici';
 import { noWork, type Dispatch, type Work } from '@berylwood/schema';
 import { CONNECT_TIMEOUT_MS, isCut, isUnreached, probe } from './connection';
-import { Endpoint, EndpointError, type AnswerSink, type EndpointFault } from './Endpoint';
+import {
+  Endpoint,
+  EndpointError,
+  type AnswerSink,
+  type EndpointFault,
+  type OrderOutcome,
+} from './Endpoint';
 import { keepAnswerHeaders } from './headers';
 
 /** Plain HTTP service; it reports no load. @public */
@@ -30,6 +36,10 @@
     // The aborted connection is all that a plain service is told.
   }
 
+  override async order(): Promise<OrderOutcome> {
+    return { accepted: false, message: 'a plain service takes no orders' };
+  }
+
   override async load(): Promise<undefined> {
     await probe(this.#address);
     return undefined;
--- a/packages/sidecar/src/lib/Sidecar.ts
+++ b/packages/sidecar/src/lib/Sidecar.ts
@@ -20,6 +20,7 @@
 import { sidecarEvents } from './events';
 import { LoadMonitor } from './LoadMonitor';
 import { Meter } from './Meter';
+import { OrderGate } from './OrderGate';
 import { OutcomeReporter } from './OutcomeReporter';
 import { ServiceEndpoint } from './ServiceEndpoint';
 
@@ -57,6 +58,8 @@
 
   readonly #reporter: OutcomeReporter;
 
+  readonly #gate: OrderGate;
+
   readonly #monitor: LoadMonitor;
 
   readonly #server: LinkServer;
@@ -111,6 +114,7 @@
         mayStart: () => this.#subscription.isFresh,
       }),
     );
+    this.#gate = new OrderGate(this.#subscription, endpoint, journal);
     this.#monitor = new LoadMonitor(timer, endpoint, this.#attempts, () => this.#isLeaving);
     this.#server = new LinkServer(options.identity);
   }
@@ -127,6 +131,9 @@
       this.#attempts.configure(this.#subscription.state.configuration);
     };
     this.#subscription.onFreshness = () => this.#attempts.decide();
+    this.#subscription.onOrder = (order) => {
+      this.#gate.take(order).catch(() => {});
+    };
     this.#subscription.open();
     this.store.add(timer.every(METER_INTERVAL_MS, () => this.#flushMeter()));
     this.store.add(this.#monitor);
--- a/packages/sidecar/src/lib/events.ts
+++ b/packages/sidecar/src/lib/events.ts
@@ -56,4 +56,16 @@
     meaning: 'The process ended before its attempts had.',
     action: 'Raise shutdown_limit_ms, or look for what held them up.',
   },
+  orderPassed: {
+    number: 6009,
+    level: 'info',
+    meaning: 'An order of the control group was passed to the endpoint.',
+    action: 'none',
+  },
+  orderRefused: {
+    number: 6010,
+    level: 'warn',
+    meaning: 'An order with an old fencing number was refused.',
+    action: 'Look for a control replica that was cut off and still believes that it leads.',
+  },
 });
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -13,6 +13,8 @@
 export { Deployment } from './lib/Deployment';
 export { type DeploymentPlan, type EndpointPlan } from './lib/DeploymentPlan';
 export { callCompletion, type Call, type Reply } from './lib/callCompletion';
+export { createAuthority, type CertificateFiles } from './lib/createAuthority';
+export { renderMachine } from './lib/renderMachine';
 export { until } from './lib/until';
 export { contentDigest } from './lib/contentDigest';
 export { type Violation } from './lib/checks/Violation';
--- /dev/null
+++ b/scripts/machines.ts
@@ -0,0 +1,36 @@
+/**
+ * Writes the diagrams and tables of the attempt machines into docs/design/attempts.md, between its
+ * markers. With `--check` it writes nothing and fails when the page differs from the code.
+ */
+import { readFileSync, writeFileSync } from 'node:fs';
+import { exchangeTable } from '@berylwood/entry';
+import { attemptTable } from '@berylwood/sidecar';
+import { renderMachine } from '@berylwood/testing';
+
+const PAGE = 'docs/design/attempts.md';
+
+const sections = {
+  entry: renderMachine(exchangeTable, {
+    'The caller may be told of this attempt: not run': ({ notRun }) => String(notRun),
+    'Longest stay': ({ limitMs }) => (limitMs === undefined ? 'no limit' : `${limitMs} ms`),
+  }),
+  sidecar: renderMachine(attemptTable, {
+    'An entry that revokes is told': ({ revoked }) => revoked,
+    'A failure says: not run': ({ notRun }) => String(notRun),
+  }),
+};
+
+let page = readFileSync(PAGE, 'utf8');
+const before = page;
+for (const [name, text] of Object.entries(sections)) {
+  const [start, end] = [`<!-- ${name} machine -->`, `<!-- end of ${name} machine -->`];
+  const at = page.indexOf(start);
+  const until = page.indexOf(end);
+  if (at < 0 || until < at) throw new Error(`${PAGE} lacks the markers of ${name}`);
+  page = `${page.slice(0, at + start.length)}\n\n${text}\n\n${page.slice(until)}`;
+}
+if (!process.argv.includes('--check')) writeFileSync(PAGE, page);
+else if (page !== before) {
+  console.error(`${PAGE} differs from the machines: run npm run machines`);
+  process.exitCode = 1;
+}
