--- a/packages/consensus/src/lib/Entry.ts
+++ b/packages/consensus/src/lib/Entry.ts
@@ -17,7 +17,7 @@
 }
 
 /** Bytes an entry takes beside its data, for bounds of memory and messages. @internal */
-export const ENTRY_OVERHEAD_BYTES = 64;
+const ENTRY_OVERHEAD_BYTES = 64;
 
 /** Size of an entry as it counts against bounds, in bytes. @internal */
 export function entryBytes(entry: Entry): number {
--- a/packages/entry/src/lib/exchangeMachine.ts
+++ b/packages/entry/src/lib/exchangeMachine.ts
@@ -46,7 +46,7 @@
 const word = { head: 'streaming', refused: 'deferred', broken: 'broken', lost: 'lost' } as const;
 
 /** The life of a request in the entry. @internal */
-export const exchangeMachine = createMachine({
+const exchangeMachine = createMachine({
   id: 'entry',
   initial: 'waiting',
   states: {
--- a/packages/policy/src/lib/routing/hash.ts
+++ b/packages/policy/src/lib/routing/hash.ts
@@ -14,7 +14,7 @@
 }
 
 /** Spreads the bits of an integer, as in MurmurHash3; unsigned 32-bit. @internal */
-export function mixHash(value: number): number {
+function mixHash(value: number): number {
   let hash = value;
   hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
   hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
--- a/packages/policy/src/lib/scaling/marginalWorth.ts
+++ b/packages/policy/src/lib/scaling/marginalWorth.ts
@@ -3,7 +3,7 @@
 const SECONDS_PER_HOUR = 3_600;
 
 /** Worth of the service that a capacity gives, in units of money an hour. @internal */
-export function servedWorth(demands: readonly ClassDemand[], tokensPerSecond: number): number {
+function servedWorth(demands: readonly ClassDemand[], tokensPerSecond: number): number {
   // By tier, as the schedulers serve it; by worth per token within a tier.
   const ordered = [...demands].sort(
     (a, b) => a.tier - b.tier || worthPerToken(b) - worthPerToken(a),
--- a/packages/sidecar/src/lib/attemptMachine.ts
+++ b/packages/sidecar/src/lib/attemptMachine.ts
@@ -30,7 +30,7 @@
 const broken = { fail: 'failed', crash: 'crashed', cancel: 'cancelled' } as const;
 
 /** The life of an attempt in the sidecar. @internal */
-export const attemptMachine = createMachine({
+const attemptMachine = createMachine({
   id: 'sidecar',
   initial: 'queued',
   states: {
--- a/packages/testing/src/lib/Relay.ts
+++ b/packages/testing/src/lib/Relay.ts
@@ -26,7 +26,7 @@
 
   readonly #pairs = new Set<Pair>();
 
-  /** Sockets of either side that are still open, also those whose other side has gone. */
+  /** Sockets of either side that are still open, also those that pass no more bytes. */
   readonly #sockets = new Set<Socket>();
 
   #mode: RelayMode = 'pass';
@@ -68,6 +68,22 @@
     this.#delayMs = delayMs;
   }
 
+  /** Connections that pass bytes. */
+  get openCount(): number {
+    return this.#pairs.size;
+  }
+
+  /**
+   * Lets the open connections fall silent for good, without a sign to either end, while new ones
+   * work: as when something in between has lost track of them.
+   */
+  forget(): void {
+    for (const pair of this.#pairs) {
+      for (const socket of [pair.near, pair.far]) socket.removeAllListeners('data').pause();
+    }
+    this.#pairs.clear();
+  }
+
   /** Resets all open connections, in whatever frame they are. */
   reset(): void {
     for (const { near, far } of this.#pairs) {
@@ -101,9 +117,9 @@
       socket.on('error', () => {});
       socket.once('close', () => {
         this.#sockets.delete(socket);
-        this.#pairs.delete(pair);
+        const passes = this.#pairs.delete(pair);
         // A cut network tells neither side that the other is gone.
-        if (this.#mode !== 'silent') this.#drop(pair);
+        if (passes && this.#mode !== 'silent') this.#drop(pair);
       });
     }
     if (this.#mode === 'silent') pause(near, far);
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -4,12 +4,18 @@
  * KNOWN-RED.txt (first field: the exact test name) are printed and passed over.
  */
 import { spawnSync } from 'node:child_process';
-import { existsSync, readFileSync, readdirSync } from 'node:fs';
+import { existsSync, mkdirSync, readFileSync, readdirSync } from 'node:fs';
 import { join } from 'node:path';
 
 /** Test files run at a time: real processes need cores of their own. */
 const CONCURRENCY = 4;
 
+/** Longest time of one test file, so that a hanging one gives a verdict too. */
+const TEST_LIMIT_MS = 180_000;
+
+/** Report from which the names of failed tests are read. */
+const REPORT = 'build/tests.tap';
+
 function findTests(folder) {
   if (!existsSync(folder)) return [];
   return readdirSync(folder, { withFileTypes: true }).flatMap((entry) => {
@@ -33,17 +39,20 @@
 }
 
 function runUnitTests(files) {
-  const args = ['--import', 'tsx', '--test', `--test-concurrency=${CONCURRENCY}`];
-  const reporters = ['--test-reporter=tap', '--test-reporter-destination=stdout'];
-  const child = spawnSync(process.execPath, [...args, ...reporters, ...files], {
-    stdio: ['ignore', 'pipe', 'inherit'],
-    maxBuffer: 256 * 1024 * 1024,
-    encoding: 'utf8',
-  });
-  process.stdout.write(child.stdout);
-  if (child.status === 0) return true;
+  mkdirSync('build', { recursive: true });
+  const options = [
+    `--test-concurrency=${CONCURRENCY}`,
+    `--test-timeout=${TEST_LIMIT_MS}`,
+    '--test-reporter=spec',
+    '--test-reporter-destination=stdout',
+    '--test-reporter=tap',
+    `--test-reporter-destination=${REPORT}`,
+  ];
+  const args = ['--import', 'tsx', '--test', ...options, ...files];
+  const { status } = spawnSync(process.execPath, args, { stdio: 'inherit' });
+  if (status === 0) return true;
   const red = new Set(knownRed());
-  const failed = failedTests(child.stdout);
+  const failed = failedTests(readFileSync(REPORT, 'utf8'));
   const unknown = failed.filter((name) => !red.has(name));
   for (const name of failed.filter((item) => red.has(item))) console.log(`KNOWN RED: ${name}`);
   for (const name of unknown) console.log(`FAILED: ${name}`);
