Shed over all entries from the lowest tier upwards

Cause: with a floor all entries refused all lower tiers at once, but one learnt of it later than the other: 231 refusals of one tier in one moment while a lower one still waited in the third entry. Each tier now follows the one below it after the time of a notice.

--- a/packages/policy/src/lib/FairScheduler.test.ts
+++ b/packages/policy/src/lib/FairScheduler.test.ts
@@ -93,6 +93,30 @@
   assert.deepEqual(requestsOf(scheduler.decide(1_001), 'refuse'), [job.request]);
 });
 
+test('passes a floor on, and refuses a tier only after the notice', () => {
+  const [first, second] = [1, 2].map((seed) => {
+    const scheduler = new FairScheduler({ seed, floorNoticeMs: 100 });
+    scheduler.setCandidates(createCandidates(1, { slots: 1 }), 0);
+    scheduler.offer(createJob({ tier: 1 }), 0);
+    scheduler.decide(0);
+    return scheduler;
+  }) as [FairScheduler, FairScheduler];
+  const load = createLoad({ slots: 1, running: 1, credits: 0, runningTier: 1 });
+  first.reported({ endpoint: asId('e1'), load, at: 900 });
+  const high = createJob({ tier: 1, expiresAt: 1_000 });
+  const low = createJob({ tier: 4 });
+  first.offer(high, 900);
+  second.offer(low, 900);
+  second.offer(createJob({ tier: 4 }), 900);
+  assert.deepEqual(requestsOf(first.decide(1_000), 'refuse'), []);
+  const [floor] = first.floors(1_000);
+  assert.ok(floor);
+  assert.deepEqual([floor.target, floor.tier], ['model', 1]);
+  second.floorLearned(floor, 1_020);
+  assert.equal(requestsOf(second.decide(1_020), 'refuse').length, 2);
+  assert.deepEqual(requestsOf(first.decide(1_100), 'refuse'), [high.request]);
+});
+
 test('a class below its minimum share goes before higher tiers', () => {
   const scheduler = new FairScheduler();
   const classes = { chat: createClass(), letter: createClass({ minimumShare: 0.1 }) };
--- a/packages/policy/src/lib/FairScheduler.ts
+++ b/packages/policy/src/lib/FairScheduler.ts
@@ -20,8 +20,8 @@
   /** Requests that may wait; above it the lowest are refused. Default 20000. */
   readonly maxWaiting?: number;
   /**
-   * Time in which a floor reaches the other entries, in milliseconds; a tier is refused only after
-   * it. 0 when floors are not passed on. Default 0.
+   * Time in which a floor reaches the other entries, in milliseconds. A tier is refused only after
+   * it, once for each lower tier. 0 when floors are not passed on. Default 0.
    */
   readonly floorNoticeMs?: number;
 }
@@ -211,7 +211,8 @@
     while (ticket.isWaiting) {
       const endpoint = this.#lastResort(pool, ticket, now);
       if (!endpoint) {
-        const isOverdue = now >= ticket.job.expiresAt + this.#floorNoticeMs;
+        const { expiresAt, tier } = ticket.job;
+        const isOverdue = now >= expiresAt + this.#noticeMs(pool, tier);
         if (!this.#mayRefuse(pool, ticket, now) && !isOverdue) return false;
         this.#refuse(pool, ticket, requestCodes.overloaded, now, decisions);
         return true;
@@ -226,7 +227,12 @@
   /** Raises the floor to a ticket's tier; true when other entries have had time to follow. */
   #mayRefuse(pool: WaitingPool, { job }: Ticket, now: number): boolean {
     pool.floor.raise(job.tier, now);
-    return pool.floor.isNoticed(job.tier, this.#floorNoticeMs, now);
+    return pool.floor.hasHeld(job.tier, this.#noticeMs(pool, job.tier), now);
+  }
+
+  /** Time in which all entries refuse what is lower than the tier, in milliseconds. */
+  #noticeMs(pool: WaitingPool, tier: number): number {
+    return this.#floorNoticeMs * Math.max(1, pool.countLower(tier));
   }
 
   /** Refuses what is lower than a tier that is shed here or in another entry. */
@@ -235,7 +241,8 @@
     while (floor !== undefined && pool.hasLower(floor)) {
       const ticket = pool.lowest();
       if (!ticket || pool.isProtected(ticket, now)) return;
-      if (!pool.floor.isNoticed(ticket.job.tier, this.#floorNoticeMs, now)) return;
+      const { tier } = ticket.job;
+      if (!pool.floor.hasHeld(tier, this.#floorNoticeMs * pool.countLower(tier), now)) return;
       this.#refuseOne(pool, ticket, requestCodes.overloaded, now, decisions);
     }
   }
--- a/packages/policy/src/lib/fair/ShedFloor.ts
+++ b/packages/policy/src/lib/fair/ShedFloor.ts
@@ -7,7 +7,7 @@
 /**
  * The tiers of one pool that are being shed, in this entry and in others. Before an entry refuses a
  * tier it raises the floor to it and tells the other entries; lower tiers are then refused in all of
- * them, and only after that the tier itself.
+ * them, the lowest first and each after the time that a notice takes, and then the tier itself.
  * @internal
  */
 export class ShedFloor {
@@ -16,7 +16,9 @@
 
   readonly #raisedUntil = new Float64Array(LOWEST_TIER + 1).fill(-Infinity);
 
-  /** For each tier: until when another entry has its floor there. */
+  /** For each tier: since when, and until when, another entry has its floor there. */
+  readonly #learnedAt = new Float64Array(LOWEST_TIER + 1);
+
   readonly #learnedUntil = new Float64Array(LOWEST_TIER + 1).fill(-Infinity);
 
   /** This entry is about to refuse requests of the tier. */
@@ -27,15 +29,17 @@
 
   /** Another entry has its floor at the tier for a time in milliseconds. */
   learned(tier: number, ttlMs: number, now: number): void {
+    if ((this.#learnedUntil[tier] as number) <= now) this.#learnedAt[tier] = now;
     this.#learnedUntil[tier] = Math.max(this.#learnedUntil[tier] as number, now + ttlMs);
   }
 
-  /** Whether the others have had the time to refuse what is lower than the tier. */
-  isNoticed(tier: number, noticeMs: number, now: number): boolean {
+  /** Whether a floor at the tier or a higher one has been known for a time in milliseconds. */
+  hasHeld(tier: number, holdMs: number, now: number): boolean {
     for (let higher = 1; higher <= tier; higher += 1) {
       const isRaised = (this.#raisedUntil[higher] as number) > now;
-      if (isRaised && now - (this.#raisedAt[higher] as number) >= noticeMs) return true;
-      if ((this.#learnedUntil[higher] as number) > now) return true;
+      if (isRaised && now - (this.#raisedAt[higher] as number) >= holdMs) return true;
+      const isLearned = (this.#learnedUntil[higher] as number) > now;
+      if (isLearned && now - (this.#learnedAt[higher] as number) >= holdMs) return true;
     }
     return false;
   }
--- a/packages/policy/src/lib/fair/WaitingPool.ts
+++ b/packages/policy/src/lib/fair/WaitingPool.ts
@@ -168,6 +168,11 @@
     return this.#tiers.some((queue) => queue.tier > tier && queue.fair.waiting > 0);
   }
 
+  /** Tiers lower than this one that the pool has ever had requests of. */
+  countLower(tier: number): number {
+    return this.#tiers.filter((queue) => queue.tier > tier).length;
+  }
+
   /** Whether the ticket is the last one of a class that is below its guaranteed minimum. */
   isProtected(ticket: Ticket, now: number): boolean {
     const { job, work } = ticket;
