Keep the hash of the home within one module

Cause: the test loader reaches functions of other modules through getters, 350 times for each lookup of a home.

--- a/packages/policy/src/lib/routing/RendezvousHash.ts
+++ b/packages/policy/src/lib/routing/RendezvousHash.ts
@@ -1,4 +1,8 @@
-import { combineHashes, hashString } from './hash';
+/* eslint-disable no-bitwise -- hashes of 32-bit integers */
+
+const FNV_OFFSET = 0x811c9dc5;
+
+const FNV_PRIME = 0x01000193;
 
 /**
  * Rendezvous hashing (highest random weight): all entries agree on the home of a key without
@@ -22,7 +26,7 @@
     let best = 0;
     let bestWeight = -1;
     for (let i = 0; i < this.#hashes.length; i += 1) {
-      const weight = combineHashes(hash, this.#hashes[i] as number);
+      const weight = mix(hash ^ Math.imul(this.#hashes[i] as number, FNV_PRIME));
       if (weight <= bestWeight) continue;
       best = i;
       bestWeight = weight;
@@ -30,3 +34,20 @@
     return this.#members[best];
   }
 }
+
+/** FNV-1a hash of a string's UTF-16 units with a final mix, as an unsigned 32-bit integer. */
+function hashString(text: string): number {
+  let hash = FNV_OFFSET;
+  for (let i = 0; i < text.length; i += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME);
+  }
+  return mix(hash);
+}
+
+/** Spreads the bits of an integer, as in MurmurHash3; unsigned 32-bit. */
+function mix(value: number): number {
+  let hash = value;
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
