Let no class starve that has no minimum share

Cause: with minimumShare 0 a class was never due, also not by time. Now the quarter of its longest wait holds for each class.

--- a/packages/policy/src/lib/queue/MinimumShare.ts
+++ b/packages/policy/src/lib/queue/MinimumShare.ts
@@ -68,7 +68,7 @@
   /** Whether the class's next request, with this expected work in tokens, is due now. */
   isDue(name: string, work: number, now: number): boolean {
     const account = this.#accounts.get(name);
-    if (!account || account.minimumShare === 0) return false;
+    if (!account) return false;
     if (account.deficit >= work) return true;
     return now >= MinimumShare.#dueAt(account);
   }
@@ -76,7 +76,7 @@
   /** Time at which a waiting class becomes due at the latest, in milliseconds. */
   dueAt(name: string): number {
     const account = this.#accounts.get(name);
-    return account && account.minimumShare > 0 ? MinimumShare.#dueAt(account) : Infinity;
+    return account ? MinimumShare.#dueAt(account) : Infinity;
   }
 
   static #dueAt(account: ClassAccount): number {
