--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -32,6 +32,7 @@
   type Incarnation,
   type ReplicaName,
 } from './lib/ids';
+export { restoreGroup, type GroupBackup } from './lib/restoreGroup';
 export { isMessage } from './lib/isMessage';
 export { consensusCodes } from './lib/codes';
 export { consensusEvents } from './lib/events';
