Tell a broken connection from an answer that ends cleanly too early

After an engine's crash three answers counted as cut without an error, though the reader could not tell whether the connection had failed, which the caller notices, or the answer had ended as if whole. A failed connection is now an error of the caller's; only a clean early end is a violation.

--- a/packages/testing/src/lib/load/AnswerReader.ts
+++ b/packages/testing/src/lib/load/AnswerReader.ts
@@ -31,6 +31,9 @@
 
   lastTokenAt = 0;
 
+  /** Whether the connection failed or was given up before the end of the answer. */
+  isBroken = false;
+
   /** HTTP status; 0 when no answer came. */
   status = 0;
 
--- a/packages/testing/src/lib/load/LoadCaller.ts
+++ b/packages/testing/src/lib/load/LoadCaller.ts
@@ -37,7 +37,7 @@
 const MS_PER_S = 1000;
 const CHARACTERS_PER_TOKEN = 4;
 
-/** Error of a request that got no answer with a stated error. */
+/** Error of a request whose connection failed, or that was given up. */
 const CONNECTION_ERROR = 'connection';
 
 /** Sends the requests of a load over kept connections and reads their answers. @internal */
@@ -59,7 +59,9 @@
     const startedAt = timer.now();
     const sentAt = timer.wall();
     const reader = new AnswerReader();
-    await this.#read(call, reader).catch(() => {});
+    await this.#read(call, reader).catch(() => {
+      reader.isBroken = true;
+    });
     return this.#conclude({ arrival, load, call, reader, startedAt, sentAt });
   }
 
@@ -119,7 +121,7 @@
   }): Outcome {
     const { arrival, load, call, reader, startedAt, sentAt } = end;
     const { timer, keys } = this.#options;
-    const { status, firstTokenAt, lastTokenAt, tokens, text, isWhole, error } = reader;
+    const { status, firstTokenAt, lastTokenAt, tokens, text, isWhole, isBroken, error } = reader;
     const durationMs = timer.now() - startedAt;
     const firstTokenMs = firstTokenAt === 0 ? durationMs : firstTokenAt - startedAt;
     const { workspace, class: name } = arrival;
@@ -136,7 +138,7 @@
       firstTokenAt: firstTokenAt === 0 ? undefined : sentAt + firstTokenMs,
       endedAt: sentAt + durationMs,
       status,
-      error: error?.type ?? (status === 200 ? undefined : CONNECTION_ERROR),
+      error: error?.type ?? (isBroken ? CONNECTION_ERROR : undefined),
       notRun: error?.not_run,
       text,
       expected: call.expected,
