--- a/packages/testing/bench/decisions.ts
+++ b/packages/testing/bench/decisions.ts
@@ -107,6 +107,7 @@
   wastedShare: report.wastedShare,
   costPerAttained: report.costPerAttained,
   generatorLateMs: report.generatorLateMs,
+  violationCount: violations.length,
   violations: violations.slice(0, 20),
 }));
 process.stdout.write(`${JSON.stringify({ aims, runs: figures })}\n`);
