--- a/packages/control/src/lib/Control.process.test.ts
+++ b/packages/control/src/lib/Control.process.test.ts
@@ -10,6 +10,9 @@
 /** Limit of a change of leader while many tests share the machine. */
 const CHANGE_LIMIT_MS = 40_000;
 
+/** Time in which an order sets out, shorter than its deadline. */
+const SENDING_MS = 120;
+
 /** Longer than the lease and the election timeout together. */
 const FAULT_MS = 2500;
 
@@ -19,9 +22,14 @@
   });
 }
 
-/** Waits until another replica leads and gives orders, and returns the former leader's name. */
+/**
+ * Strikes the leader while an order is on its way to the platform, waits until another replica
+ * leads, and returns the former leader's name.
+ */
 async function replaceLeader(group: ReplicaGroup, fault: (name: string) => void): Promise<string> {
   const before = await group.leader();
+  group.cutPlatform(before.replica);
+  await sleep(SENDING_MS);
   fault(before.replica);
   const isReplaced = async () => (await group.leader()).fence > before.fence;
   await until('another replica leads', isReplaced, CHANGE_LIMIT_MS);
@@ -41,6 +49,7 @@
     await sleep(500);
     const frozen = await replaceLeader(group, (name) => deployment.process(name).freeze());
     await sleep(FAULT_MS);
+    group.heal(frozen);
     deployment.process(frozen).thaw();
     await sleep(500);
     const cut = await replaceLeader(group, (name) => group.cut(name));
@@ -48,6 +57,7 @@
     group.heal(cut);
     await sleep(500);
     const killed = await replaceLeader(group, (name) => deployment.process(name).signal('SIGKILL'));
+    group.heal(killed);
     deployment.process(killed).start();
     await sleep(500);
     await workload.stop();
--- a/packages/control/src/testing/startGroup.ts
+++ b/packages/control/src/testing/startGroup.ts
@@ -60,6 +60,11 @@
     });
   }
 
+  /** Cuts a replica from the platform alone, so that orders wait on the way. */
+  cutPlatform(name: string): void {
+    this.deployment.relay(name, 'platform').set('silent');
+  }
+
   /** Cuts a replica from the others and the platform, in silence; bytes on the way wait. */
   cut(name: string): void {
     for (const relay of this.#relaysOf(name)) relay.set('silent');
