--- a/packages/control/src/lib/Control.ts
+++ b/packages/control/src/lib/Control.ts
@@ -1,4 +1,4 @@
-import { Task, type Journal, type Timer } from '@berylwood/base';
+import { Task, type Failure, type Journal, type Timer } from '@berylwood/base';
 import type { Replica } from '@berylwood/consensus';
 import { Ledger } from '@berylwood/ledger';
 import { LinkServer, type LinkIdentity } from '@berylwood/link';
@@ -17,6 +17,9 @@
   readonly identity?: LinkIdentity;
 }
 
+/** Interval at which the replica's health is looked at. */
+const HEALTH_INTERVAL_MS = 500;
+
 /** One control replica: replicated state, feed to the nodes, and the operators' service. @public */
 export class Control extends Task {
   readonly name = 'control';
@@ -29,6 +32,13 @@
 
   #log: Replica | undefined;
 
+  #fail: (failure: Failure) => void = () => {};
+
+  /** Rejects when the replica has stopped by itself. */
+  readonly #failed = new Promise<never>((_, reject) => {
+    this.#fail = reject;
+  });
+
   #operators: OperatorServer | undefined;
 
   constructor(options: ControlOptions) {
@@ -53,9 +63,15 @@
     this.#operators = new OperatorServer(core.service);
     await this.#links.listen(settings.listen);
     await this.#operators.listen(settings.operator);
+    this.store.add(timer.every(HEALTH_INTERVAL_MS, () => this.#checkHealth()));
     journal.record(controlEvents.controlListening, { listen: settings.listen });
   }
 
+  /** Runs until it is stopped, or until the replica fails: its disk can not be trusted then. */
+  override async run(): Promise<void> {
+    await Promise.race([super.run(), this.#failed]);
+  }
+
   /** Hands leadership over first, so that the group is not without a leader for an election. */
   override async stop(): Promise<void> {
     await this.#log?.transferLeadership();
@@ -68,4 +84,9 @@
   protected override handle(): void {
     // Messages come over links.
   }
+
+  #checkHealth(): void {
+    const failure = this.#log?.status.failure;
+    if (failure) this.#fail(failure);
+  }
 }
