--- a/packages/policy/src/lib/routing/Router.ts
+++ b/packages/policy/src/lib/routing/Router.ts
@@ -29,7 +29,7 @@
 const HOME_PART = 0.5;
 
 /** Urgent sends beyond the credits between two reports, as a part of the endpoint's slots. */
-const URGENT_PART = 0.25;
+const URGENT_PART = 0.125;
 
 /** An endpoint that a job may go to, with the part of the prompt that it is thought to hold. */
 interface Option {
@@ -139,6 +139,12 @@
     );
   }
 
+  /** Whether the job may go to the endpoint at all. */
+  mayUse(job: Job, id: EndpointId): boolean {
+    const endpoint = this.#endpoints.get(id);
+    return endpoint !== undefined && isSuitable(endpoint, job);
+  }
+
   /** The job was sent to the endpoint. */
   sent(job: Job, id: EndpointId, isUrgent: boolean, now: number): void {
     const endpoint = this.#endpoints.get(id);
@@ -221,6 +227,7 @@
     const probe = pool.drawProbe(job, this.#random);
     if (!probe) return undefined;
     pool.slow.probed(probe, now);
+    pool.update(probe, now);
     return probe;
   }
 
