--- a/packages/feed/src/lib/Subscription.ts
+++ b/packages/feed/src/lib/Subscription.ts
@@ -189,6 +189,8 @@
         journal.record(feedEvents.keyWithdrawn, { key: change.key });
     }
     this.onChange(changes);
+    // Tells the group at once that the change is applied, so that it counts as in force.
+    this.renew();
   }
 
   #applyMembers({ whole, changed, removed }: MembersMessage): void {
