--- a/packages/control/src/lib/Observer.ts
+++ b/packages/control/src/lib/Observer.ts
@@ -48,6 +48,8 @@
   /** Members whose sidecars are connected here. */
   readonly #own = new Map<EndpointId, Member>();
 
+  #address = '';
+
   constructor(options: ObserverOptions) {
     super();
     this.#options = options;
@@ -73,6 +75,11 @@
     this.#server = new LinkServer(options.identity);
   }
 
+  /** Address in use, once started. */
+  get address(): string {
+    return this.#address;
+  }
+
   override async start(): Promise<void> {
     const { settings, timer, journal } = this.#options;
     const { state } = this.#subscription;
@@ -91,8 +98,8 @@
       (link) => this.#welcome(link),
     );
     this.#subscription.open();
-    const listen = await this.#server.listen(settings.listen);
-    journal.record(controlEvents.observerListening, { listen });
+    this.#address = await this.#server.listen(settings.listen);
+    journal.record(controlEvents.observerListening, { listen: this.#address });
   }
 
   override async stop(): Promise<void> {
