Name the backup commands so that they are found; test a single replica with its data folder

commander takes arguments in the name only for subcommands: 'berylwood backup FILE' was unknown (seen in the new test, which now passes: state kept over SIGKILL, restore into a used group refused with 3050, exit code 5 without the data folder).

--- a/apps/berylwood/src/lib/backupCommands.ts
+++ b/apps/berylwood/src/lib/backupCommands.ts
@@ -7,14 +7,14 @@
 
 /** `backup` and `restore`. @internal */
 export function backupCommands(): Command[] {
-  const backup = addOperatorOptions(new Command('backup <file>'))
+  const backup = addOperatorOptions(new Command('backup').argument('<file>'))
     .description('write the state of the control group to a new file')
     .action(async (file: string, options: OperatorOptions) => {
       const bytes = Buffer.from(await ask(options, (client) => client.backup.query()), 'base64');
       writeFileSync(file, bytes, { mode: BACKUP_MODE, flag: 'wx' });
       print(options, { file, bytes: bytes.byteLength }, `${bytes.byteLength} bytes in ${file}`);
     });
-  const restore = addOperatorOptions(new Command('restore <file>'))
+  const restore = addOperatorOptions(new Command('restore').argument('<file>'))
     .description('put a backup into a new control group')
     .action(async (file: string, options: OperatorOptions) => {
       const content = readFileSync(file).toString('base64');
--- a/packages/control/src/lib/Control.process.test.ts
+++ b/packages/control/src/lib/Control.process.test.ts
@@ -193,3 +193,29 @@
     await group.deployment.close();
   }
 });
+
+test('a single replica keeps its state over a kill, and does not start without its data folder', async () => {
+  const group = await startGroup(1);
+  try {
+    const { deployment } = group;
+    const { key } = await deployment.giveKey('acme');
+    const child = deployment.process('control-1');
+    await child.kill();
+    child.start();
+    const keys = await group.operators.ask((client) => client.listKeys.query());
+    assert.deepEqual(
+      keys.map((item) => item.key),
+      [key],
+    );
+    const backup = join(deployment.folder, 'backup');
+    await deployment.operate('backup', backup);
+    await assert.rejects(deployment.operate('restore', backup), /3050/);
+    await child.kill();
+    rmSync(join(deployment.folder, 'control-1'), { recursive: true });
+    child.start();
+    await until('the process has ended', () => !child.isRunning);
+    assert.deepEqual(await child.kill(), { code: 5, signal: null });
+  } finally {
+    await group.deployment.close();
+  }
+});
