--- a/packages/entry/src/lib/Admission.ts
+++ b/packages/entry/src/lib/Admission.ts
@@ -29,6 +29,11 @@
     return ok({ ...order, job: { ...order.job, isSuspect: true } });
   }
 
+  /** Whether this entry knows of a crash by the same content. */
+  isSuspected(order: Order): boolean {
+    return this.#suspicionOf(order) !== undefined;
+  }
+
   #suspicionOf({ fingerprint }: Order): Suspicion | undefined {
     const suspicion = this.#subscription.state.suspicionOf(fingerprint);
     return suspicion && suspicion.untilMs > this.#timer.wall() ? suspicion : undefined;
