Take the retry budget and the limits of the policy package; bound the tests of real processes in time

Limits are held by each entry's own count: grants over all entries need a message of the control group, so a workspace can reach its limit once at each entry for now.

--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -10,20 +10,21 @@
 } from '@berylwood/base';
 import { Subscription } from '@berylwood/feed';
 import type { LinkIdentity } from '@berylwood/link';
-import type { Scheduler } from '@berylwood/policy';
+import { WorkspaceLimiter, type Scheduler } from '@berylwood/policy';
 import {
   requestCodes,
   type EntrySettings,
   type IncarnationId,
   type ProcessSettings,
 } from '@berylwood/schema';
+import { ok, type Result } from 'neverthrow';
 import { Admission } from './Admission';
 import { authenticate, type Identity } from './authenticate';
 import { CallerServer } from './CallerServer';
 import { CertificateWatch, type CertificateFiles } from './CertificateWatch';
 import { checkHeaders } from './checkHeaders';
 import { ClaimClient } from './ClaimClient';
-import { classify } from './classify';
+import { classify, type Order } from './classify';
 import { createScheduler } from './createScheduler';
 import { Dispatcher } from './Dispatcher';
 import { EndpointTable } from './EndpointTable';
@@ -73,6 +74,8 @@
 
   readonly #failures: FailureLimiter;
 
+  readonly #limiter: WorkspaceLimiter;
+
   #isDraining = false;
 
   #staleness: Disposable | undefined;
@@ -106,6 +109,7 @@
       }),
     );
     this.#failures = new FailureLimiter(timer);
+    this.#limiter = new WorkspaceLimiter(timer.now());
     const { certificate, journal } = options;
     const watch = certificate && new CertificateWatch(certificate, timer, journal);
     if (watch) this.store.add(watch);
@@ -150,6 +154,7 @@
   #applyState(): void {
     const { state } = this.#subscription;
     this.#scheduler.configure(state.configuration);
+    this.#limiter.configure(state.configuration);
     this.#dispatcher.withdrawKeys((key) => state.hasKey(key));
     const { quarantined } = requestCodes;
     this.#dispatcher.refuseWaiting(new Failure(quarantined, quarantined.meaning), ({ order }) =>
@@ -220,11 +225,25 @@
     const order = body.andThen((bytes) =>
       classify(configuration, identity, route, request, bytes, timer.now()),
     );
-    const admitted = order.andThen((item) => this.#admission.admit(item));
+    const admitted = order
+      .andThen((item) => this.#admission.admit(item))
+      .andThen((item) => this.#limit(item, response));
     if (admitted.isErr()) sendFailure(response, admitted.error);
     else if (!response.destroyed) this.#dispatcher.submit(new Exchange(admitted.value, response));
   }
 
+  /** Holds a workspace to its plan's limits, by this entry's own count. */
+  #limit(order: Order, response: ServerResponse): Result<Order, Failure> {
+    const { timer } = this.#options;
+    const { workspace, promptTokens, answerTokens } = order.job;
+    if (response.destroyed) return ok(order);
+    const work = promptTokens + answerTokens;
+    return this.#limiter.admit(workspace, work, timer.now()).map(() => {
+      response.once('close', () => this.#limiter.ended(workspace, 0, timer.now()));
+      return order;
+    });
+  }
+
   /** Refused keys from one address in quick succession get another answer. */
   #limited(request: IncomingMessage, failure: Failure): Failure {
     const { keyRefused, tooManyFailures } = requestCodes;
--- a/packages/entry/src/lib/Recovery.ts
+++ b/packages/entry/src/lib/Recovery.ts
@@ -1,8 +1,8 @@
 import { Failure, type Random } from '@berylwood/base';
+import { RetryBudget } from '@berylwood/policy';
 import { requestCodes } from '@berylwood/schema';
 import { QUARANTINE_CRASHES } from './Admission';
 import type { Exchange, Setback } from './Exchange';
-import { RetryBudget } from './RetryBudget';
 
 /** What follows a setback of an attempt. @internal */
 export type Remedy =
@@ -16,14 +16,16 @@
 const MAX_DEFERRALS = 20;
 
 const DEFERRAL_DELAY_MS = 10;
-const RETRY_DELAY_MS = 40;
 
-/** Delay after a crash: the other entries learn of the suspicion meanwhile. */
+/** Retries saved up in a quiet time: about what the slots of one endpoint held. */
+const RETRY_BURST = 50;
+
+/** Least delay after a crash: most entries learn of the suspicion meanwhile. */
 const SUSPECT_DELAY_MS = 250;
 
 /** Decides whether a request goes on after its attempt has ended without an answer. @internal */
 export class Recovery {
-  readonly #budget = new RetryBudget();
+  readonly #budget = new RetryBudget({ burst: RETRY_BURST });
 
   readonly #random: Random;
 
@@ -35,7 +37,7 @@
 
   /** A request was dispatched for the first time. */
   dispatched(): void {
-    this.#budget.deposit();
+    this.#budget.arrived();
   }
 
   decide(exchange: Exchange, { failure, crashed }: Setback, now: number): Remedy {
@@ -44,32 +46,27 @@
       const { quarantined } = requestCodes;
       return { type: 'fail', failure: new Failure(quarantined, quarantined.meaning) };
     }
-    const isSuspect = exchange.order.job.isSuspect || crashed;
+    const { job } = exchange.order;
+    const leftMs = job.expiresAt - now;
     const isDeferred = exchange.lifecycle.state === 'deferred';
-    const delayMs = this.#delay(exchange, isDeferred, isSuspect);
-    const isInTime = now + delayMs < exchange.order.job.expiresAt;
-    const isAllowed = isDeferred ? this.#mayDefer(exchange) : this.#mayRetry(exchange);
-    if (isInTime && isAllowed) return { type: 'retry', delayMs, isSuspect };
-    return { type: 'fail', failure };
+    const delayMs = isDeferred ? this.#defer(exchange) : this.#retry(exchange, leftMs, crashed);
+    if (delayMs === undefined || delayMs >= leftMs) return { type: 'fail', failure };
+    return { type: 'retry', delayMs, isSuspect: job.isSuspect || crashed };
   }
 
   /** An attempt that is proved not to have run may go elsewhere, whatever the request. */
-  #mayDefer(exchange: Exchange): boolean {
+  #defer(exchange: Exchange): number | undefined {
     const deferrals = (this.#deferrals.get(exchange) ?? 0) + 1;
     this.#deferrals.set(exchange, deferrals);
-    return deferrals <= MAX_DEFERRALS;
-  }
-
-  #mayRetry({ order, writer, attempts }: Exchange): boolean {
-    if (!order.idempotent || !writer.isUntouched || attempts >= MAX_ATTEMPTS) return false;
-    return this.#budget.withdraw();
+    if (deferrals > MAX_DEFERRALS) return undefined;
+    return DEFERRAL_DELAY_MS * deferrals * this.#random.between(0.5, 1.5);
   }
 
-  #delay(exchange: Exchange, isDeferred: boolean, isSuspect: boolean): number {
-    const jitter = this.#random.between(0.5, 1.5);
-    if (isSuspect) return SUSPECT_DELAY_MS * jitter;
-    const step = isDeferred ? DEFERRAL_DELAY_MS : RETRY_DELAY_MS;
-    const count = isDeferred ? (this.#deferrals.get(exchange) ?? 0) : exchange.attempts;
-    return step * (count + 1) * jitter;
+  #retry(exchange: Exchange, leftMs: number, crashed: boolean): number | undefined {
+    const { order, writer, attempts } = exchange;
+    if (!order.idempotent || !writer.isUntouched || attempts >= MAX_ATTEMPTS) return undefined;
+    const backoffMs = this.#budget.take(attempts, leftMs, this.#random);
+    if (backoffMs === undefined || !crashed) return backoffMs;
+    return Math.max(backoffMs, SUSPECT_DELAY_MS * this.#random.between(0.5, 1.5));
   }
 }
--- a/packages/entry/src/process/claims.process.test.ts
+++ b/packages/entry/src/process/claims.process.test.ts
@@ -2,6 +2,7 @@
 import test, { type TestContext } from 'node:test';
 import { until } from '@berylwood/testing';
 import {
+  LIMIT,
   countRecords,
   createDeployment,
   createService,
@@ -26,7 +27,7 @@
   return counts.reduce((sum, count) => sum + count, 0);
 }
 
-test('a call with a key runs once over resends through both entries', async (t) => {
+test('a call with a key runs once over resends through both entries', LIMIT, async (t) => {
   const fixture = await createOrders(t, 20);
   const copies = [1, 2, 1, 2, 1, 2].map((entry) => placeOrder(fixture, 'k1', 'order 1', entry));
   const statuses = (await Promise.all(copies)).map(({ status }) => status);
@@ -48,7 +49,7 @@
   assert.equal(await countCalls(fixture), 1);
 });
 
-test('a call outlives its entry, and a resend gets its stored outcome', async (t) => {
+test('a call outlives its entry, and a resend gets its stored outcome', LIMIT, async (t) => {
   const fixture = await createOrders(t, CALL_MS);
   const cut = placeOrder(fixture, 'k2', 'order 1', 1).catch(() => undefined);
   await until('it runs', async () => (await countCalls(fixture)) === 1);
@@ -63,27 +64,31 @@
   assert.equal(await countCalls(fixture), 1);
 });
 
-test('a call whose sidecar is killed has an unknown outcome and is not run again', async (t) => {
-  const fixture = await createOrders(t, CALL_MS);
-  const cut = placeOrder(fixture, 'k3', 'order 1', 1);
-  await until('it runs', async () => (await countCalls(fixture)) === 1);
-  const [ran] = await Promise.all(
-    ['service-1', 'service-2'].map(async (name) =>
-      (await countRecords(fixture, name, 'call')) === 1 ? name : 'service-2',
-    ),
-  );
-  const sidecar = fixture.deployment.process(`sidecar-${ran}`);
-  await sidecar.kill();
-  sidecar.start();
-  const { status, body } = await cut;
-  assert.deepEqual([status, body.error?.not_run], [504, 'unknown']);
-  const resent = await placeOrder(fixture, 'k3', 'order 1', 2);
-  assert.ok([409, 504].includes(resent.status), JSON.stringify(resent));
-  assert.notEqual(resent.body.error?.not_run, true);
-  assert.equal(await countCalls(fixture), 1);
-});
+test(
+  'a call whose sidecar is killed has an unknown outcome and is not run again',
+  LIMIT,
+  async (t) => {
+    const fixture = await createOrders(t, CALL_MS);
+    const cut = placeOrder(fixture, 'k3', 'order 1', 1);
+    await until('it runs', async () => (await countCalls(fixture)) === 1);
+    const [ran] = await Promise.all(
+      ['service-1', 'service-2'].map(async (name) =>
+        (await countRecords(fixture, name, 'call')) === 1 ? name : 'service-2',
+      ),
+    );
+    const sidecar = fixture.deployment.process(`sidecar-${ran}`);
+    await sidecar.kill();
+    sidecar.start();
+    const { status, body } = await cut;
+    assert.deepEqual([status, body.error?.not_run], [504, 'unknown']);
+    const resent = await placeOrder(fixture, 'k3', 'order 1', 2);
+    assert.ok([409, 504].includes(resent.status), JSON.stringify(resent));
+    assert.notEqual(resent.body.error?.not_run, true);
+    assert.equal(await countCalls(fixture), 1);
+  },
+);
 
-test('a call that no sidecar took goes elsewhere and still runs once', async (t) => {
+test('a call that no sidecar took goes elsewhere and still runs once', LIMIT, async (t) => {
   const fixture = await createOrders(t, 5);
   await fixture.deployment.process('service-1').kill();
   const orders = Array.from({ length: 6 }, (_, index) =>
--- a/packages/entry/src/process/fixtures.ts
+++ b/packages/entry/src/process/fixtures.ts
@@ -31,6 +31,9 @@
 plan = "standard"
 `;
 
+/** Longest time of a test with real processes: one that hangs has failed. */
+export const LIMIT = { timeout: 90_000 };
+
 export const WORKSPACE = 'thapathali-traps';
 
 export interface ProcessFixture {
--- a/packages/entry/src/process/links.process.test.ts
+++ b/packages/entry/src/process/links.process.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import { until } from '@berylwood/testing';
-import { countRecords, createDeployment, stream, wholeText } from './fixtures';
+import { LIMIT, countRecords, createDeployment, stream, wholeText } from './fixtures';
 
 const TOKENS = 160;
 
-test('answers survive resets, silence and delay between entry and sidecar', async (t) => {
+test('answers survive resets, silence and delay between entry and sidecar', LIMIT, async (t) => {
   const fixture = await createDeployment(t, { relays: true });
   const relay = fixture.deployment.relay('entries', 'sidecar-engine-1');
   const prompts = ['reset', 'silent', 'delayed'];
@@ -26,19 +26,23 @@
   assert.equal(await countRecords(fixture, 'engine-1', 'run'), prompts.length);
 });
 
-test('a stream of the engine that falls silent is resumed without loss or repetition', async (t) => {
-  const fixture = await createDeployment(t, { relays: true });
-  const relay = fixture.deployment.relay('sidecar-engine-1', 'engine-1');
-  const reply = stream(fixture, 'quiet', TOKENS);
-  await until(
-    'the engine runs it',
-    async () => (await countRecords(fixture, 'engine-1', 'run')) === 1,
-  );
-  relay.forget();
-  const { text, isWhole, durationMs } = await reply;
-  assert.ok(isWhole);
-  assert.equal(text, wholeText('quiet', TOKENS));
-  assert.equal(await countRecords(fixture, 'engine-1', 'run'), 1);
-  assert.ok((await countRecords(fixture, 'engine-1', 'resume')) > 0);
-  assert.ok(durationMs < 9000, `took ${durationMs} ms`);
-});
+test(
+  'a stream of the engine that falls silent is resumed without loss or repetition',
+  LIMIT,
+  async (t) => {
+    const fixture = await createDeployment(t, { relays: true });
+    const relay = fixture.deployment.relay('sidecar-engine-1', 'engine-1');
+    const reply = stream(fixture, 'quiet', TOKENS);
+    await until(
+      'the engine runs it',
+      async () => (await countRecords(fixture, 'engine-1', 'run')) === 1,
+    );
+    relay.forget();
+    const { text, isWhole, durationMs } = await reply;
+    assert.ok(isWhole);
+    assert.equal(text, wholeText('quiet', TOKENS));
+    assert.equal(await countRecords(fixture, 'engine-1', 'run'), 1);
+    assert.ok((await countRecords(fixture, 'engine-1', 'resume')) > 0);
+    assert.ok(durationMs < 9000, `took ${durationMs} ms`);
+  },
+);
--- a/packages/entry/src/process/security.process.test.ts
+++ b/packages/entry/src/process/security.process.test.ts
@@ -5,7 +5,7 @@
 import test from 'node:test';
 import { createAuthority } from '@berylwood/testing';
 import { WebSocket } from 'ws';
-import { createDeployment, stream, wholeText } from './fixtures';
+import { LIMIT, createDeployment, stream, wholeText } from './fixtures';
 
 /** Port of the first sidecar in a deployment. */
 const SIDECAR_PORT = 23_000;
@@ -32,7 +32,7 @@
   });
 }
 
-test('processes talk by mutual TLS, and a stranger is refused', async (t) => {
+test('processes talk by mutual TLS, and a stranger is refused', LIMIT, async (t) => {
   const folder = mkdtempSync(join(tmpdir(), 'berylwood-tls-'));
   t.after(() => rmSync(folder, { recursive: true }));
   const fixture = await createDeployment(t, { extra: { process: createTls(folder) } });
@@ -54,32 +54,36 @@
   assert.equal(await tryLink(`wss://${address}`, own), 'served');
 });
 
-test('keys reach no log and no endpoint, and refused keys are limited apart from good ones', async (t) => {
-  const fixture = await createDeployment(t, {});
-  const { deployment, secret } = fixture;
-  const url = deployment.entryUrl(1);
-  const send = (key: string, body: string, headers: Record<string, string> = {}) =>
-    fetch(`${url}/v1/chat/completions`, {
-      method: 'POST',
-      headers: { authorization: `Bearer ${key}`, ...headers },
-      body,
-    });
-  const escaped = [...secret].map((sign) => `\\u00${sign.charCodeAt(0).toString(16)}`).join('');
-  const message = `{"model":"crew-8b","messages":[{"role":"user","content":"x"}],"user":"${escaped}"}`;
-  assert.equal((await send(secret, message)).status, 400);
-  assert.equal((await send(secret, '['.repeat(1_000_000))).status, 400);
-  const statuses = [];
-  for (let index = 0; index < FAILURES; index += 1) {
-    statuses.push((await send(`bw-wrong-${index}`, '{}')).status);
-  }
-  assert.equal(statuses[0], 401);
-  assert.equal(statuses.at(-1), 429);
-  const prompt = 'a good key';
-  assert.equal((await stream(fixture, prompt, 5)).text, wholeText(prompt, 5));
-  const logs = [...deployment.processes.keys()].map((name) =>
-    readFileSync(join(deployment.folder, `${name}.log`), 'utf8'),
-  );
-  assert.ok(logs.some((log) => log.includes('requestDispatched')));
-  assert.ok(!logs.some((log) => log.includes(secret)));
-  assert.ok(!JSON.stringify(await deployment.history('engine-1')).includes(secret));
-});
+test(
+  'keys reach no log and no endpoint, and refused keys are limited apart from good ones',
+  LIMIT,
+  async (t) => {
+    const fixture = await createDeployment(t, {});
+    const { deployment, secret } = fixture;
+    const url = deployment.entryUrl(1);
+    const send = (key: string, body: string, headers: Record<string, string> = {}) =>
+      fetch(`${url}/v1/chat/completions`, {
+        method: 'POST',
+        headers: { authorization: `Bearer ${key}`, ...headers },
+        body,
+      });
+    const escaped = [...secret].map((sign) => `\\u00${sign.charCodeAt(0).toString(16)}`).join('');
+    const message = `{"model":"crew-8b","messages":[{"role":"user","content":"x"}],"user":"${escaped}"}`;
+    assert.equal((await send(secret, message)).status, 400);
+    assert.equal((await send(secret, '['.repeat(1_000_000))).status, 400);
+    const statuses = [];
+    for (let index = 0; index < FAILURES; index += 1) {
+      statuses.push((await send(`bw-wrong-${index}`, '{}')).status);
+    }
+    assert.equal(statuses[0], 401);
+    assert.equal(statuses.at(-1), 429);
+    const prompt = 'a good key';
+    assert.equal((await stream(fixture, prompt, 5)).text, wholeText(prompt, 5));
+    const logs = [...deployment.processes.keys()].map((name) =>
+      readFileSync(join(deployment.folder, `${name}.log`), 'utf8'),
+    );
+    assert.ok(logs.some((log) => log.includes('requestDispatched')));
+    assert.ok(!logs.some((log) => log.includes(secret)));
+    assert.ok(!JSON.stringify(await deployment.history('engine-1')).includes(secret));
+  },
+);
--- a/packages/entry/src/process/stops.process.test.ts
+++ b/packages/entry/src/process/stops.process.test.ts
@@ -2,6 +2,7 @@
 import test from 'node:test';
 import { until } from '@berylwood/testing';
 import {
+  LIMIT,
   createDeployment,
   createEngines,
   stream,
@@ -55,7 +56,7 @@
   }
 }
 
-test('planned stops of entries and sidecars cut and refuse nothing', async (t) => {
+test('planned stops of entries and sidecars cut and refuse nothing', LIMIT, async (t) => {
   const fixture = await createDeployment(t, {
     entries: 2,
     endpoints: createEngines(3),
