--- a/packages/link/src/lib/Link.test.ts
+++ b/packages/link/src/lib/Link.test.ts
@@ -18,10 +18,14 @@
   return { timer, journal: createSilentJournal(timer), schema, keepAliveMs: 20, silenceMs: 100 };
 }
 
-async function createPair(t: TestContext, through?: (address: string) => Promise<string>) {
+async function createPair(
+  t: TestContext,
+  through?: (address: string) => Promise<string>,
+  options: { gatherMs?: number; keepAliveMs?: number; silenceMs?: number } = {},
+) {
   const server = new LinkServer();
   const served: Text[] = [];
-  server.accept<string, string>('/text', createOptions(), (link) => {
+  server.accept<string, string>('/text', { ...createOptions(), ...options }, (link) => {
     served.push(link);
     link.onMessage = (message) => link.send(`echo ${message}`);
     link.onCall = async (message) => ok(message.length);
@@ -30,6 +34,7 @@
   const address = through ? await through(bound) : bound;
   const dialer = new Dialer<string, string>({
     ...createOptions(),
+    ...options,
     addresses: [address],
     path: '/text',
   });
@@ -80,6 +85,31 @@
   );
 });
 
+test(
+  'gathers ordinary messages, but not the first and urgent ones',
+  { timeout: 5000 },
+  async (t) => {
+    const options = { gatherMs: 60_000, keepAliveMs: 20_000, silenceMs: 60_000 };
+    const { link, served } = await createPair(t, undefined, options);
+    const received: string[] = [];
+    link.onMessage = (message) => received.push(message);
+    const [server] = served as [Text];
+    const arrived = (count: number): Promise<void> =>
+      new Promise((resolve) => {
+        link.onMessage = (message) => {
+          received.push(message);
+          if (received.length === count) resolve();
+        };
+      });
+    server.send('first');
+    await arrived(1);
+    server.send('gathered');
+    server.send('urgent', true);
+    await arrived(3);
+    assert.deepEqual(received, ['first', 'gathered', 'urgent']);
+  },
+);
+
 test('drops a silent connection and opens another', async (t) => {
   let mute = (): void => {};
   const { link, nextLink } = await createPair(t, async (bound) => {
--- a/packages/link/src/lib/Link.ts
+++ b/packages/link/src/lib/Link.ts
@@ -75,6 +75,9 @@
 
   #lastSent: number;
 
+  /** Time of the last frame with messages. */
+  #lastFlush = -Infinity;
+
   #closed = false;
 
   constructor(socket: WebSocket, peer: string, options: LinkOptions<In>) {
@@ -134,6 +137,7 @@
     if (this.#gathered.length === 0) return;
     const gathered = this.#gathered;
     this.#gathered = [];
+    this.#lastFlush = this.#options.timer.now();
     this.#write(gathered);
   }
 
@@ -161,7 +165,7 @@
   /** Time until the next frame may go: the first one after a quiet time goes at once. */
   #gatheringLeft(): number {
     const { gatherMs = 0, timer } = this.#options;
-    return this.#lastSent + gatherMs - timer.now();
+    return this.#lastFlush + gatherMs - timer.now();
   }
 
   #write(envelopes: Envelope[]): void {
