--- a/packages/control/src/lib/openReplica.ts
+++ b/packages/control/src/lib/openReplica.ts
@@ -24,7 +24,7 @@
 const MAX_COMMAND_BYTES = 4 * 1024 * 1024;
 
 /** Checks that the data folder exists and can be written; it is never created here. @internal */
-function checkDataFolder(folder: string): Result<void, Failure> {
+export function checkDataFolder(folder: string): Result<void, Failure> {
   try {
     if (!statSync(folder).isDirectory()) {
       return fail(controlCodes.dataFolderUnusable, `data folder ${folder} is not a folder`);
