Report a replacement as joining until it is settled

Cause of the group without a leader after a second loss right after a repair: the list of replicas showed the latest membership in the leader's log, committed or not. An operator (and the test) saw the new incarnation as a voter while the change still needed a majority of the former voters too; losing the leader then left only one of these. The status now shows the committed membership, and a new incarnation as joining until the second entry has settled the replacement.

--- a/packages/consensus/src/lib/Membership.test.ts
+++ b/packages/consensus/src/lib/Membership.test.ts
@@ -10,6 +10,7 @@
   majority,
   quorumSets,
   quorumValue,
+  reportedMembership,
   voters,
   withJoiner,
   withPromoted,
@@ -95,3 +96,12 @@
   assert.equal(quorumValue([set('a', 'd'), set('b', 'c', 'd')], valueOf), 3);
   assert.equal(quorumValue([set()], valueOf), -Infinity);
 });
+
+test('a replacement is reported as joining until it is settled', () => {
+  const first = withPromoted(join(EMPTY_MEMBERSHIP, 0, 1), asId<'incarnation'>(`${REPLICAS[0]}1`));
+  const replaced = withPromoted(join(first, 0, 2), asId<'incarnation'>(`${REPLICAS[0]}2`));
+  const kinds = (membership: Membership) => membership.members.map(({ kind }) => kind);
+  assert.deepEqual(kinds(replaced), ['voter']);
+  assert.deepEqual(kinds(reportedMembership(replaced)), ['joining']);
+  assert.deepEqual(kinds(reportedMembership(withoutOutgoing(replaced))), ['voter']);
+});
--- a/packages/consensus/src/lib/Membership.ts
+++ b/packages/consensus/src/lib/Membership.ts
@@ -114,6 +114,21 @@
   return { members, admitted };
 }
 
+/**
+ * The membership as reported to embedders: a replacement counts as joining until it is settled,
+ * since until then the loss of another voter may still leave the group without a quorum.
+ * @internal
+ */
+export function reportedMembership(membership: Membership): Membership {
+  const { members, admitted, outgoing } = membership;
+  if (!outgoing) return membership;
+  const reported = members.map((member): Member => {
+    const isNew = member.kind === 'voter' && !outgoing.includes(member.incarnation);
+    return isNew ? { ...member, kind: 'joining' } : member;
+  });
+  return { members: reported, admitted, outgoing };
+}
+
 /** Permits a replica to join. @internal */
 export function withAdmission(membership: Membership, admission: Admission): Membership {
   const others = membership.admitted.filter((item) => item.replica !== admission.replica);
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -13,7 +13,7 @@
 import { Joiner } from './Joiner';
 import { Leader } from './Leader';
 import { LeadershipTransfer } from './LeadershipTransfer';
-import { decodeMembership, type Membership } from './Membership';
+import { decodeMembership, type Membership, reportedMembership } from './Membership';
 import { MembershipChanger } from './MembershipChanger';
 import type { Message } from './Message';
 import { openCore } from './openCore';
@@ -31,6 +31,7 @@
 /** What an embedder may observe of a replica beside the status of its log. @public */
 export interface ReplicaStatus extends LogStatus {
   readonly identity: Identity;
+  /** The committed membership; a replacement counts as joining until it is settled. */
   readonly membership: Membership;
   /** Why the replica has stopped, if it has. */
   readonly failure: Failure | undefined;
@@ -116,7 +117,7 @@
       commitIndex,
       appliedIndex: this.#applier.appliedIndex,
       identity,
-      membership: membership.latest,
+      membership: reportedMembership(membership.at(commitIndex)),
       failure: this.#failure,
       lastIndex: store.lastIndex,
       snapshotIndex: store.snapshotIndex,
