End kept connections whose answer began before an entry's planned stop

Cause of the planned stop that did not end: closeIdleConnections was called once, while answers were under way; their heads had promised to keep the connection, so it stayed open for the keep-alive time of 65 s after the answer. Ruled out: open requests (the dispatcher had none) and the relay (entries' own port). The keep-alive time is now 1 ms while closing.

--- a/packages/entry/src/lib/CallerServer.test.ts
+++ b/packages/entry/src/lib/CallerServer.test.ts
@@ -93,3 +93,33 @@
   assert.match(await exchange(address, head), /^HTTP\/1\.1 408 /);
   assert.ok(new SystemTimer().now() - startedAt < 3000);
 });
+
+test('closing waits for an answer under way, then closes its kept connection', async (t) => {
+  let finish = (): void => {};
+  const server = new CallerServer(createSettings(), {
+    serve: async (_, response) => {
+      response.writeHead(200, { 'content-length': 4 });
+      response.write('an');
+      finish = () => response.end('sw');
+    },
+    isReady: () => true,
+    metrics: async () => '',
+  });
+  const address = await server.listen();
+  const { host, port } = splitAddress(address);
+  const socket = connect(port, host, () => socket.write('GET /x HTTP/1.1\r\nHost: x\r\n\r\n'));
+  t.after(() => socket.destroy());
+  let received = '';
+  await new Promise<void>((resolve) => {
+    socket.on('data', (chunk) => {
+      received += chunk;
+      if (received.endsWith('an')) resolve();
+    });
+  });
+  const closed = server.close();
+  finish();
+  const timer = new SystemTimer();
+  const outcome = await Promise.race([closed.then(() => 'closed'), timer.sleep(3000)]);
+  assert.equal(outcome, 'closed');
+  assert.ok(received.endsWith('answ'));
+});
--- a/packages/entry/src/lib/CallerServer.ts
+++ b/packages/entry/src/lib/CallerServer.ts
@@ -15,6 +15,10 @@
 }
 
 const KEEP_ALIVE_MS = 65_000;
+
+/** Time that a connection is kept after its answer while the server closes; 0 would mean for ever. */
+const CLOSING_KEEP_ALIVE_MS = 1;
+
 const MAX_HEADER_BYTES = 32 * 1024;
 const CONNECTION_CHECK_MS = 1000;
 
@@ -66,6 +70,8 @@
   /** Closes each connection after its present answer, and resolves when all are closed. */
   async close(): Promise<void> {
     this.#isClosing = true;
+    // A connection whose answer had begun before is kept open by its headers, so it ends as idle.
+    this.#server.keepAliveTimeout = CLOSING_KEEP_ALIVE_MS;
     const closed = new Promise((resolve) => {
       this.#server.close(resolve);
     });
