--- a/packages/control/src/lib/Control.process.test.ts
+++ b/packages/control/src/lib/Control.process.test.ts
@@ -112,6 +112,11 @@
     workload.start();
     await sleep(300);
     const membership = () => operators.ask((client) => client.replicas.query());
+    // A founder admits the others one by one; until then the loss of a disk can end the group.
+    await until('the group has its three voters', async () => {
+      const { members } = await membership();
+      return members.filter(({ kind }) => kind === 'voter').length === group.names.length;
+    });
     const { replica: leader } = await group.leader();
     const [lost, other] = group.names.filter((name) => name !== leader) as [string, string];
     const incarnationOf = async (name: string) =>
--- a/packages/testing/bench/slopes.ts
+++ b/packages/testing/bench/slopes.ts
@@ -3,7 +3,7 @@
  * traffic: what each role spends for control alone. The last line is one JSON object.
  */
 import { readFileSync } from 'node:fs';
-import { Deployment } from "../src";
+import { Deployment } from '../src';
 
 const SIZES = [4, 8, 16];
 const ENTRIES = 2;
