Keep the lanes of the time line straight beside long rows

A row wider than the window let its time column shrink, so its lanes were drawn further left: seen in a screenshot of a browser. The column no longer shrinks; seen straight in a second screenshot.

--- a/packages/timeline/src/lib/renderHtml.ts
+++ b/packages/timeline/src/lib/renderHtml.ts
@@ -13,9 +13,9 @@
 body { font: 14px system-ui, sans-serif; margin: 24px; color: #1a1a1a; background: #fff; }
 h1 { font-size: 20px; }
 .line { position: relative; }
-.row { display: flex; height: ${ROW_HEIGHT}px; align-items: center; white-space: nowrap; }
+.row { display: flex; min-width: max-content; height: ${ROW_HEIGHT}px; align-items: center; white-space: nowrap; }
 .row:hover { background: #f0f4f8; }
-time { width: 110px; font-variant-numeric: tabular-nums; color: #555; }
+time { flex: none; width: 110px; font-variant-numeric: tabular-nums; color: #555; }
 .text b { font-weight: 600; }
 .text span { color: #555; margin-left: 8px; font-size: 12px; }
 svg { flex: none; }
