Show operators the settled membership beside the latest one; let all servers share listenOn

The status now has both: the latest membership as before, which the simulation reads, and the settled one, which the operators' list shows.

Ruled out: the election and commit rules, which the change did not touch.

listenOn replaces the same five lines in six servers.

--- a/apps/berylwood/src/lib/AdminServer.ts
+++ b/apps/berylwood/src/lib/AdminServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server, type ServerResponse } from 'node:http';
 import { Task, type Journal, type Metrics } from '@berylwood/base';
-import { splitAddress } from '@berylwood/link';
+import { listenOn } from '@berylwood/link';
 
 /** Serves health, metrics and the latest events of a process. @internal */
 export class AdminServer extends Task {
@@ -27,11 +27,7 @@
   }
 
   override async start(): Promise<void> {
-    const { host, port } = splitAddress(this.#listen);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
+    await listenOn(this.#server, this.#listen);
   }
 
   override async stop(): Promise<void> {
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -31,8 +31,10 @@
 /** What an embedder may observe of a replica beside the status of its log. @public */
 export interface ReplicaStatus extends LogStatus {
   readonly identity: Identity;
-  /** The committed membership; a replacement counts as joining until it is settled. */
+  /** The latest membership in the log, committed or not. */
   readonly membership: Membership;
+  /** The committed membership; a replacement counts as joining until it is settled. */
+  readonly settledMembership: Membership;
   /** Why the replica has stopped, if it has. */
   readonly failure: Failure | undefined;
   readonly lastIndex: number;
@@ -117,7 +119,8 @@
       commitIndex,
       appliedIndex: this.#applier.appliedIndex,
       identity,
-      membership: reportedMembership(membership.at(commitIndex)),
+      membership: membership.latest,
+      settledMembership: reportedMembership(membership.at(commitIndex)),
       failure: this.#failure,
       lastIndex: store.lastIndex,
       snapshotIndex: store.snapshotIndex,
--- a/packages/control/src/lib/OperatorServer.ts
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from 'node:http';
-import { splitAddress } from '@berylwood/link';
+import { listenOn } from '@berylwood/link';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { operatorRouter } from './operatorRouter';
 import type { OperatorService } from './OperatorService';
@@ -14,11 +14,7 @@
   }
 
   async listen(address: string): Promise<void> {
-    const { host, port } = splitAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
+    await listenOn(this.#server, address);
   }
 
   async close(): Promise<void> {
--- a/packages/control/src/lib/OperatorService.ts
+++ b/packages/control/src/lib/OperatorService.ts
@@ -152,7 +152,7 @@
   }
 
   replicas(): Promise<Result<Membership, Failure>> {
-    return this.#read(() => this.#options.log.status.membership);
+    return this.#read(() => this.#options.log.status.settledMembership);
   }
 
   async addReplica(replica: string): Promise<Result<Membership, Failure>> {
--- a/packages/entry/src/lib/CallerServer.ts
+++ b/packages/entry/src/lib/CallerServer.ts
@@ -1,8 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { createServer as createSecureServer, type Server as SecureServer } from 'node:https';
-import type { AddressInfo } from 'node:net';
 import { Failure, baseCodes } from '@berylwood/base';
-import { splitAddress } from '@berylwood/link';
+import { listenOn } from '@berylwood/link';
 import type { EntrySettings } from '@berylwood/schema';
 import type { CertificateWatch } from './CertificateWatch';
 import { sendFailure } from './sendFailure';
@@ -58,13 +57,8 @@
   }
 
   /** Listens and resolves to the address in use. */
-  async listen(): Promise<string> {
-    const { host, port } = splitAddress(this.#settings.listen);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
-    return `${host}:${(this.#server.address() as AddressInfo).port}`;
+  listen(): Promise<string> {
+    return listenOn(this.#server, this.#settings.listen);
   }
 
   /** Closes each connection after its present answer, and resolves when all are closed. */
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -6,3 +6,4 @@
 export { Dialer, type DialerOptions } from './lib/Dialer';
 export { type LinkIdentity, type LinkOptions } from './lib/LinkOptions';
 export { splitAddress } from './lib/address';
+export { listenOn } from './lib/listenOn';
--- a/packages/link/src/lib/LinkServer.ts
+++ b/packages/link/src/lib/LinkServer.ts
@@ -1,10 +1,10 @@
 import { createServer, type IncomingMessage, type Server } from 'node:http';
 import { createServer as createSecureServer } from 'node:https';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { WebSocketServer } from 'ws';
 import { Link } from './Link';
 import { MAX_FRAME_BYTES, type LinkIdentity, type LinkOptions } from './LinkOptions';
-import { splitAddress } from './address';
+import { listenOn } from './listenOn';
 
 type Accept = (socket: import('ws').WebSocket, peer: string) => void;
 
@@ -41,14 +41,8 @@
   }
 
   /** Listens on `IP:PORT` and resolves to the address in use. */
-  async listen(address: string): Promise<string> {
-    const { host, port } = splitAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
-    const bound = this.#server.address() as AddressInfo;
-    return `${host}:${bound.port}`;
+  listen(address: string): Promise<string> {
+    return listenOn(this.#server, address);
   }
 
   /** Stops accepting and drops open links. */
--- a/packages/testing/src/lib/Relay.ts
+++ b/packages/testing/src/lib/Relay.ts
@@ -1,5 +1,5 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
-import { splitAddress } from '@berylwood/link';
+import { listenOn, splitAddress } from '@berylwood/link';
 
 /** What a relay does with connections and bytes. @public */
 export type RelayMode =
@@ -50,11 +50,7 @@
   }
 
   async listen(address: string): Promise<void> {
-    const { host, port } = splitAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
+    await listenOn(this.#server, address);
   }
 
   /** Switches the fault; `pass` heals, and lets go what was held. */
--- a/packages/testing/src/lib/StandIn.ts
+++ b/packages/testing/src/lib/StandIn.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { Task } from '@berylwood/base';
-import { splitAddress } from '@berylwood/link';
+import { listenOn } from '@berylwood/link';
 import { History } from './History';
 
 /** Thrown by a handler to answer with an HTTP error. @internal */
@@ -43,11 +43,7 @@
   }
 
   override async start(): Promise<void> {
-    const { host, port } = splitAddress(this.#listen);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
+    await listenOn(this.#server, this.#listen);
   }
 
   override async stop(): Promise<void> {
