Share what the roles, the baselines and the benchmarks wrote twice

Found on a read of the whole change: four servers closed themselves by the same lines (now closeNow of link, beside listenOn); both baseline schedulers kept the same account of what runs where (now Assignments); four benchmarks read processor time and memory from /proc, two of them with a split that breaks on a command name with a space before a parenthesis (now processUsage of testing); two held the same operator lists; the relay kept a set of forgotten pairs that follows from its set of pairs. Behaviour stays; no test was touched.

Ruled out: LeastLoad and RoundRobin under one base class, as only the account is alike; the lists of the entry's and control's benchmarks, which grow apart.

Measured: 141 tests of policy, link, testing and apps pass.

--- a/apps/berylwood/src/lib/AdminServer.ts
+++ b/apps/berylwood/src/lib/AdminServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server, type ServerResponse } from 'node:http';
 import { Task, type Journal, type Metrics } from '@berylwood/base';
-import { listenOn } from '@berylwood/link';
+import { closeNow, listenOn } from '@berylwood/link';
 
 /** Serves health, metrics and the latest events of a process. @internal */
 export class AdminServer extends Task {
@@ -31,10 +31,7 @@
   }
 
   override async stop(): Promise<void> {
-    this.#server.closeAllConnections();
-    await new Promise((resolve) => {
-      this.#server.close(resolve);
-    });
+    await closeNow(this.#server);
     await super.stop();
   }
 
--- a/packages/control/bench/control.ts
+++ b/packages/control/bench/control.ts
@@ -4,7 +4,7 @@
  * processor share of renewals, and memory. The last line is one JSON object.
  */
 /* eslint-disable no-console -- a benchmark prints its figures */
-import { fdatasyncSync, closeSync, openSync, readFileSync, writeSync } from 'node:fs';
+import { fdatasyncSync, closeSync, openSync, writeSync } from 'node:fs';
 import { join } from 'node:path';
 import { SystemTimer, asId, createSilentJournal } from '@berylwood/base';
 import { Subscription } from '@berylwood/feed';
@@ -16,7 +16,7 @@
   createRequestId,
   emptyConfiguration,
 } from '@berylwood/schema';
-import { percentile, until } from '@berylwood/testing';
+import { percentile, processorSeconds, residentMegabytes, until } from '@berylwood/testing';
 import { startGroup, type ReplicaGroup } from '../src/testing/startGroup';
 
 const CLIENTS = [1, 16, 256];
@@ -26,7 +26,6 @@
 const RENEWALS_MS = 4000;
 const COMMANDS = 100_000;
 const RECORD_BYTES = 300;
-const TICKS_PER_S = 100;
 const CALL_MS = 10_000;
 
 const timer = new SystemTimer();
@@ -141,16 +140,6 @@
   return times;
 }
 
-function processorSeconds(pid: number): number {
-  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? [];
-  return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_S;
-}
-
-function residentMegabytes(pid: number): number {
-  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-  return Math.round(Number(/VmRSS:\s+(\d+) kB/.exec(status)?.[1] ?? 0) / 1024);
-}
-
 async function measureProcessor(group: ReplicaGroup): Promise<number> {
   const pid = group.deployment.process((await group.leader()).replica).pid ?? 0;
   const before = processorSeconds(pid);
--- a/packages/control/src/lib/OperatorServer.ts
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from 'node:http';
-import { listenOn } from '@berylwood/link';
+import { closeNow, listenOn } from '@berylwood/link';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { operatorRouter } from './operatorRouter';
 import type { OperatorService } from './OperatorService';
@@ -18,9 +18,6 @@
   }
 
   async close(): Promise<void> {
-    this.#server.closeAllConnections();
-    await new Promise((resolve) => {
-      this.#server.close(resolve);
-    });
+    await closeNow(this.#server);
   }
 }
--- a/packages/entry/bench/entry.ts
+++ b/packages/entry/bench/entry.ts
@@ -3,8 +3,13 @@
  * second: processor time of entry and sidecars, and the memory of an entry with 10,000 open idle
  * streams. The last line is one JSON object.
  */
-import { readFileSync } from 'node:fs';
-import { Deployment, until, type DeploymentPlan } from '@berylwood/testing';
+import {
+  Deployment,
+  processorSeconds,
+  residentMegabytes,
+  until,
+  type DeploymentPlan,
+} from '@berylwood/testing';
 import { CallerPool } from './CallerPool';
 
 const REQUESTS_PER_S = 75;
@@ -18,7 +23,6 @@
 const RAMP_MS = 8000;
 const MEASURED_MS = 10_000;
 const TICK_MS = 20;
-const CLOCK_TICKS_PER_S = 100;
 const RATE = TOKENS_PER_S / STREAMS;
 const ANSWER_TOKENS = Math.round((STREAMS / REQUESTS_PER_S) * RATE);
 
@@ -36,17 +40,6 @@
     setTimeout(resolve, ms);
   });
 
-/** Processor seconds that a process has used. */
-function processorSeconds(pid: number): number {
-  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? [];
-  return (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS_PER_S;
-}
-
-function residentMegabytes(pid: number): number {
-  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-  return Math.round(Number(/VmRSS:\s+(\d+) kB/.exec(status)?.[1] ?? 0) / 1024);
-}
-
 function createPlan(engines: number, slots: number, decodeRate: number): DeploymentPlan {
   return {
     entries: 1,
--- a/packages/link/src/lib/LinkServer.ts
+++ b/packages/link/src/lib/LinkServer.ts
@@ -4,6 +4,7 @@
 import { WebSocketServer } from 'ws';
 import { Link } from './Link';
 import { MAX_FRAME_BYTES, type LinkIdentity, type LinkOptions } from './LinkOptions';
+import { closeNow } from './closeNow';
 import { listenOn } from './listenOn';
 
 type Accept = (socket: import('ws').WebSocket, peer: string) => void;
@@ -48,10 +49,7 @@
   /** Stops accepting and drops open links. */
   async close(): Promise<void> {
     for (const socket of this.#sockets.clients) socket.terminate();
-    this.#server.closeAllConnections();
-    await new Promise<void>((resolve) => {
-      this.#server.close(() => resolve());
-    });
+    await closeNow(this.#server);
   }
 
   #upgrade(request: IncomingMessage, socket: Socket, head: Buffer): void {
--- a/packages/policy/src/lib/LeastLoadScheduler.ts
+++ b/packages/policy/src/lib/LeastLoadScheduler.ts
@@ -4,6 +4,7 @@
   type EndpointId,
   type RequestId,
 } from '@berylwood/schema';
+import { Assignments } from './Assignments';
 import type { Candidate, Decision, Ending, Job, LoadReport } from './Job';
 import { PoolMap } from './PoolMap';
 import { Scheduler } from './Scheduler';
@@ -18,9 +19,7 @@
 export class LeastLoadScheduler extends Scheduler {
   readonly #tiers = new Map<number, Map<RequestId, Job>>();
 
-  readonly #running = new Map<RequestId, EndpointId>();
-
-  readonly #busy = new Map<EndpointId, number>();
+  readonly #assignments = new Assignments();
 
   readonly #load = new Map<EndpointId, number>();
 
@@ -57,10 +56,7 @@
   }
 
   override ended(ending: Ending): void {
-    const endpoint = this.#running.get(ending.request);
-    if (endpoint === undefined) return;
-    this.#running.delete(ending.request);
-    this.#busy.set(endpoint, (this.#busy.get(endpoint) ?? 1) - 1);
+    this.#assignments.end(ending.request);
   }
 
   override decide(now: number): Decision[] {
@@ -103,8 +99,7 @@
       if (job.avoid.length === 0) Object.assign(pool, { isFull: true });
       return undefined;
     }
-    this.#busy.set(endpoint, (this.#busy.get(endpoint) ?? 0) + 1);
-    this.#running.set(request, endpoint);
+    this.#assignments.start(request, endpoint);
     return { type: 'dispatch', request, endpoint };
   }
 
@@ -115,7 +110,7 @@
       const load = this.#load.get(endpoint) ?? 0;
       if (!isOpen || kind !== job.kind || !targets.includes(job.target) || load >= bestLoad)
         continue;
-      if (job.avoid.includes(endpoint) || (this.#busy.get(endpoint) ?? 0) >= slots) continue;
+      if (job.avoid.includes(endpoint) || this.#assignments.countOf(endpoint) >= slots) continue;
       best = endpoint;
       bestLoad = load;
     }
--- a/packages/policy/src/lib/RoundRobinScheduler.ts
+++ b/packages/policy/src/lib/RoundRobinScheduler.ts
@@ -1,9 +1,5 @@
-import {
-  requestCodes,
-  type Configuration,
-  type EndpointId,
-  type RequestId,
-} from '@berylwood/schema';
+import { requestCodes, type Configuration, type RequestId } from '@berylwood/schema';
+import { Assignments } from './Assignments';
 import type { Candidate, Decision, Ending, Job, LoadReport } from './Job';
 import { Scheduler } from './Scheduler';
 
@@ -13,9 +9,7 @@
 export class RoundRobinScheduler extends Scheduler {
   readonly #waiting = new Map<RequestId, Job>();
 
-  readonly #running = new Map<RequestId, EndpointId>();
-
-  readonly #busy = new Map<EndpointId, number>();
+  readonly #assignments = new Assignments();
 
   #candidates: readonly Candidate[] = [];
 
@@ -50,10 +44,7 @@
   }
 
   override ended(ending: Ending): void {
-    const endpoint = this.#running.get(ending.request);
-    if (endpoint === undefined) return;
-    this.#running.delete(ending.request);
-    this.#busy.set(endpoint, (this.#busy.get(endpoint) ?? 1) - 1);
+    this.#assignments.end(ending.request);
   }
 
   override decide(now: number): Decision[] {
@@ -89,11 +80,9 @@
     );
     for (let i = 0; i < suitable.length; i += 1) {
       const candidate = suitable[(this.#next + i) % suitable.length] as Candidate;
-      const busy = this.#busy.get(candidate.endpoint) ?? 0;
-      if (busy < candidate.slots) {
+      if (this.#assignments.countOf(candidate.endpoint) < candidate.slots) {
         this.#next += i + 1;
-        this.#busy.set(candidate.endpoint, busy + 1);
-        this.#running.set(request, candidate.endpoint);
+        this.#assignments.start(request, candidate.endpoint);
         return { type: 'dispatch', request, endpoint: candidate.endpoint };
       }
     }
--- a/packages/testing/bench/path.ts
+++ b/packages/testing/bench/path.ts
@@ -2,27 +2,11 @@
  * Measures the thin path with real processes: start to first answer, resident memory of each role,
  * and the latency that entry and sidecar add to calling the stand-in directly in the same run.
  */
-import { readFileSync } from 'node:fs';
-import { Deployment, callCompletion, percentile } from '../src';
+import { Deployment, callCompletion, percentile, residentMegabytes } from '../src';
+import { CUSTOMERS, PLANS } from './lists';
 
 const CALLS = 300;
 const ENGINE_PORT = 24_000;
-const BYTES_PER_MB = 1024 * 1024;
-
-const PLANS = `
-[classes.chat]
-first_token_ms = 1400
-[plans.standard]
-classes = { chat = 1 }
-default_class = "chat"
-models = ["crew-8b"]
-`;
-const CUSTOMERS = '[customers.thapathali-traps]\nplan = "standard"\n';
-
-function residentMegabytes(pid: number): number {
-  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-  return (Number(/VmRSS:\s+(\d+) kB/.exec(status)?.[1] ?? 0) * 1024) / BYTES_PER_MB;
-}
 
 async function sample(url: string, secret: string): Promise<number> {
   const call = { url, secret, model: 'crew-8b', prompt: 'x', stream: true, answerTokens: 1 };
@@ -54,7 +38,7 @@
   }
   const memory = [...deployment.processes].map(([name, { pid = 0 }]) => [
     name,
-    Math.round(residentMegabytes(pid)),
+    residentMegabytes(pid),
   ]);
   const report = {
     firstAnswerMs: Math.round(firstAnswerMs),
--- a/packages/testing/src/lib/Relay.ts
+++ b/packages/testing/src/lib/Relay.ts
@@ -26,8 +26,6 @@
 
   readonly #pairs = new Set<Pair>();
 
-  readonly #forgotten = new Set<Pair>();
-
   /** Sockets of either side that are still open, also those whose other side has gone. */
   readonly #sockets = new Set<Socket>();
 
@@ -77,7 +75,6 @@
    */
   forget(): void {
     for (const pair of this.#pairs) {
-      this.#forgotten.add(pair);
       for (const socket of [pair.near, pair.far]) socket.removeAllListeners('data').pause();
     }
     this.#pairs.clear();
@@ -116,9 +113,9 @@
       socket.on('error', () => {});
       socket.once('close', () => {
         this.#sockets.delete(socket);
-        this.#pairs.delete(pair);
+        const passes = this.#pairs.delete(pair);
         // A cut network tells neither side that the other is gone.
-        if (this.#mode !== 'silent' && !this.#forgotten.has(pair)) this.#drop(pair);
+        if (passes && this.#mode !== 'silent') this.#drop(pair);
       });
     }
     if (this.#mode === 'silent') pause(near, far);
--- a/packages/testing/src/lib/StandIn.ts
+++ b/packages/testing/src/lib/StandIn.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { Task } from '@berylwood/base';
-import { listenOn } from '@berylwood/link';
+import { closeNow, listenOn } from '@berylwood/link';
 import { History } from './History';
 
 /** Thrown by a handler to answer with an HTTP error. @internal */
@@ -47,10 +47,7 @@
   }
 
   override async stop(): Promise<void> {
-    this.#server.closeAllConnections();
-    await new Promise((resolve) => {
-      this.#server.close(resolve);
-    });
+    await closeNow(this.#server);
     await super.stop();
   }
 
