--- a/apps/berylwood/src/lib/createProgram.ts
+++ b/apps/berylwood/src/lib/createProgram.ts
@@ -5,8 +5,6 @@
 import { createStandIn } from './createStandIn';
 import { loadCommand } from './loadCommand';
 import { operatorCommands } from './operatorCommands';
-import { readSettings } from './readSettings';
-import { runProcess } from './runProcess';
 import { timelineCommand } from './timelineCommand';
 
 /** Version of the build; the bundler fills it in. */
@@ -24,8 +22,15 @@
 function runCommand(): Command {
   return new Command('run')
     .description('start the roles of a settings file')
-    .requiredOption('--settings <file>', 'settings in TOML')
-    .action(({ settings }: { settings: string }) => runProcess(readSettings(settings)));
+    .addOption(
+      new Option('--settings <file>', 'settings in TOML')
+        .env('BERYLWOOD_CONFIG')
+        .makeOptionMandatory(),
+    )
+    .action(async ({ settings }: { settings: string }) => {
+      const { runProcess } = await import('./runProcess');
+      await runProcess(settings);
+    });
 }
 
 function checkCommand(): Command {
--- a/apps/berylwood/src/lib/createRoles.ts
+++ b/apps/berylwood/src/lib/createRoles.ts
@@ -1,10 +1,5 @@
 import { Metrics, Supervisor, type Journal, type Timer } from '@berylwood/base';
-import { Control, Observer } from '@berylwood/control';
-import { Entry } from '@berylwood/entry';
 import { createIncarnationId, type IncarnationId, type Settings } from '@berylwood/schema';
-import { Sidecar } from '@berylwood/sidecar';
-import { AdminServer } from './AdminServer';
-import { createStandIn } from './createStandIn';
 import { readIdentity } from './readIdentity';
 
 /** What all roles of a process share. @internal */
@@ -15,25 +10,87 @@
   readonly incarnation: IncarnationId;
 }
 
-/** Creates the supervisor of the roles that the settings name, in the order of their start. @internal */
-export function createRoles(settings: Settings, surroundings: Surroundings): Supervisor {
-  const { timer, journal } = surroundings;
-  const { tls } = settings;
+/** Roles that take over settings which were read again. @internal */
+export interface Reloadable {
+  reload(settings: Settings): void;
+}
+
+/** The supervisor of a process and the roles to tell of new settings. @internal */
+export interface Roles {
+  readonly tree: Supervisor;
+  readonly reloadable: readonly Reloadable[];
+}
+
+/** A process that only forwards does not wait for the code of the other roles. */
+async function addGateway(
+  tree: Supervisor,
+  settings: Settings,
+  surroundings: Surroundings,
+): Promise<Reloadable[]> {
+  const { gateway } = settings;
+  if (!gateway) return [];
+  const [{ Gateway }, { PlatformClient, PlatformWire }] = await Promise.all([
+    import('@berylwood/gateway'),
+    import('@berylwood/platform'),
+  ]);
+  const { platform: address, instance: holder } = gateway;
+  const platform = address === undefined ? undefined : new PlatformClient({ address, holder });
+  const task = new Gateway({
+    ...surroundings,
+    settings: gateway,
+    wire: new PlatformWire(),
+    platform,
+  });
+  tree.add(() => task);
+  const reload = (next: Settings): void => {
+    if (next.gateway) task.reload(next.gateway);
+  };
+  return [{ reload }];
+}
+
+async function addPoolRoles(
+  tree: Supervisor,
+  settings: Settings,
+  surroundings: Surroundings,
+): Promise<void> {
+  const { process, entry, control, observer, sidecars, standIns, tls } = settings;
   const identity = tls?.peers && readIdentity(tls.peers);
   const shared = { ...surroundings, identity };
-  const { process, entry, control, observer, sidecars, standIns, admin } = settings;
+  if (standIns.length > 0) {
+    const { createStandIn } = await import('./createStandIn');
+    for (const standIn of standIns) tree.add(() => createStandIn(standIn));
+  }
+  if (control || observer) {
+    const { Control, Observer } = await import('@berylwood/control');
+    if (control) tree.add(() => new Control({ ...shared, settings: control }));
+    if (observer) tree.add(() => new Observer({ ...shared, process, settings: observer }));
+  }
+  if (sidecars.length > 0) {
+    const { Sidecar } = await import('@berylwood/sidecar');
+    for (const sidecar of sidecars) {
+      // A restarted sidecar has an empty attempt table, so it is another incarnation.
+      const create = () => ({ ...shared, incarnation: createIncarnationId() });
+      tree.add(() => new Sidecar({ ...create(), process, settings: sidecar }));
+    }
+  }
+  const certificate = tls?.callers;
+  if (entry) {
+    const { Entry } = await import('@berylwood/entry');
+    tree.add(() => new Entry({ ...shared, process, settings: entry, certificate }));
+  }
+}
+
+/** Creates the supervisor of the roles that the settings name, in the order of their start. @internal */
+export async function createRoles(settings: Settings, surroundings: Surroundings): Promise<Roles> {
+  const { timer, journal } = surroundings;
+  const { process, admin } = settings;
   // A restarted task can not take over its predecessor's connections, so nothing else restarts.
   const tree = new Supervisor({ name: process.name, timer, journal });
-  for (const standIn of standIns) tree.add(() => createStandIn(standIn));
-  if (control) tree.add(() => new Control({ ...shared, settings: control }));
-  if (observer) tree.add(() => new Observer({ ...shared, process, settings: observer }));
-  for (const sidecar of sidecars) {
-    // A restarted sidecar has an empty attempt table, so it is another incarnation.
-    const create = () => ({ ...shared, incarnation: createIncarnationId() });
-    tree.add(() => new Sidecar({ ...create(), process, settings: sidecar }));
+  await addPoolRoles(tree, settings, surroundings);
+  const reloadable = await addGateway(tree, settings, surroundings);
+  if (admin) {
+    const { AdminServer } = await import('./AdminServer');
+    tree.add(() => new AdminServer(admin.listen, surroundings));
   }
-  const certificate = tls?.callers;
-  if (entry) tree.add(() => new Entry({ ...shared, process, settings: entry, certificate }));
-  if (admin) tree.add(() => new AdminServer(admin.listen, surroundings));
-  return tree;
+  return { tree, reloadable };
 }
--- a/apps/berylwood/src/lib/runProcess.ts
+++ b/apps/berylwood/src/lib/runProcess.ts
@@ -1,15 +1,17 @@
-import { Failure, Journal, Metrics, SystemTimer, baseEvents } from '@berylwood/base';
-import { controlCodes } from '@berylwood/control';
+import { statSync } from 'node:fs';
+import { Failure, Journal, Metrics, SystemTimer, baseEvents, type Timer } from '@berylwood/base';
 import { createIncarnationId, type Settings } from '@berylwood/schema';
 import pino from 'pino';
 import { CommandError } from './CommandError';
 import { ExitCode } from './codes';
-import { createRoles } from './createRoles';
+import { createRoles, type Reloadable } from './createRoles';
+import { hangUps } from './hangUps';
+import { readSettings } from './readSettings';
 
 const SIGNALS = ['SIGTERM', 'SIGINT'] as const;
 
 function startError(error: unknown): CommandError {
-  if (error instanceof Failure && error.code === controlCodes.dataFolderUnusable) {
+  if (error instanceof Failure && error.code.name === 'dataFolderUnusable') {
     return new CommandError(ExitCode.DataFolder, error.message);
   }
   const { code, address, port, message } = error as NodeJS.ErrnoException & {
@@ -38,28 +40,76 @@
   });
 }
 
+/** Most bytes of log lines that wait for a slow reader; further lines are dropped. */
+const MAX_WAITING_LOG_BYTES = 4 * 1024 * 1024;
+
+/** Bytes of log lines written together, and the longest time that they wait. */
+const LOG_BLOCK_BYTES = 8 * 1024;
+const LOG_WAIT_MS = 200;
+
+/** Interval at which a changed settings file is looked for, in milliseconds. */
+const SETTINGS_CHECK_MS = 1000;
+
+function createDestination(log: Settings['log'], timer: Timer): pino.DestinationStream | undefined {
+  if (log.file) return pino.destination({ dest: log.file, sync: false, mkdir: true });
+  if (!log.output) return undefined;
+  const destination = pino.destination({
+    dest: process.stdout.fd,
+    sync: false,
+    minLength: LOG_BLOCK_BYTES,
+    maxLength: MAX_WAITING_LOG_BYTES,
+  });
+  timer.every(LOG_WAIT_MS, () => destination.flush());
+  return destination;
+}
+
+/** Reads the settings again when the file changes or a hang-up signal says so. */
+function watchSettings(
+  file: string,
+  reloadable: readonly Reloadable[],
+  { timer, journal }: { timer: Timer; journal: Journal },
+): void {
+  const stamp = (): number => statSync(file, { throwIfNoEntry: false })?.mtimeMs ?? 0;
+  let last = stamp();
+  const reload = (): void => {
+    last = stamp();
+    try {
+      const settings = readSettings(file);
+      for (const role of reloadable) role.reload(settings);
+    } catch (error) {
+      journal.record(baseEvents.settingsRefused, { file, error: String(error) });
+    }
+  };
+  hangUps.onSignal = reload;
+  timer.every(SETTINGS_CHECK_MS, () => {
+    if (stamp() !== last) reload();
+  });
+}
+
 /**
- * Runs the roles of the settings until a signal, then shuts them down gracefully.
+ * Runs the roles of a settings file until a signal, then shuts them down gracefully.
  * @throws CommandError when the roles can not start or fail for good.
  * @internal
  */
-export async function runProcess(settings: Settings): Promise<void> {
+export async function runProcess(file: string): Promise<void> {
+  const settings = readSettings(file);
   const timer = new SystemTimer();
   const incarnation = createIncarnationId();
   const { name, shutdownLimitMs } = settings.process;
-  const destination = settings.log.file
-    ? pino.destination({ dest: settings.log.file, sync: false, mkdir: true })
-    : undefined;
+  const destination = createDestination(settings.log, timer);
   const { level } = settings.log;
   const journal = new Journal({ process: name, incarnation, timer, level, destination });
   const metrics = new Metrics();
-  metrics.collectProcess();
+  // The delay of the event loop is sampled by a timer, which costs a small instance too much.
+  if (!settings.gateway) metrics.collectProcess();
   const stopped = nextSignal();
-  const tree = createRoles(settings, { timer, journal, metrics, incarnation });
+  const surroundings = { timer, journal, metrics, incarnation };
+  const { tree, reloadable } = await createRoles(settings, surroundings);
   await tree.start().catch((error: unknown) => {
     throw startError(error);
   });
   journal.record(baseEvents.processStarted, { name });
+  if (reloadable.length > 0) watchSettings(file, reloadable, surroundings);
   const failed = tree.run();
   await Promise.race([stopped, failed]).catch((error: unknown) => {
     throw startError(error);
--- a/apps/berylwood/src/main.ts
+++ b/apps/berylwood/src/main.ts
@@ -1,3 +1,4 @@
+import './lib/hangUps';
 import { CommandError } from './lib/CommandError';
 import { ExitCode } from './lib/codes';
 import { createProgram } from './lib/createProgram';
--- a/packages/base/src/lib/events.ts
+++ b/packages/base/src/lib/events.ts
@@ -32,4 +32,11 @@
     meaning: 'The event loop was held up for longer than its limit.',
     action: 'Look for a burst, a large snapshot or a busy machine at that time.',
   },
+  settingsRefused: {
+    number: 1005,
+    level: 'error',
+    meaning:
+      'A settings file that has changed could not be read; the settings before stay in force.',
+    action: 'Correct the file; the error names the line.',
+  },
 });
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -1,4 +1,5 @@
 /** A replicated log to embed: elections, leader lease, snapshots and membership change. */
+export { AdmissionPolicy, ClosedAdmission } from './lib/AdmissionPolicy';
 export { StateMachine } from './lib/StateMachine';
 export { ReplicatedLog, type Applied, type LogStatus } from './lib/ReplicatedLog';
 export { LocalLog } from './lib/LocalLog';
--- a/packages/consensus/src/lib/Membership.ts
+++ b/packages/consensus/src/lib/Membership.ts
@@ -109,6 +109,18 @@
   return isReplacement ? { members, admitted, outgoing: before } : { members, admitted };
 }
 
+/** Gives all incarnations of a replica another part. @internal */
+export function withKind(
+  membership: Membership,
+  replica: ReplicaName,
+  kind: MemberKind,
+): Membership {
+  const members = membership.members.map((member) =>
+    member.replica === replica ? { ...member, kind } : member,
+  );
+  return { ...membership, members };
+}
+
 /** Ends a replacement that is committed. @internal */
 export function withoutOutgoing({ members, admitted }: Membership): Membership {
   return { members, admitted };
--- a/packages/consensus/src/lib/MembershipChanger.ts
+++ b/packages/consensus/src/lib/MembershipChanger.ts
@@ -12,9 +12,11 @@
   voters,
   withAdmission,
   withJoiner,
+  withKind,
   withPromoted,
   withoutOutgoing,
   withoutReplica,
+  type MemberKind,
   type Membership,
 } from './Membership';
 import type { Join, Message } from './Message';
@@ -60,11 +62,27 @@
     return this.#change(remaining);
   }
 
+  /**
+   * Changes the part that a member takes: a learner becomes a voter once it has synced everything
+   * committed, and a voter becomes a learner at once.
+   */
+  async assign(replica: ReplicaName, kind: 'joining' | 'learner'): Promise<Result<void, Failure>> {
+    const member = this.#latest.members.find((item) => item.replica === replica);
+    if (!member) return fail(consensusCodes.membershipInvalid, `no replica is named ${replica}`);
+    const isPromotion = member.kind === 'learner' && kind === 'joining';
+    if (!isPromotion && !(member.kind !== 'learner' && kind === 'learner')) {
+      const message = `${replica} is ${member.kind} and can't become ${kind}`;
+      return fail(consensusCodes.membershipInvalid, message);
+    }
+    return this.#change(withKind(this.#latest, replica, kind));
+  }
+
   /** Notes a request to join, if the replica is expected. */
   onJoin({ from, body }: Message<Join>): void {
     const { members, admitted } = this.#latest;
     if (members.some((item) => item.incarnation === from.incarnation)) return;
-    const isExpected = [...members, ...admitted].some((item) => item.replica === from.replica);
+    const isNamed = [...members, ...admitted].some((item) => item.replica === from.replica);
+    const isExpected = isNamed || this.#admittedKind(from.replica) !== undefined;
     const { journal } = this.#core.settings;
     if (!this.#requests.has(from.replica)) {
       journal.record(consensusEvents.joinRequested, { ...from, isExpected });
@@ -117,12 +135,17 @@
     return now - heardAt <= RECENT_HEARTBEATS * settings.heartbeatMs;
   }
 
+  #admittedKind(replica: ReplicaName): Exclude<MemberKind, 'voter'> | undefined {
+    return this.#core.settings.admission.admit(replica, this.#latest);
+  }
+
   #join({ identity, address }: Request): void {
     const { members, admitted } = this.#latest;
     const admission = admitted.find((item) => item.replica === identity.replica);
     const earlier = members.find((item) => item.replica === identity.replica);
-    if (!admission && !earlier) return;
-    const isVoter = admission ? admission.voter : earlier?.kind !== 'learner';
+    const kind = this.#admittedKind(identity.replica);
+    if (!admission && !earlier && !kind) return;
+    const isVoter = admission ? admission.voter : (earlier?.kind ?? kind) !== 'learner';
     this.#append(withJoiner(this.#latest, identity, address, isVoter));
   }
 
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -9,7 +9,7 @@
 import { EntryKind, type Entry } from './Entry';
 import { consensusEvents } from './events';
 import { Follower } from './Follower';
-import type { Identity, ReplicaName } from './ids';
+import type { Identity, Incarnation, ReplicaName } from './ids';
 import { Joiner } from './Joiner';
 import { Leader } from './Leader';
 import { LeadershipTransfer } from './LeadershipTransfer';
@@ -184,6 +184,22 @@
     return this.#leadership.changer.remove(replica);
   }
 
+  /** Promotes a learner, or takes the vote of a member; see `ReplicaStatus.membership`. */
+  async assignKind(
+    replica: ReplicaName,
+    kind: 'joining' | 'learner',
+  ): Promise<Result<void, Failure>> {
+    if (!this.#leadership) return this.#refuse();
+    return this.#leadership.changer.assign(replica, kind);
+  }
+
+  /** Time since a member last answered this leader, in milliseconds; undefined if never. */
+  silenceMs(incarnation: Incarnation): number | undefined {
+    if (this.#core.isSelf({ incarnation })) return 0;
+    const heardAt = this.#leadership?.leader.progress(incarnation)?.stamp.mono;
+    return heardAt === undefined || heardAt === -Infinity ? undefined : this.#core.now - heardAt;
+  }
+
   override async close(): Promise<void> {
     this.#core.sendRole({ type: 'stop' });
     await this.#core.store.close();
--- a/packages/consensus/src/lib/ReplicaOptions.ts
+++ b/packages/consensus/src/lib/ReplicaOptions.ts
@@ -1,4 +1,5 @@
 import type { Journal, Random, Timer } from '@berylwood/base';
+import { ClosedAdmission, type AdmissionPolicy } from './AdmissionPolicy';
 import type { Disk } from './Disk';
 import type { Incarnation, ReplicaName } from './ids';
 import type { StateMachine } from './StateMachine';
@@ -46,6 +47,8 @@
    * belongs to none. Exactly one replica of a new group is its founder.
    */
   readonly founder?: boolean;
+  /** Decides on replicas that ask to join without having been named; refuses them by default. */
+  readonly admission?: AdmissionPolicy;
   /** Interval of heartbeats; 100 by default. */
   readonly heartbeatMs?: number;
   /** Length of a lease as a voter grants it; 600 by default. */
@@ -88,6 +91,7 @@
   address: '',
   seeds: [],
   founder: false,
+  admission: new ClosedAdmission(),
   heartbeatMs: 100,
   leaseMs: 600,
   electionTimeoutMs: 700,
--- a/packages/control/src/lib/Control.ts
+++ b/packages/control/src/lib/Control.ts
@@ -7,7 +7,7 @@
 import { controlEvents } from './events';
 import { openReplica } from './openReplica';
 import { OperatorServer } from './OperatorServer';
-import { PeerTransport } from './PeerTransport';
+import { PeerTransport } from '@berylwood/registry';
 
 /** Options of the control role. @public */
 export interface ControlOptions {
@@ -47,7 +47,12 @@
     this.#links = new LinkServer(options.identity);
     const { voters } = options.settings;
     const addresses = new Map(voters.map(({ replica, address }) => [replica, address]));
-    this.#transport = this.store.add(new PeerTransport({ ...options, addresses }));
+    this.#transport = this.store.add(
+      new PeerTransport({
+        ...options,
+        locate: (replica, address) => addresses.get(replica) ?? address,
+      }),
+    );
   }
 
   /** @throws Failure `dataFolderUnusable`, or one of the replicated log. */
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,8 @@
+/** Forwards requests of callers to endpoints over plain HTTP, by a replicated configuration. */
+export { Gateway, type GatewayOptions } from './lib/Gateway';
+export * from './lib/ids';
+export * from './lib/RoutingConfiguration';
+export * from './lib/Wire';
+export { RoutingTable, chooseTarget } from './lib/RoutingTable';
+export { gatewayCodes } from './lib/codes';
+export { gatewayEvents } from './lib/events';
--- /dev/null
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -0,0 +1,199 @@
+import { request as sendRequest, type ClientRequest, type IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Timer } from '@berylwood/base';
+import { splitAddress } from '@berylwood/link';
+import type { Endpoint } from './Endpoint';
+import { usableIdleMs } from './EndpointAgent';
+import type { AttemptId } from './ids';
+import type { AnswerFacts, Wire } from './Wire';
+
+/** A request as it is handed to an endpoint. @internal */
+export interface OutgoingRequest {
+  readonly method: string;
+  /** Path and query, unchanged. */
+  readonly target: string;
+  readonly headers: string[];
+  readonly body: Buffer;
+  readonly attempt: AttemptId | undefined;
+}
+
+/** The beginning of an answer. @internal */
+export interface AnswerHead {
+  readonly status: number;
+  readonly rawHeaders: readonly string[];
+  readonly facts: AnswerFacts;
+  readonly isEventStream: boolean;
+}
+
+/**
+ * How an attempt ended: `unsent` and `refused` prove that it has not run; after `broken` that is
+ * unknown.
+ * @internal
+ */
+export type AttemptEnd =
+  | { readonly type: 'complete' }
+  | { readonly type: 'unsent'; readonly reason: string }
+  | { readonly type: 'refused'; readonly head: AnswerHead }
+  | { readonly type: 'broken'; readonly reason: string };
+
+/** Receives the answer of one attempt. @internal */
+export interface AttemptListener {
+  /** Called once with the head of an answer that is not a refusal. */
+  onHead(head: AnswerHead): void;
+  /** Called with each part of the body; false asks to pause until `resume`. */
+  onData(chunk: Buffer): boolean;
+  /** Called exactly once, unless the attempt was cancelled. */
+  onEnd(end: AttemptEnd): void;
+}
+
+/** Time for a connection to be made; both ends are milliseconds apart. */
+const CONNECT_MS = 300;
+
+/** One sending of a request to one endpoint. @internal */
+export class Attempt {
+  readonly endpoint: Endpoint;
+
+  readonly startedAt: number;
+
+  readonly #wire: Wire;
+
+  readonly #outgoing: OutgoingRequest;
+
+  readonly #listener: AttemptListener;
+
+  readonly #request: ClientRequest & { idleMs?: number };
+
+  readonly #timer: Timer;
+
+  #answer: IncomingMessage | undefined;
+
+  #connectTimeout: Disposable | undefined;
+
+  /** Whether bytes may have left for the endpoint. */
+  #isSent = false;
+
+  #isRefusal = false;
+
+  #isOver = false;
+
+  constructor(
+    endpoint: Endpoint,
+    outgoing: OutgoingRequest,
+    listener: AttemptListener,
+    parts: { readonly wire: Wire; readonly timer: Timer },
+  ) {
+    this.endpoint = endpoint;
+    this.#outgoing = outgoing;
+    this.#listener = listener;
+    this.#wire = parts.wire;
+    this.#timer = parts.timer;
+    this.startedAt = parts.timer.now();
+    endpoint.began();
+    const { host, port } = splitAddress(endpoint.listed.address);
+    const { method, target, headers, body } = outgoing;
+    this.#request = sendRequest({
+      host,
+      port,
+      method,
+      path: target,
+      headers: headers as unknown as Record<string, string>,
+      agent: endpoint.agent,
+      setHost: false,
+    });
+    this.#request.on('socket', (socket) => this.#onSocket(socket));
+    this.#request.on('response', (answer) => this.#onResponse(answer));
+    this.#request.on('error', (error) => this.#onError(error));
+    this.#request.end(body);
+  }
+
+  /** Whether the endpoint may have got bytes of the request. */
+  get isSent(): boolean {
+    return this.#isSent;
+  }
+
+  /** Breaks the attempt off; the endpoint sees its connection closed. */
+  cancel(): void {
+    if (this.#isOver) return;
+    this.#finish();
+    this.endpoint.abandoned();
+    this.#request.destroy();
+  }
+
+  /** Breaks the attempt off because of what its endpoint did. */
+  reject(reason: string): void {
+    this.#end({ type: 'broken', reason });
+    this.#request.destroy();
+  }
+
+  resume(): void {
+    this.#answer?.resume();
+  }
+
+  #onSocket(socket: Socket): void {
+    if (!socket.connecting) {
+      this.#isSent = true;
+      return;
+    }
+    socket.setNoDelay(true);
+    this.#connectTimeout = this.#timer.after(CONNECT_MS, () => {
+      this.#end({ type: 'unsent', reason: 'no connection in time' });
+      this.#request.destroy();
+    });
+    socket.once('connect', () => {
+      this.#connectTimeout?.[Symbol.dispose]();
+      this.#isSent = true;
+    });
+  }
+
+  #onResponse(answer: IncomingMessage): void {
+    if (this.#isOver) {
+      answer.destroy();
+      return;
+    }
+    const { statusCode: status = 0, rawHeaders } = answer;
+    const facts = this.#wire.readAnswer(status, rawHeaders);
+    if (facts.attempt !== undefined && facts.attempt !== this.#outgoing.attempt) {
+      this.reject('answer of another request');
+      return;
+    }
+    this.#answer = answer;
+    this.#request.idleMs = facts.closes ? 0 : usableIdleMs(facts.keepAliveMs);
+    if (facts.load) this.endpoint.observe(facts.load);
+    const type = answer.headers['content-type'] ?? '';
+    const isEventStream = type.startsWith('text/event-stream');
+    const head: AnswerHead = { status, rawHeaders, facts, isEventStream };
+    this.#isRefusal = facts.isNotRun || facts.isMisdirected;
+    if (!this.#isRefusal) this.#listener.onHead(head);
+    answer.on('data', (chunk: Buffer) => {
+      if (this.#isRefusal || this.#isOver) return;
+      if (!this.#listener.onData(chunk)) answer.pause();
+    });
+    answer.on('end', () => this.#onAnswerEnd(head, answer.complete));
+    answer.on('error', (error) => this.#end({ type: 'broken', reason: String(error) }));
+    answer.on('close', () => this.#end({ type: 'broken', reason: 'answer cut off' }));
+  }
+
+  #onAnswerEnd(head: AnswerHead, isComplete: boolean): void {
+    if (this.#isRefusal) this.#end({ type: 'refused', head });
+    else if (isComplete) this.#end({ type: 'complete' });
+    else this.#end({ type: 'broken', reason: 'answer cut off' });
+  }
+
+  #onError(error: Error): void {
+    const reason = (error as NodeJS.ErrnoException).code ?? error.message;
+    this.#end({ type: this.#isSent ? 'broken' : 'unsent', reason });
+  }
+
+  #end(end: AttemptEnd): void {
+    if (this.#isOver) return;
+    this.#finish();
+    if (end.type === 'unsent') this.endpoint.unreachable();
+    this.#listener.onEnd(end);
+  }
+
+  #finish(): void {
+    this.#isOver = true;
+    this.#connectTimeout?.[Symbol.dispose]();
+    this.endpoint.ended();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -0,0 +1,152 @@
+import type { Timer } from '@berylwood/base';
+import { CircuitBreaker, type Place } from '@berylwood/policy';
+import { EndpointAgent } from './EndpointAgent';
+import type { ListedEndpoint, StatedLoad } from './Wire';
+
+/** Time an endpoint is spared after a connection to it failed; it is probed by one request then. */
+const SPARE_MS = 1500;
+const MAX_SPARE_MS = 6000;
+
+/** Failures in a row after which an endpoint is spared though it takes connections. */
+const FAILURES_IN_A_ROW = 4;
+
+/** Share of a stated load of others that is still counted after this time, in milliseconds. */
+const LOAD_HALF_LIFE_MS = 600;
+
+/** One endpoint as this instance sees it. @internal */
+export class Endpoint implements Disposable {
+  readonly agent: EndpointAgent;
+
+  #listed: ListedEndpoint;
+
+  /** Opens on the first connection that fails. */
+  readonly #reach = new CircuitBreaker({ failures: 1, openMs: SPARE_MS, maxOpenMs: MAX_SPARE_MS });
+
+  /** Opens on answers that fail in a row. */
+  readonly #answers = new CircuitBreaker({
+    failures: FAILURES_IN_A_ROW,
+    openMs: SPARE_MS,
+    maxOpenMs: MAX_SPARE_MS,
+  });
+
+  readonly #timer: Timer;
+
+  #inFlight = 0;
+
+  /** Requests of other instances, as of the last stated load. */
+  #others = 0;
+
+  #othersAt = -Infinity;
+
+  #isLeaving = false;
+
+  constructor(listed: ListedEndpoint, maxConnections: number, timer: Timer) {
+    this.#listed = listed;
+    this.#timer = timer;
+    this.agent = new EndpointAgent(maxConnections);
+  }
+
+  get listed(): ListedEndpoint {
+    return this.#listed;
+  }
+
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Whether requests may be sent there now. */
+  get isUsable(): boolean {
+    const now = this.#timer.now();
+    return this.isStaying && this.#reach.allows(now) && this.#answers.allows(now);
+  }
+
+  /** Whether the endpoint stays, spared or not. */
+  get isStaying(): boolean {
+    return !this.#listed.isDraining && !this.#isLeaving;
+  }
+
+  /** Whether a connection is free for one more request. */
+  get hasRoom(): boolean {
+    return this.#inFlight < this.agent.maxSockets;
+  }
+
+  /** Takes over a newer entry of the list under the same id. */
+  update(listed: ListedEndpoint): void {
+    this.#listed = listed;
+  }
+
+  /** Sets the share of the endpoint's connections that this instance may use. */
+  allow(maxConnections: number): void {
+    this.agent.maxSockets = maxConnections;
+    this.agent.maxFreeSockets = maxConnections;
+  }
+
+  /** Notes that the endpoint itself says that it is leaving. */
+  leaving(): void {
+    this.#isLeaving = true;
+  }
+
+  view(dataCentre: string): Place & { readonly endpoint: Endpoint } {
+    const ageMs = this.#timer.now() - this.#othersAt;
+    const others = this.#others * 0.5 ** (ageMs / LOAD_HALF_LIFE_MS);
+    return {
+      key: this.#listed.id,
+      load: this.#inFlight + others,
+      slots: Math.max(1, this.#listed.slots),
+      isNear: this.#listed.dataCentre === dataCentre,
+      endpoint: this,
+    };
+  }
+
+  began(): void {
+    this.#inFlight += 1;
+    this.#reach.sent();
+    this.#answers.sent();
+  }
+
+  ended(): void {
+    this.#inFlight -= 1;
+  }
+
+  /** Takes in the load that the endpoint states with an answer. */
+  observe({ running, waiting }: StatedLoad): void {
+    this.#others = Math.max(0, running + waiting - this.#inFlight);
+    this.#othersAt = this.#timer.now();
+  }
+
+  answered(): void {
+    this.#reach.succeeded();
+    this.#answers.succeeded();
+  }
+
+  /** Notes an answer that failed or broke off; true if the endpoint is spared from now on. */
+  failed(): boolean {
+    this.#reach.abandoned();
+    this.#answers.failed(this.#timer.now());
+    return this.#answers.state === 'open';
+  }
+
+  /** Notes a connection that could not be made; the endpoint is spared from now on. */
+  unreachable(): void {
+    this.#answers.abandoned();
+    this.#reach.failed(this.#timer.now());
+  }
+
+  /** Notes a request that the endpoint turned away, full or as another incarnation. */
+  refused(isMisdirected: boolean): void {
+    if (isMisdirected) this.#isLeaving = true;
+    this.abandoned();
+  }
+
+  /** Notes a request that ended without saying anything on the endpoint. */
+  abandoned(): void {
+    this.#reach.abandoned();
+    this.#answers.abandoned();
+  }
+
+  [Symbol.dispose](): void {
+    for (const sockets of Object.values(this.agent.freeSockets)) {
+      sockets?.forEach((socket) => socket.destroy());
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/EndpointDirectory.ts
@@ -0,0 +1,100 @@
+import type { Journal, Timer } from '@berylwood/base';
+import { Endpoint } from './Endpoint';
+import { gatewayEvents } from './events';
+import type { PoolName } from './ids';
+import type { ListedEndpoint } from './Wire';
+
+/** Share of an endpoint's connections that all instances use together: others may come. */
+const CONNECTION_SHARE = 0.8;
+
+/** Connections that an instance may open in any case. */
+const LEAST_CONNECTIONS = 4;
+
+/** Connections to an endpoint of a pool that no configuration describes. */
+const DEFAULT_MAX_CONNECTIONS = 64;
+
+/** Endpoints of all pools, as the list and their own answers say. @internal */
+export class EndpointDirectory implements Disposable {
+  readonly #timer: Timer;
+
+  readonly #journal: Journal;
+
+  #endpoints = new Map<string, Endpoint>();
+
+  #pools = new Map<PoolName, Endpoint[]>();
+
+  #readAt = -Infinity;
+
+  /** Connections that an endpoint of a pool takes from all instances. */
+  maxConnections: (pool: PoolName) => number | undefined = () => undefined;
+
+  /** Instances that share the endpoints. */
+  instances: () => number = () => 1;
+
+  constructor(timer: Timer, journal: Journal) {
+    this.#timer = timer;
+    this.#journal = journal;
+  }
+
+  get isKnown(): boolean {
+    return this.#readAt > -Infinity;
+  }
+
+  /** Time since the list was last read, in milliseconds. */
+  get ageMs(): number {
+    return this.#timer.now() - this.#readAt;
+  }
+
+  of(pool: PoolName): readonly Endpoint[] {
+    return this.#pools.get(pool) ?? [];
+  }
+
+  /** Takes over a whole list; endpoints that it doesn't name get no more requests. */
+  replace(listed: readonly ListedEndpoint[]): void {
+    const before = this.#endpoints;
+    const after = new Map<string, Endpoint>();
+    const changes: string[] = [];
+    for (const item of listed) {
+      const key = `${item.id} ${item.address}`;
+      const known = before.get(key);
+      if (known && known.listed.isDraining !== item.isDraining) changes.push(`${item.id} leaving`);
+      if (!known) changes.push(`${item.id} new`);
+      const limit = this.#connectionLimit(item.pool);
+      const endpoint = known ?? new Endpoint(item, limit, this.#timer);
+      endpoint.update(item);
+      endpoint.allow(limit);
+      after.set(key, endpoint);
+    }
+    for (const [key, endpoint] of before) {
+      if (after.has(key)) continue;
+      changes.push(`${endpoint.listed.id} gone`);
+      endpoint.leaving();
+      endpoint[Symbol.dispose]();
+    }
+    this.#endpoints = after;
+    this.#index();
+    this.#readAt = this.#timer.now();
+    if (changes.length === 0) return;
+    this.#journal.record(gatewayEvents.listRead, { endpoints: listed.length, changes });
+  }
+
+  [Symbol.dispose](): void {
+    for (const endpoint of this.#endpoints.values()) endpoint[Symbol.dispose]();
+  }
+
+  #index(): void {
+    this.#pools = new Map();
+    for (const endpoint of this.#endpoints.values()) {
+      const { pool } = endpoint.listed;
+      const endpoints = this.#pools.get(pool) ?? [];
+      endpoints.push(endpoint);
+      this.#pools.set(pool, endpoints);
+    }
+  }
+
+  #connectionLimit(pool: PoolName): number {
+    const limit = this.maxConnections(pool) ?? DEFAULT_MAX_CONNECTIONS;
+    const share = Math.floor((limit * CONNECTION_SHARE) / Math.max(1, this.instances()));
+    return Math.max(LEAST_CONNECTIONS, share);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -0,0 +1,344 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Failure, Lifecycle, type Code } from '@berylwood/base';
+import { retryAfterMs } from '@berylwood/policy';
+import { Answer } from './Answer';
+import { Attempt, type AnswerHead, type AttemptEnd, type AttemptListener } from './Attempt';
+import { gatewayCodes } from './codes';
+import { mayRepeat } from './decideRepeat';
+import { gatewayEvents } from './events';
+import { exchangeTable, type ExchangeEvent } from './exchangeMachine';
+import type { GatewayContext } from './GatewayContext';
+import { placeRequest } from './placeRequest';
+import { readBody } from './readBody';
+import { resolveRequest, type ResolvedRequest } from './resolveRequest';
+import type { RequestRecord } from './RequestLog';
+import { sendFailure } from './sendFailure';
+
+/** Time for which a caller's room is expected to take when a pool has no usable endpoint. */
+const ROOM_IN_MS = 600;
+
+/** Multiple of the objective without an answer after which a repeatable call goes elsewhere. */
+const SILENCE_OBJECTIVES = 2;
+
+/** Endpoints take no deadline of 0. */
+const MIN_DEADLINE_MS = 1;
+
+/** One client attempt, from its arrival to its final answer. @internal */
+export class Exchange implements AttemptListener {
+  readonly #context: GatewayContext;
+
+  readonly #request: IncomingMessage;
+
+  readonly #response: ServerResponse;
+
+  readonly #arrivedAt: number;
+
+  readonly #life = new Lifecycle<ExchangeEvent, undefined>(exchangeTable);
+
+  #resolved: ResolvedRequest | undefined;
+
+  #body: Buffer = Buffer.alloc(0);
+
+  #endsAt = Infinity;
+
+  #endTimer: Disposable | undefined;
+
+  #silenceTimer: Disposable | undefined;
+
+  #attempt: Attempt | undefined;
+
+  #answer: Answer | undefined;
+
+  readonly #tried = new Set<string>();
+
+  #sends = 0;
+
+  #misses = 0;
+
+  /** Whether an endpoint may have run the request. */
+  #mayHaveRun = false;
+
+  #firstAt: number | undefined;
+
+  constructor(context: GatewayContext, request: IncomingMessage, response: ServerResponse) {
+    this.#context = context;
+    this.#request = request;
+    this.#response = response;
+    this.#arrivedAt = context.timer.now();
+  }
+
+  get #leftMs(): number {
+    return this.#endsAt - this.#context.timer.now();
+  }
+
+  /** Reads the request and places it. */
+  start(): void {
+    this.#response.on('close', () => this.#onCallerClosed());
+    this.#response.on('drain', () => this.#attempt?.resume());
+    const resolved = resolveRequest(this.#context, this.#request);
+    if (resolved.isErr()) {
+      this.#refuse(resolved.error);
+      return;
+    }
+    this.#resolved = resolved.value;
+    const { facts, route, table, target } = resolved.value;
+    const givenMs = Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs);
+    this.#endsAt = this.#arrivedAt + givenMs;
+    this.#endTimer = this.#context.timer.after(givenMs, () => this.#onTimeout());
+    this.#context.budgets.arrived(target);
+    readBody(this.#request, table.configuration.limits.maxBodyBytes, (body) => this.#onBody(body));
+  }
+
+  onHead(head: AnswerHead): void {
+    this.#silenceTimer?.[Symbol.dispose]();
+    if (!this.#answer) this.#answer = new Answer(this.#response, this.#context.wire);
+    if (this.#answer.isStarted && !head.isEventStream) {
+      this.#attempt?.reject(`stream not resumed, status ${head.status}`);
+      return;
+    }
+    this.#answer.begin(head, this.#context.isStopping());
+    if (!head.isEventStream) this.#countRun();
+  }
+
+  onData(chunk: Buffer): boolean {
+    const answer = this.#answer as Answer;
+    const hadEvents = answer.hasEvents;
+    const isWritable = answer.push(chunk);
+    if (answer.hasEvents && !hadEvents) this.#countRun();
+    if (answer.isStarted && this.#firstAt === undefined) {
+      this.#firstAt = this.#context.timer.now();
+      this.#move('answer');
+    }
+    return isWritable;
+  }
+
+  onEnd(end: AttemptEnd): void {
+    this.#silenceTimer?.[Symbol.dispose]();
+    switch (end.type) {
+      case 'complete':
+        this.#onComplete();
+        break;
+      case 'unsent':
+        this.#misses += 1;
+        this.#sends -= 1;
+        this.#noteFailure(end.type, end.reason);
+        this.#repeat(gatewayCodes.noEndpoint, end.reason);
+        break;
+      case 'refused':
+        this.#attempt?.endpoint.refused(end.head.facts.isMisdirected);
+        this.#noteFailure(end.type, `status ${end.head.status}`);
+        this.#repeat(gatewayCodes.overloaded, `refused by the endpoint (${end.head.status})`);
+        break;
+      default:
+        this.#mayHaveRun = true;
+        this.#attempt?.endpoint.failed();
+        this.#noteFailure(end.type, end.reason);
+        this.#repeat(gatewayCodes.outcomeUnknown, end.reason);
+    }
+  }
+
+  /** Takes the request away from an endpoint that has fallen silent, if it may be repeated. */
+  onSilence(reason: string): void {
+    const isUnread = this.#answer === undefined || this.#answer.isEventStream;
+    if (isUnread && this.#mayRepeatAfterRun()) this.#attempt?.reject(reason);
+  }
+
+  #onBody(body: Buffer | 'tooLarge' | 'gone'): void {
+    if (this.#life.isFinal) return;
+    if (body === 'gone') {
+      this.#onCallerClosed();
+    } else if (body === 'tooLarge') {
+      this.#refuse(new Failure(gatewayCodes.bodyTooLarge, 'the body is too large'));
+    } else {
+      this.#body = body;
+      this.#move('read');
+      this.#place();
+    }
+  }
+
+  #place(): void {
+    const { context, resolved } = this.#parts;
+    const placed = placeRequest(context, resolved, this.#tried);
+    if (!placed) {
+      this.#giveUp(gatewayCodes.noEndpoint, 'no endpoint can take it');
+      return;
+    }
+    this.#tried.add(placed.listed.id);
+    this.#sends += 1;
+    this.#move('send');
+    const { facts, route, workspace } = resolved;
+    const headers = context.wire.endpointHeaders(this.#request.rawHeaders, {
+      endpoint: placed.listed.id,
+      workspace: workspace?.name,
+      deadlineMs: Math.max(MIN_DEADLINE_MS, Math.floor(this.#leftMs)),
+      rank: workspace?.rank ?? route.rank,
+      bodyBytes: this.#body.length,
+      resumeAfter: this.#answer?.lastEventId ?? facts.resumeAfter,
+    });
+    const outgoing = {
+      method: this.#request.method ?? 'GET',
+      target: this.#request.url ?? '/',
+      headers,
+      body: this.#body,
+      attempt: facts.attempt,
+    };
+    this.#attempt = new Attempt(placed, outgoing, this, context);
+    if (route.kind === 'repeatable') this.#armSilence(route.objectiveMs * SILENCE_OBJECTIVES);
+  }
+
+  #armSilence(limitMs: number): void {
+    this.#silenceTimer = this.#context.timer.after(limitMs, () => this.onSilence('no answer'));
+  }
+
+  get #parts(): { context: GatewayContext; resolved: ResolvedRequest } {
+    return { context: this.#context, resolved: this.#resolved as ResolvedRequest };
+  }
+
+  #onComplete(): void {
+    const answer = this.#answer as Answer;
+    if (answer.isEventStream && answer.hasRest) {
+      this.onEnd({ type: 'broken', reason: 'stream ended within an event' });
+      return;
+    }
+    const { isFailure } = answer;
+    if (isFailure) {
+      this.#mayHaveRun = true;
+      this.#attempt?.endpoint.failed();
+      this.#noteFailure('answer', `status ${answer.status}`);
+      if (this.#mayRepeatAfterRun() && this.#tryRepeat()) return;
+    } else this.#attempt?.endpoint.answered();
+    answer.finish();
+    this.#move('finish');
+    this.#end(answer.status, undefined, isFailure ? 'failed at the endpoint' : undefined);
+  }
+
+  #mayRepeatAfterRun(): boolean {
+    const { route } = this.#parts.resolved;
+    return mayRepeat({
+      kind: route.kind,
+      isResumable: route.isResumable,
+      isNotRun: false,
+      sends: this.#sends,
+      maxAttempts: route.maxAttempts,
+      misses: this.#misses,
+      leftMs: this.#leftMs,
+    });
+  }
+
+  /** Sends the request to another endpoint, or ends it with a code that says what is known. */
+  #repeat(code: Code, reason: string): void {
+    if (this.#life.isFinal) return;
+    const { route } = this.#parts.resolved;
+    const isAllowed = mayRepeat({
+      kind: route.kind,
+      isResumable: route.isResumable,
+      isNotRun: !this.#mayHaveRun,
+      sends: this.#sends,
+      maxAttempts: route.maxAttempts,
+      misses: this.#misses,
+      leftMs: this.#leftMs,
+    });
+    if (isAllowed && this.#tryRepeat()) return;
+    this.#giveUp(code, reason);
+  }
+
+  /** Places the request again if the budget has room; what reached no endpoint is free. */
+  #tryRepeat(): boolean {
+    const { context, resolved } = this.#parts;
+    const isFree = this.#sends === 0;
+    const { budgets, random, timer } = context;
+    const delayMs = isFree ? 0 : budgets.take(resolved.target, this.#sends, this.#leftMs, random);
+    if (delayMs === undefined || !this.#move('retry')) return false;
+    this.#answer?.reset();
+    timer.after(delayMs, () => {
+      if (!this.#life.isFinal) this.#place();
+    });
+    return true;
+  }
+
+  /** Ends the request without an answer of an endpoint, or with the failed one that it has. */
+  #giveUp(code: Code, reason: string): void {
+    if (this.#life.isFinal) return;
+    if (this.#answer?.isStarted) {
+      this.#move('fail');
+      this.#response.destroy();
+      this.#end(this.#answer.status, gatewayCodes.outcomeUnknown.number, reason);
+      return;
+    }
+    const isNotRun = code.notRun === true;
+    const known = isNotRun && this.#mayHaveRun ? gatewayCodes.outcomeUnknown : code;
+    this.#refuse(new Failure(known, reason));
+  }
+
+  #onTimeout(): void {
+    if (this.#life.isFinal) return;
+    const isSent = this.#attempt?.isSent ?? false;
+    this.#attempt?.cancel();
+    const code = isSent || this.#mayHaveRun ? gatewayCodes.answerLate : gatewayCodes.notRunInTime;
+    this.#giveUp(code, 'the time of the request has ended');
+  }
+
+  #onCallerClosed(): void {
+    if (this.#life.isFinal) return;
+    this.#move('leave');
+    this.#attempt?.cancel();
+    this.#end(gatewayCodes.callerGone.status, gatewayCodes.callerGone.number, 'caller gone');
+  }
+
+  #refuse(failure: Failure): void {
+    this.#move('fail');
+    const { context } = this.#parts;
+    const mayReturn = failure.code.status === 503;
+    const retryMs = mayReturn
+      ? retryAfterMs(ROOM_IN_MS, Math.max(0, this.#leftMs), context.random)
+      : undefined;
+    sendFailure(this.#response, failure, retryMs, context.isStopping() || !this.#request.complete);
+    this.#end(failure.code.status, failure.code.number, failure.message);
+  }
+
+  #move(event: ExchangeEvent): boolean {
+    return this.#life.send(event);
+  }
+
+  #countRun(): void {
+    const { context, resolved } = this.#parts;
+    context.countRun(resolved.workspace?.name, resolved.target);
+  }
+
+  #noteFailure(type: string, reason: string): void {
+    const { context, resolved } = this.#parts;
+    context.journal.record(gatewayEvents.attemptFailed, {
+      request: resolved.facts.attempt,
+      endpoint: this.#attempt?.endpoint.listed.id,
+      type,
+      reason,
+      sends: this.#sends,
+      leftMs: Math.round(this.#leftMs),
+    });
+  }
+
+  #end(status: number, code: number | undefined, reason: string | undefined): void {
+    this.#endTimer?.[Symbol.dispose]();
+    this.#silenceTimer?.[Symbol.dispose]();
+    const { context } = this.#parts;
+    const resolved = this.#resolved;
+    const record: RequestRecord = {
+      request: resolved?.facts.attempt,
+      route: resolved?.route.name,
+      workspace: resolved?.workspace?.name,
+      pool: resolved?.target,
+      endpoint: this.#attempt?.endpoint.listed.id,
+      status,
+      code,
+      reason,
+      sends: this.#sends,
+      firstMs: this.#firstAt === undefined ? undefined : this.#firstAt - this.#arrivedAt,
+      totalMs: context.timer.now() - this.#arrivedAt,
+      deadlineMs: resolved?.facts.deadlineMs,
+      version: resolved?.table.version,
+      listAgeMs: Math.round(context.directory.ageMs),
+    };
+    if (code === undefined && reason === undefined) context.log.served(record);
+    else context.log.failed(record);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/FrontServer.ts
@@ -0,0 +1,63 @@
+import { createServer, type Server } from 'node:http';
+import { listenOn } from '@berylwood/link';
+import { Exchange } from './Exchange';
+import type { GatewayContext } from './GatewayContext';
+import type { CallerLimits } from './RoutingConfiguration';
+
+/** Headers are bounded here before the configuration is known, which may only ask for less. */
+const MAX_HEADER_BYTES = 64 * 1024;
+
+/** Interval at which slow headers are looked for, in milliseconds. */
+const CHECK_MS = 1000;
+
+const DEFAULT_LIMITS = { headerTimeoutMs: 10_000, idleTimeoutMs: 15_000 };
+
+/** Takes the requests of callers. @internal */
+export class FrontServer {
+  readonly #server: Server;
+
+  #open = 0;
+
+  constructor(context: GatewayContext) {
+    this.#server = createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        connectionsCheckingInterval: CHECK_MS,
+        headersTimeout: DEFAULT_LIMITS.headerTimeoutMs,
+        requestTimeout: 0,
+        keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs,
+        noDelay: true,
+      },
+      (request, response) => {
+        this.#open += 1;
+        response.once('close', () => {
+          this.#open -= 1;
+        });
+        new Exchange(context, request, response).start();
+      },
+    );
+  }
+
+  /** Requests without a final answer. */
+  get openRequests(): number {
+    return this.#open;
+  }
+
+  listen(address: string): Promise<string> {
+    return listenOn(this.#server, address);
+  }
+
+  limit({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
+    this.#server.headersTimeout = headerTimeoutMs;
+    this.#server.keepAliveTimeout = idleTimeoutMs;
+  }
+
+  closeIdle(): void {
+    this.#server.closeIdleConnections();
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/OperatorServer.ts
@@ -0,0 +1,115 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
+import type { Failure, Journal } from '@berylwood/base';
+import { listenOn } from '@berylwood/link';
+import type { Mesh } from '@berylwood/registry';
+import { gatewayEvents } from './events';
+import { readBody } from './readBody';
+import { sendFailure } from './sendFailure';
+import type { Wire } from './Wire';
+
+/** Largest configuration; thousands of routes fit. */
+const MAX_DOCUMENT_BYTES = 16 * 1024 * 1024;
+
+/** Time after which operators should ask another instance again, in milliseconds. */
+const RETRY_MS = 200;
+
+/** Interval at which connections are checked, in milliseconds. */
+const IDLE_MS = 30_000;
+
+/** Parts that the server needs. @internal */
+export interface OperatorServerParts {
+  readonly wire: Wire;
+  readonly mesh: Mesh;
+  readonly journal: Journal;
+}
+
+/** Takes configurations from operators and reads the newest one back. @internal */
+export class OperatorServer {
+  readonly #parts: OperatorServerParts;
+
+  readonly #server: Server;
+
+  constructor(parts: OperatorServerParts) {
+    this.#parts = parts;
+    this.#server = createServer({ keepAliveTimeout: IDLE_MS }, (request, response) => {
+      this.#serve(request, response);
+    });
+  }
+
+  listen(address: string): Promise<string> {
+    return listenOn(this.#server, address);
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #serve(request: IncomingMessage, response: ServerResponse): void {
+    const { wire } = this.#parts;
+    const path = (request.url ?? '').split('?', 1)[0];
+    if (path !== wire.paths.configuration) {
+      response.writeHead(404).end();
+    } else if (request.method === 'PUT') {
+      readBody(request, MAX_DOCUMENT_BYTES, (body) => {
+        if (body === 'tooLarge') response.writeHead(413, { Connection: 'close' }).end();
+        else if (body !== 'gone') this.#configure(body, response);
+      });
+    } else if (request.method === 'GET') {
+      this.#read(response);
+    } else response.writeHead(405, { Allow: 'GET, PUT' }).end();
+  }
+
+  async #configure(body: Buffer, response: ServerResponse): Promise<void> {
+    const { wire, mesh } = this.#parts;
+    const decoded = wire.decodeConfiguration(body.toString('utf8'));
+    if (decoded.isErr()) {
+      this.#note('refused', undefined, decoded.error.message);
+      sendFailure(response, decoded.error, undefined, false);
+      return;
+    }
+    const { version } = decoded.value;
+    const result = await mesh.configure(version, deflateRawSync(body));
+    if (result.isErr()) {
+      this.#postpone(response, version, result.error);
+      return;
+    }
+    const { isStored, version: held } = result.value;
+    this.#note(isStored ? 'stored' : 'kept', version, `version ${held} is held`);
+    this.#send(response, Buffer.from(JSON.stringify({ version: held })));
+  }
+
+  async #read(response: ServerResponse): Promise<void> {
+    const result = await this.#parts.mesh.readNewest();
+    if (result.isErr()) {
+      this.#postpone(response, undefined, result.error);
+      return;
+    }
+    if (!result.value) {
+      response.writeHead(503, { 'Retry-After': String(RETRY_MS / 1000) }).end();
+      return;
+    }
+    this.#note('read', result.value.version, undefined);
+    this.#send(response, inflateRawSync(result.value.body));
+  }
+
+  /** Answers that the newest configuration is not known or not committed. */
+  #postpone(response: ServerResponse, version: number | undefined, failure: Failure): void {
+    this.#note('postponed', version, failure.message);
+    const headers = { 'Retry-After': String(RETRY_MS / 1000), 'Content-Type': 'text/plain' };
+    response.writeHead(503, headers).end(failure.message);
+  }
+
+  #note(outcome: string, version: number | undefined, reason: string | undefined): void {
+    this.#parts.journal.record(gatewayEvents.operatorAnswered, { outcome, version, reason });
+  }
+
+  #send(response: ServerResponse, body: Buffer): void {
+    response.writeHead(200, {
+      'Content-Type': 'application/json',
+      'Content-Length': body.length,
+    });
+    response.end(body);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/RequestLog.ts
@@ -0,0 +1,94 @@
+import type { Journal, Metrics, Timer } from '@berylwood/base';
+import { gatewayEvents } from './events';
+
+/** Lines of served requests a second; failures are always written. */
+const SERVED_LINES_PER_S = 40;
+
+const SECOND_MS = 1000;
+
+/** What is written of a request at its end. @internal */
+export interface RequestRecord {
+  readonly request: string | undefined;
+  readonly route: string | undefined;
+  readonly workspace: string | undefined;
+  readonly pool: string | undefined;
+  readonly endpoint: string | undefined;
+  readonly status: number;
+  /** Number of the result code of this system; undefined for an endpoint's own answer. */
+  readonly code: number | undefined;
+  readonly reason: string | undefined;
+  /** Endpoints that may have got bytes of it. */
+  readonly sends: number;
+  readonly firstMs: number | undefined;
+  readonly totalMs: number;
+  /** Time that the caller gave, in milliseconds. */
+  readonly deadlineMs: number | undefined;
+  /** Version of the routing configuration it was handled by. */
+  readonly version: number | undefined;
+  /** Age of the list of endpoints, in milliseconds. */
+  readonly listAgeMs: number;
+}
+
+/**
+ * One line for each request. Load pattern: a burst of served requests must not fill the log, so
+ * their lines are bounded and the rest is counted; lines of failed requests are kept.
+ * @internal
+ */
+export class RequestLog {
+  readonly #journal: Journal;
+
+  readonly #timer: Timer;
+
+  readonly #requests;
+
+  readonly #first;
+
+  readonly #total;
+
+  #second = -Infinity;
+
+  #written = 0;
+
+  #leftOut = 0;
+
+  constructor(journal: Journal, timer: Timer, metrics: Metrics) {
+    this.#journal = journal;
+    this.#timer = timer;
+    const labels = ['route', 'outcome'];
+    this.#requests = metrics.counter('requests_total', 'Requests ended, by outcome', labels);
+    this.#first = metrics.histogram('first_byte_seconds', 'Time to the first byte', ['route']);
+    this.#total = metrics.histogram('request_seconds', 'Time to the end', ['route']);
+  }
+
+  served(record: RequestRecord): void {
+    this.#count(record, 'served');
+    const now = this.#timer.now();
+    if (now - this.#second >= SECOND_MS) this.#beginSecond(now);
+    if (this.#written >= SERVED_LINES_PER_S) {
+      this.#leftOut += 1;
+      return;
+    }
+    this.#written += 1;
+    this.#journal.record(gatewayEvents.requestServed, { ...record });
+  }
+
+  failed(record: RequestRecord): void {
+    this.#count(record, String(record.code ?? record.status));
+    this.#journal.record(gatewayEvents.requestFailed, { ...record });
+  }
+
+  #count({ route = 'none', firstMs, totalMs }: RequestRecord, outcome: string): void {
+    this.#requests.inc({ route, outcome });
+    if (firstMs !== undefined) this.#first.observe({ route }, firstMs / SECOND_MS);
+    this.#total.observe({ route }, totalMs / SECOND_MS);
+  }
+
+  #beginSecond(now: number): void {
+    if (this.#leftOut > 0) {
+      this.#journal.record(gatewayEvents.linesLeftOut, { lines: this.#leftOut });
+    }
+    this.#second = now;
+    this.#written = 0;
+    this.#leftOut = 0;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/RoutingTable.ts
@@ -0,0 +1,61 @@
+import type { PoolName } from './ids';
+import type { Pool, Route, RoutingConfiguration, Target, Workspace } from './RoutingConfiguration';
+
+/** A routing configuration, indexed for look-ups by request. @public */
+export class RoutingTable {
+  readonly configuration: RoutingConfiguration;
+
+  readonly #routes = new Map<string, Route[]>();
+
+  readonly #workspaces = new Map<string, Workspace>();
+
+  readonly #pools = new Map<PoolName, Pool>();
+
+  constructor(configuration: RoutingConfiguration) {
+    this.configuration = configuration;
+    for (const route of configuration.routes) {
+      const routes = this.#routes.get(route.host) ?? [];
+      routes.push(route);
+      this.#routes.set(route.host, routes);
+    }
+    for (const routes of this.#routes.values()) {
+      routes.sort((a, b) => b.prefix.length - a.prefix.length);
+    }
+    for (const workspace of configuration.workspaces ?? []) {
+      for (const key of workspace.keys) this.#workspaces.set(key, workspace);
+    }
+    for (const pool of configuration.pools) this.#pools.set(pool.name, pool);
+  }
+
+  get version(): number {
+    return this.configuration.version;
+  }
+
+  get needsKeys(): boolean {
+    return this.configuration.workspaces !== undefined;
+  }
+
+  /** The route with the longest prefix that begins the path. */
+  findRoute(host: string, path: string): Route | undefined {
+    return this.#routes.get(host)?.find(({ prefix }) => path.startsWith(prefix));
+  }
+
+  findWorkspace(key: string): Workspace | undefined {
+    return this.#workspaces.get(key);
+  }
+
+  findPool(name: PoolName): Pool | undefined {
+    return this.#pools.get(name);
+  }
+}
+
+/** Chooses a target by weight; `draw` is uniform in [0, 1). @public */
+export function chooseTarget(targets: readonly Target[], draw: number): Target | undefined {
+  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+  let left = draw * total;
+  for (const target of targets) {
+    left -= target.weight;
+    if (left < 0) return target;
+  }
+  return targets.findLast(({ weight }) => weight > 0);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/UsageReporter.ts
@@ -0,0 +1,120 @@
+import { DisposableStore, type Journal, type Timer } from '@berylwood/base';
+import type { FleetClock, Registry, UsageLedger } from '@berylwood/registry';
+import { gatewayCodes } from './codes';
+import { gatewayEvents } from './events';
+import type { PlatformCalls } from './Wire';
+
+/** @internal */
+export interface UsageReporterOptions {
+  readonly registry: Registry;
+  readonly usage: UsageLedger;
+  readonly clock: FleetClock;
+  readonly platform: PlatformCalls;
+  readonly timer: Timer;
+  readonly journal: Journal;
+  readonly windowS: number;
+  /** Time for which a new leader leaves the duty alone, in milliseconds. */
+  readonly pauseMs: number;
+}
+
+/** Time after a window's end for the last counts of all instances to arrive, in milliseconds. */
+const SETTLE_MS = 2500;
+
+const TICK_MS = 500;
+
+/** Windows that a new leader reports again, since their reports may not have arrived. */
+const REPEATED_WINDOWS = 2;
+
+/** Windows that are closed late after a pause of leadership. */
+const MAX_OVERDUE = 12;
+
+/**
+ * Reports the usage of each window, on the leader only. The counts are frozen in the log before
+ * the first report, so that all reports of a window are equal, whoever sends them.
+ * @internal
+ */
+export class UsageReporter implements Disposable {
+  readonly #options: UsageReporterOptions;
+
+  readonly #store = new DisposableStore();
+
+  readonly #startedWindow: number;
+
+  /** Windows that this leader has reported in its term. */
+  #reported = new Set<number>();
+
+  #term = 0;
+
+  /** Term in which the platform refused a report since it had seen a higher fence. */
+  #refusedTerm = -1;
+
+  #isBusy = false;
+
+  constructor(options: UsageReporterOptions) {
+    this.#options = options;
+    this.#startedWindow = this.#windowAt(options.clock.now());
+    this.#store.add(options.timer.every(TICK_MS, () => this.#tick()));
+  }
+
+  [Symbol.dispose](): void {
+    this.#store[Symbol.dispose]();
+  }
+
+  #windowAt(timeMs: number): number {
+    return Math.floor(timeMs / 1000 / this.#options.windowS);
+  }
+
+  #tick(): void {
+    const { registry, pauseMs, journal } = this.#options;
+    if (!registry.isLeader || registry.ledMs < pauseMs || this.#isBusy) return;
+    const { term } = registry;
+    if (term === this.#refusedTerm) return;
+    if (term !== this.#term) {
+      this.#term = term;
+      this.#reported = new Set();
+    }
+    this.#isBusy = true;
+    this.#work(term)
+      .catch((error: unknown) => {
+        journal.record(gatewayEvents.usageFailed, { error: String(error) });
+      })
+      .finally(() => {
+        this.#isBusy = false;
+      });
+  }
+
+  async #work(term: number): Promise<void> {
+    const { registry, clock, usage } = this.#options;
+    const last = this.#windowAt(clock.now() - SETTLE_MS) - 1;
+    const closed = registry.machine.lastWindow;
+    const from = closed < 0 ? this.#startedWindow : Math.max(closed + 1, last - MAX_OVERDUE);
+    for (let window = from; window <= last; window += 1) {
+      const counts = JSON.stringify(usage.total(window));
+      const frozen = await registry.closeWindow(window, counts);
+      if (frozen.isErr()) return;
+    }
+    const due = [...registry.machine.windows]
+      .slice(-MAX_OVERDUE)
+      .filter(
+        ([window]) => window > last - REPEATED_WINDOWS - MAX_OVERDUE && !this.#reported.has(window),
+      );
+    for (const [window, counts] of due) {
+      if (!registry.isLeader || registry.term !== term) return;
+      await this.#report(window, counts, term);
+    }
+  }
+
+  async #report(window: number, counts: string, fence: number): Promise<void> {
+    const { platform, journal } = this.#options;
+    const parsed = JSON.parse(counts) as Record<string, number>;
+    const result = await platform.reportUsage(window, parsed, fence);
+    if (result.isOk()) {
+      this.#reported.add(window);
+      journal.record(gatewayEvents.usageReported, { window, fence, counts });
+      return;
+    }
+    const { code, message } = result.error;
+    journal.record(gatewayEvents.usageFailed, { window, fence, message });
+    if (code === gatewayCodes.fenceOutdated) this.#refusedTerm = fence;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/readBody.ts
@@ -0,0 +1,29 @@
+import type { IncomingMessage } from 'node:http';
+
+/**
+ * Reads a whole body. `tooLarge` is reported as soon as the limit is passed, `gone` when the caller
+ * closes its connection first.
+ * @internal
+ */
+export function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+  onEnd: (body: Buffer | 'tooLarge' | 'gone') => void,
+): void {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  let isOver = false;
+  const end = (result: Buffer | 'tooLarge' | 'gone'): void => {
+    if (isOver) return;
+    isOver = true;
+    onEnd(result);
+  };
+  request.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (bytes > maxBytes) end('tooLarge');
+    else if (!isOver) chunks.push(chunk);
+  });
+  request.on('end', () => end(chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks)));
+  request.on('close', () => end('gone'));
+  request.on('error', () => end('gone'));
+}
--- /dev/null
+++ b/packages/gateway/src/lib/sendFailure.ts
@@ -0,0 +1,20 @@
+import type { ServerResponse } from 'node:http';
+import type { Failure } from '@berylwood/base';
+
+const SECOND_MS = 1000;
+
+/** Answers with a failure of this system: its number, and when to return. @internal */
+export function sendFailure(
+  response: ServerResponse,
+  { code, notRun }: Failure,
+  retryMs: number | undefined,
+  isClosing: boolean,
+): void {
+  const error = { code: code.number, type: code.name, message: code.meaning, not_run: notRun };
+  const body = JSON.stringify({ error });
+  const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
+  if (retryMs !== undefined) headers.push('Retry-After', (retryMs / SECOND_MS).toFixed(3));
+  if (isClosing) headers.push('Connection', 'close');
+  response.writeHead(code.status, headers);
+  response.end(body);
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -48,3 +48,11 @@
   type RolloutEndpoint,
   type RolloutOptions,
 } from './lib/scaling/RolloutPolicy';
+export {
+  PLACEMENT,
+  choosePlace,
+  rankHomes,
+  type Place,
+  type PlacementOptions,
+} from './lib/placement/choosePlace';
+export { retryAfterMs } from './lib/placement/retryAfter';
--- /dev/null
+++ b/packages/registry/src/index.ts
@@ -0,0 +1,17 @@
+/**
+ * The replicated part of a fleet of gateways: the newest routing configuration, closed usage
+ * windows, and the mesh over which instances learn of both.
+ */
+export { PeerTransport, type PeerTransportOptions } from './lib/PeerTransport';
+export {
+  RegistryMachine,
+  type StoredConfiguration,
+  type ConfigureOutcome,
+} from './lib/RegistryMachine';
+export { Registry, type RegistryOptions } from './lib/Registry';
+export { planMembership, type MemberHealth, type MembershipStep } from './lib/planMembership';
+export { Mesh, type MeshOptions } from './lib/Mesh';
+export { UsageLedger, type WindowCounts } from './lib/UsageLedger';
+export { FleetClock } from './lib/FleetClock';
+export { registryCodes } from './lib/codes';
+export { registryEvents } from './lib/events';
--- /dev/null
+++ b/packages/registry/src/lib/Mesh.ts
@@ -0,0 +1,319 @@
+import { DisposableStore, fail, type Failure, type Journal, type Timer } from '@berylwood/base';
+import { Dialer, type Link, type LinkServer } from '@berylwood/link';
+import { ok, type Result } from 'neverthrow';
+import { registryCodes } from './codes';
+import { registryEvents } from './events';
+import type { FleetClock } from './FleetClock';
+import { statusSchema, upwardSchema, type Report, type Status, type Upward } from './MeshMessage';
+import type { Registry } from './Registry';
+import type { ConfigureOutcome, StoredConfiguration } from './RegistryMachine';
+import type { UsageLedger } from './UsageLedger';
+
+/** Options of the mesh of one instance. @public */
+export interface MeshOptions {
+  /** Address of this instance between instances, `IP:PORT`. */
+  readonly address: string;
+  /** Instance and incarnation, under which its usage is counted. */
+  readonly source: string;
+  /** Addresses to begin with; they may be out of date. */
+  readonly seeds: () => readonly string[];
+  /** The replica of this instance, if it has a disk. */
+  readonly registry: Registry | undefined;
+  readonly clock: FleetClock;
+  readonly usage: UsageLedger;
+  readonly timer: Timer;
+  readonly journal: Journal;
+}
+
+const PATH = '/mesh';
+
+/** Interval of statuses and reports: a few hundred bytes each. */
+const STATUS_MS = 400;
+
+/** Callers of the operator's interface give up after a second. */
+const CALL_MS = 900;
+
+/** A silent link is replaced well within the time that a configuration may take to arrive. */
+const KEEP_ALIVE_MS = 400;
+const SILENCE_MS = 1200;
+
+/** Windows kept while no leader closes them: ten minutes of windows of five seconds. */
+const KEPT_WINDOWS = 120;
+
+interface Peer {
+  readonly dialer: Dialer<Upward, Status>;
+  status: Status | undefined;
+}
+
+/**
+ * Links between all instances: each dials the seeds and the replicas of the registry, learns of
+ * newer configurations and of the leader, and reports its usage.
+ * @public
+ */
+export class Mesh implements Disposable {
+  /** Called with each newer configuration. */
+  onConfiguration: (configuration: StoredConfiguration) => void = () => {};
+
+  readonly #options: MeshOptions;
+
+  readonly #store = new DisposableStore();
+
+  readonly #peers = new Map<string, Peer>();
+
+  /** Links of instances that have dialled this one, with their addresses once known. */
+  readonly #incoming = new Map<Link<Status, Upward>, string>();
+
+  #configuration: StoredConfiguration | undefined;
+
+  #isFetching = false;
+
+  #instances = 0;
+
+  #leader = '';
+
+  constructor(options: MeshOptions) {
+    this.#options = options;
+    const { registry, timer } = options;
+    if (registry) {
+      registry.machine.onConfiguration = (configuration) => this.#adopt(configuration);
+      registry.onRole = () => this.#announce();
+    }
+    this.#store.add(timer.every(STATUS_MS, () => this.#tick()));
+  }
+
+  get configuration(): StoredConfiguration | undefined {
+    return this.#configuration;
+  }
+
+  /** Instances of the fleet as the leader has last counted them; 0 before it has. */
+  get instances(): number {
+    return this.#instances;
+  }
+
+  /** Serves the links of other instances on the server's port; call before it listens. */
+  serve(server: LinkServer): void {
+    const { timer, journal } = this.#options;
+    const times = { keepAliveMs: KEEP_ALIVE_MS, silenceMs: SILENCE_MS };
+    server.accept<Status, Upward>(
+      PATH,
+      { timer, journal, schema: upwardSchema, ...times },
+      (link) => this.#accept(link),
+    );
+  }
+
+  /** Begins to dial. */
+  open(): void {
+    this.#dialMissing();
+  }
+
+  /** Commits a configuration through the leader. */
+  async configure(version: number, body: Uint8Array): Promise<Result<ConfigureOutcome, Failure>> {
+    const { registry } = this.#options;
+    if (registry?.isLeader) return registry.configure(version, body);
+    return this.#askLeader({ type: 'configure', version, body });
+  }
+
+  /** The newest configuration, confirmed by a quorum after this call. */
+  async readNewest(): Promise<Result<StoredConfiguration | undefined, Failure>> {
+    const { registry } = this.#options;
+    if (registry?.isLeader) return registry.readNewest();
+    const answer = await this.#askLeader<StoredConfiguration | null>({ type: 'readNewest' });
+    return answer.map((configuration) => configuration ?? undefined);
+  }
+
+  [Symbol.dispose](): void {
+    this.#store[Symbol.dispose]();
+    for (const { dialer } of this.#peers.values()) dialer[Symbol.dispose]();
+    for (const link of this.#incoming.keys()) link[Symbol.dispose]();
+  }
+
+  #askLeader<T>(message: Upward): Promise<Result<T, Failure>> {
+    const link = this.#leaderPeer?.dialer.link;
+    if (link) return link.call<T>(message, CALL_MS);
+    return Promise.resolve(fail(registryCodes.leaderUnknown, 'no leader is connected'));
+  }
+
+  get #leaderPeer(): Peer | undefined {
+    const leaders = [...this.#peers.values()].filter(
+      ({ dialer, status }) => dialer.link && status?.isLeader,
+    );
+    return leaders.sort((a, b) => (b.status?.term ?? 0) - (a.status?.term ?? 0))[0];
+  }
+
+  #accept(link: Link<Status, Upward>): void {
+    this.#incoming.set(link, '');
+    link.onClose = () => this.#incoming.delete(link);
+    link.onMessage = (message) => {
+      if (message.type === 'report') this.#takeReport(link, message);
+    };
+    link.onCall = (message) => this.#answer(message);
+    link.send(this.#status());
+  }
+
+  #takeReport(link: Link<Status, Upward>, { instance, source, wallMs, windows }: Report): void {
+    this.#incoming.set(link, instance);
+    if (!this.#options.registry?.isLeader) return;
+    this.#options.clock.observe(instance, wallMs);
+    const closed = this.#options.registry.machine.lastWindow;
+    for (const [window, counts] of windows) {
+      if (window > closed) this.#options.usage.report(source, window, counts);
+    }
+  }
+
+  async #answer(message: Upward): Promise<Result<unknown, Failure>> {
+    const { registry } = this.#options;
+    switch (message.type) {
+      case 'fetch':
+        return ok(this.#configuration ?? null);
+      case 'configure':
+        if (!registry) break;
+        return registry.configure(message.version, message.body);
+      case 'readNewest':
+        if (!registry) break;
+        return (await registry.readNewest()).map((configuration) => configuration ?? null);
+      default:
+    }
+    return fail(registryCodes.replicaClosed, 'this instance has no replica');
+  }
+
+  #adopt(configuration: StoredConfiguration): void {
+    if (this.#configuration && this.#configuration.version >= configuration.version) return;
+    this.#configuration = configuration;
+    const { version, body } = configuration;
+    const fields = { version, bytes: body.byteLength };
+    this.#options.journal.record(registryEvents.configurationApplied, fields);
+    this.onConfiguration(configuration);
+    this.#announce();
+  }
+
+  #status(): Status {
+    const { registry, clock } = this.#options;
+    const isLeader = registry?.isLeader ?? false;
+    return {
+      type: 'status',
+      version: this.#configuration?.version ?? -1,
+      isLeader,
+      term: registry?.term ?? 0,
+      members: registry?.members ?? [],
+      instances: isLeader ? this.#instances : 0,
+      closedWindow: registry?.machine.lastWindow ?? -1,
+      timeMs: isLeader ? clock.now() : 0,
+    };
+  }
+
+  #announce(): void {
+    const status = this.#status();
+    for (const link of this.#incoming.keys()) link.send(status, true);
+  }
+
+  #tick(): void {
+    const { registry, clock, usage } = this.#options;
+    if (registry?.isLeader) {
+      clock.settle();
+      this.#instances = new Set([...this.#incoming.values(), this.#options.address, '']).size - 1;
+      usage.forget(registry.machine.lastWindow);
+    }
+    usage.forget(this.#lastWindowOfUse - KEPT_WINDOWS);
+    this.#announce();
+    this.#dialMissing();
+    this.#report();
+    this.#noteLeader();
+  }
+
+  get #lastWindowOfUse(): number {
+    const windows = this.#options.usage.since(this.#options.source, -1).map(([window]) => window);
+    return Math.max(0, ...windows);
+  }
+
+  #report(): void {
+    const peer = this.#leaderPeer;
+    if (!peer?.dialer.link || !peer.status) return;
+    const { address, source, timer, usage } = this.#options;
+    const windows = usage.since(source, peer.status.closedWindow);
+    const wallMs = timer.wall();
+    peer.dialer.link.send({ type: 'report', instance: address, source, wallMs, windows });
+  }
+
+  #noteLeader(): void {
+    const { registry, address, journal } = this.#options;
+    const known = [...this.#peers].find(([, peer]) => peer === this.#leaderPeer)?.[0] ?? '';
+    const leader = registry?.isLeader ? address : known;
+    if (leader === this.#leader) return;
+    this.#leader = leader;
+    journal.record(registryEvents.leaderChanged, { leader, term: registry?.term });
+  }
+
+  #dialMissing(): void {
+    const { seeds, registry, address, timer, journal } = this.#options;
+    const told = [...this.#peers.values()].flatMap(({ status }) => status?.members ?? []);
+    const wanted = new Set([...seeds(), ...(registry?.members ?? []), ...told]);
+    wanted.delete(address);
+    for (const target of wanted) {
+      if (this.#peers.has(target)) continue;
+      const dialer = new Dialer<Upward, Status>({
+        addresses: [target],
+        path: PATH,
+        timer,
+        journal,
+        schema: statusSchema,
+        keepAliveMs: KEEP_ALIVE_MS,
+        silenceMs: SILENCE_MS,
+      });
+      const peer: Peer = { dialer, status: undefined };
+      dialer.onLink = (link) => this.#opened(peer, link);
+      this.#peers.set(target, peer);
+      dialer.open();
+    }
+    this.#dropUnwanted(wanted);
+  }
+
+  /** Ends dialling addresses that are neither seeds nor replicas and don't answer. */
+  #dropUnwanted(wanted: ReadonlySet<string>): void {
+    for (const [target, { dialer }] of this.#peers) {
+      if (wanted.has(target) || dialer.link) continue;
+      dialer[Symbol.dispose]();
+      this.#peers.delete(target);
+    }
+  }
+
+  #opened(peer: Peer, link: Link<Upward, Status>): void {
+    link.onMessage = (status) => this.#takeStatus(peer, link, status);
+    link.onClose = () => {
+      peer.status = undefined;
+    };
+    this.#report();
+  }
+
+  #takeStatus(peer: Peer, link: Link<Upward, Status>, status: Status): void {
+    peer.status = status;
+    if (status.isLeader && peer === this.#leaderPeer && !this.#options.registry?.isLeader) {
+      this.#instances = Math.max(1, status.instances);
+      this.#options.clock.follow(status.timeMs);
+      this.#options.usage.forget(status.closedWindow);
+    }
+    if (status.version > (this.#configuration?.version ?? -1)) this.#fetch(link);
+  }
+
+  #fetch(link: Link<Upward, Status>): void {
+    if (this.#isFetching) return;
+    this.#isFetching = true;
+    link
+      .call<StoredConfiguration | null>({ type: 'fetch' }, CALL_MS)
+      .then((answer) => {
+        this.#isFetching = false;
+        if (answer.isOk() && answer.value) {
+          const { version, body } = answer.value;
+          if (Number.isSafeInteger(version) && body instanceof Uint8Array)
+            this.#adopt(answer.value);
+          return;
+        }
+        const error = answer.isErr() ? answer.error.message : 'the other end holds none';
+        this.#options.journal.record(registryEvents.fetchFailed, { peer: link.peer, error });
+      })
+      .catch((error: unknown) => {
+        this.#isFetching = false;
+        const fields = { peer: link.peer, error: String(error) };
+        this.#options.journal.record(registryEvents.fetchFailed, fields);
+      });
+  }
+}
--- /dev/null
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -0,0 +1,93 @@
+import { z } from 'zod';
+import type { WindowCounts } from './UsageLedger';
+
+/** What an instance tells the leader regularly. @internal */
+export interface Report {
+  readonly type: 'report';
+  /** Address of the instance between instances. */
+  readonly instance: string;
+  /** Source of the counts: the instance and its incarnation. */
+  readonly source: string;
+  /** Time of day of the instance, in milliseconds. */
+  readonly wallMs: number;
+  /** Cumulative counts of windows that are not closed. */
+  readonly windows: readonly (readonly [number, WindowCounts])[];
+}
+
+/** Asks for the configuration that the other end holds. @internal */
+export interface Fetch {
+  readonly type: 'fetch';
+}
+
+/** Asks the leader to commit a configuration. @internal */
+export interface Configure {
+  readonly type: 'configure';
+  readonly version: number;
+  readonly body: Uint8Array;
+}
+
+/** Asks the leader for the newest configuration, confirmed by a quorum. @internal */
+export interface ReadNewest {
+  readonly type: 'readNewest';
+}
+
+/** @internal */
+export type Upward = Report | Fetch | Configure | ReadNewest;
+
+/** What an instance tells those that have dialled it. @internal */
+export interface Status {
+  readonly type: 'status';
+  /** Version of the configuration held; -1 without one. */
+  readonly version: number;
+  readonly isLeader: boolean;
+  readonly term: number;
+  /** Addresses of the registry's replicas as known. */
+  readonly members: readonly string[];
+  /** Instances that the leader sees; 0 from others. */
+  readonly instances: number;
+  /** Latest closed usage window; -1 without one. */
+  readonly closedWindow: number;
+  /** The leader's time of day, in milliseconds; 0 from others. */
+  readonly timeMs: number;
+}
+
+const isRecord = (value: unknown): value is Record<string, unknown> =>
+  typeof value === 'object' && value !== null;
+
+const isCount = (value: unknown): value is number => Number.isSafeInteger(value);
+
+function isReport({ instance, source, wallMs, windows }: Record<string, unknown>): boolean {
+  const areWindows = Array.isArray(windows) && windows.every((item) => Array.isArray(item));
+  return (
+    typeof instance === 'string' &&
+    typeof source === 'string' &&
+    Number.isFinite(wallMs) &&
+    areWindows
+  );
+}
+
+/** @internal */
+export const upwardSchema = z.custom<Upward>((value) => {
+  if (!isRecord(value)) return false;
+  switch (value.type) {
+    case 'report':
+      return isReport(value);
+    case 'configure':
+      return isCount(value.version) && value.body instanceof Uint8Array;
+    default:
+      return value.type === 'fetch' || value.type === 'readNewest';
+  }
+}, 'expected a message of an instance');
+
+/** @internal */
+export const statusSchema = z.custom<Status>((value) => {
+  if (!isRecord(value) || value.type !== 'status') return false;
+  const { version, isLeader, term, members, instances, closedWindow, timeMs } = value;
+  return (
+    [version, term, instances, closedWindow].every(isCount) &&
+    typeof isLeader === 'boolean' &&
+    Number.isFinite(timeMs) &&
+    Array.isArray(members) &&
+    members.every((item) => typeof item === 'string')
+  );
+}, 'expected a status');
--- a/packages/control/src/lib/PeerTransport.ts
+++ b/packages/registry/src/lib/PeerTransport.ts
@@ -8,8 +8,8 @@
   readonly timer: Timer;
   readonly journal: Journal;
   readonly identity?: LinkIdentity;
-  /** Addresses by replica; they go before those in the membership, as behind a relay. */
-  readonly addresses: ReadonlyMap<string, string>;
+  /** Where a replica is reached, given the address in the membership, which may be empty. */
+  readonly locate: (replica: ReplicaName, address: string) => string;
 }
 
 const PATH = '/peer';
@@ -56,7 +56,7 @@
   }
 
   override send(to: ReplicaName, message: Message, address: string): void {
-    const known = this.#options.addresses.get(to) ?? address;
+    const known = this.#options.locate(to, address);
     if (known === '') return;
     const { link } = this.#dialerOf(to, known);
     if (!link || link.bufferedBytes > MAX_BUFFERED_BYTES) return;
--- /dev/null
+++ b/packages/registry/src/lib/Registry.ts
@@ -0,0 +1,269 @@
+import { mkdirSync } from 'node:fs';
+import { join } from 'node:path';
+import { DisposableStore, Failure, Random, fail, type Journal, type Timer } from '@berylwood/base';
+import {
+  AdmissionPolicy,
+  FileDisk,
+  Replica,
+  createReplicaName,
+  type Transport,
+} from '@berylwood/consensus';
+import { Unpackr } from 'msgpackr';
+import { err, ok, type Result } from 'neverthrow';
+import { registryCodes } from './codes';
+import { registryEvents } from './events';
+import { planMembership } from './planMembership';
+import {
+  RegistryMachine,
+  encodeCommand,
+  type ConfigureOutcome,
+  type RegistryCommand,
+  type StoredConfiguration,
+} from './RegistryMachine';
+
+/** Options of the replica of one instance. @public */
+export interface RegistryOptions {
+  /** Address of this instance between instances, `IP:PORT`; it also names the replica. */
+  readonly address: string;
+  /** Folder of the log and the snapshots; its parent exists. */
+  readonly folder: string;
+  /** Replicas that found the first group; empty when one exists already. */
+  readonly founders: readonly string[];
+  /** Addresses to ask for a group. */
+  readonly seeds: () => readonly string[];
+  /** Members that may be lost at the same time. */
+  readonly tolerance: number;
+  readonly transport: Transport;
+  readonly timer: Timer;
+  readonly journal: Journal;
+}
+
+/** Heartbeats cost processor time on every replica; an election may take two seconds. */
+const HEARTBEAT_MS = 150;
+const LEASE_MS = 900;
+const ELECTION_MS = 1000;
+
+/** A document of the largest allowed body that hardly compresses still fits. */
+const MAX_COMMAND_BYTES = 6 * 1024 * 1024;
+
+/** Small segments and snapshots keep hundreds of large documents within a small disk. */
+const SEGMENT_BYTES = 1024 * 1024;
+const SNAPSHOT_BYTES = 2 * 1024 * 1024;
+const SNAPSHOT_ENTRIES = 512;
+const TRAILING_ENTRIES = 64;
+
+/** Interval of looking at the members, and at a replica that has stopped. */
+const WATCH_MS = 500;
+
+/** Silence after which a voter is replaced, above the freezes and restarts that pass by themselves. */
+const REPLACE_AFTER_MS = 3000;
+const FORGET_AFTER_MS = 120_000;
+
+/** Pause before a replica with a failed disk is opened again. */
+const REOPEN_MS = 500;
+
+const unpackr = new Unpackr({ useRecords: false });
+
+/** Takes every instance with a disk as a learner; the plan of the membership promotes it. */
+class OpenAdmission extends AdmissionPolicy {
+  override admit(): 'learner' {
+    return 'learner';
+  }
+}
+
+/** The replica of an instance with a disk: opened again when its disk fails. @public */
+export class Registry implements Disposable {
+  /** Called when this replica begins or ceases to lead, and when another leads. */
+  onRole: () => void = () => {};
+
+  readonly machine = new RegistryMachine();
+
+  readonly #options: RegistryOptions;
+
+  readonly #store = new DisposableStore();
+
+  #replica: Replica | undefined;
+
+  #isChanging = false;
+
+  #isClosed = false;
+
+  /** Monotonic time since which this replica leads. */
+  #ledSince = Infinity;
+
+  constructor(options: RegistryOptions) {
+    this.#options = options;
+    this.#store.add(options.timer.every(WATCH_MS, () => this.#watch()));
+  }
+
+  /** Opens the replica; a failure of the disk is logged and tried again later. */
+  async open(): Promise<void> {
+    const { address, folder, founders, transport, timer, journal, seeds } = this.#options;
+    try {
+      mkdirSync(folder, { recursive: true });
+      const others = [...new Set([...founders, ...seeds()])].filter((item) => item !== address);
+      const opened = await Replica.open({
+        replica: createReplicaName(address),
+        machine: this.machine,
+        transport,
+        disk: await FileDisk.open(join(folder, 'log')),
+        timer,
+        journal,
+        random: new Random(Math.floor(Math.random() * 2 ** 31)),
+        address,
+        seeds: others.map(createReplicaName),
+        founder: founders[0] === address,
+        admission: new OpenAdmission(),
+        heartbeatMs: HEARTBEAT_MS,
+        leaseMs: LEASE_MS,
+        electionTimeoutMs: ELECTION_MS,
+        maxCommandBytes: MAX_COMMAND_BYTES,
+        segmentBytes: SEGMENT_BYTES,
+        snapshotBytes: SNAPSHOT_BYTES,
+        snapshotEntries: SNAPSHOT_ENTRIES,
+        trailingEntries: TRAILING_ENTRIES,
+      });
+      if (opened.isErr()) throw opened.error;
+      this.#adopt(opened.value);
+    } catch (error) {
+      this.#failed(error);
+    }
+  }
+
+  /** Whether this replica leads and holds its lease, so that effects outside are allowed. */
+  get isLeader(): boolean {
+    return this.#replica?.holdsLease ?? false;
+  }
+
+  /** Time for which this replica has led without a break, in milliseconds. */
+  get ledMs(): number {
+    return this.isLeader ? this.#options.timer.now() - this.#ledSince : 0;
+  }
+
+  get term(): number {
+    return this.#replica?.status.term ?? 0;
+  }
+
+  /** Address of the leader as this replica knows it. */
+  get leader(): string | undefined {
+    return this.#replica?.status.leader;
+  }
+
+  /** Addresses of all members. */
+  get members(): string[] {
+    return this.#replica?.status.membership.members.map(({ replica }) => replica) ?? [];
+  }
+
+  get configuration(): StoredConfiguration | undefined {
+    return this.machine.configuration;
+  }
+
+  /** Commits a document; resolves once a quorum has it on disk. */
+  configure(version: number, body: Uint8Array): Promise<Result<ConfigureOutcome, Failure>> {
+    return this.#propose<ConfigureOutcome>({ type: 'configure', version, body });
+  }
+
+  /** The newest document, confirmed by a quorum after this call. */
+  async readNewest(): Promise<Result<StoredConfiguration | undefined, Failure>> {
+    const confirmed = await this.#propose<null>({ type: 'confirm' });
+    return confirmed.map(() => this.machine.configuration);
+  }
+
+  /** Freezes the counts of a window; resolves to those that are kept. */
+  async closeWindow(window: number, counts: string): Promise<Result<string, Failure>> {
+    const closed = await this.#propose<string>({ type: 'closeWindow', window, counts });
+    if (closed.isOk())
+      this.#options.journal.record(registryEvents.windowClosed, { window, counts });
+    return closed;
+  }
+
+  /** Hands leadership over before a planned stop. */
+  async handOver(): Promise<void> {
+    if (this.isLeader) await this.#replica?.transferLeadership();
+  }
+
+  [Symbol.dispose](): void {
+    this.#isClosed = true;
+    this.#store[Symbol.dispose]();
+    this.#close();
+  }
+
+  #adopt(replica: Replica): void {
+    this.#replica = replica;
+    replica.onRole = ({ role }) => {
+      this.#ledSince = role === 'leader' ? this.#options.timer.now() : Infinity;
+      this.onRole();
+    };
+    if (this.#isClosed) this.#close();
+  }
+
+  async #propose<T>(command: RegistryCommand): Promise<Result<T, Failure>> {
+    const replica = this.#replica;
+    if (!replica) return fail(registryCodes.replicaClosed, 'the replica is not open');
+    const applied = await replica.propose(encodeCommand(command));
+    if (applied.isOk()) return ok(unpackr.unpack(applied.value.result) as T);
+    const { code, message } = applied.error;
+    this.#options.journal.record(registryEvents.proposalFailed, {
+      type: command.type,
+      code: code.number,
+      message,
+    });
+    return err(applied.error);
+  }
+
+  #watch(): void {
+    const failure = this.#replica?.status.failure;
+    if (failure) this.#failed(failure);
+    else if (this.isLeader) this.#plan();
+  }
+
+  #failed(error: unknown): void {
+    const { journal, timer } = this.#options;
+    journal.record(registryEvents.replicaFailed, { error: String(error) });
+    this.#close();
+    if (!this.#isClosed) this.#store.add(timer.after(REOPEN_MS, () => this.open()));
+  }
+
+  #close(): void {
+    const { journal } = this.#options;
+    this.#replica?.close().catch((error: unknown) => {
+      journal.record(registryEvents.replicaFailed, { error: String(error) });
+    });
+    this.#replica = undefined;
+    this.#ledSince = Infinity;
+  }
+
+  #plan(): void {
+    const replica = this.#replica;
+    if (!replica || this.#isChanging) return;
+    const members = replica.status.membership.members.map((member) => ({
+      ...member,
+      silenceMs: replica.silenceMs(member.incarnation) ?? this.ledMs,
+    }));
+    const limits = { replaceAfterMs: REPLACE_AFTER_MS, forgetAfterMs: FORGET_AFTER_MS };
+    const step = planMembership(members, 2 * this.#options.tolerance + 1, limits);
+    if (!step) return;
+    this.#isChanging = true;
+    const { journal } = this.#options;
+    journal.record(registryEvents.membershipPlanned, { ...step, members });
+    this.#change(replica, step.replica, step.change)
+      .then((result) => {
+        if (result.isErr()) {
+          const { message } = result.error;
+          journal.record(registryEvents.membershipRefused, { ...step, message });
+        }
+      })
+      .finally(() => {
+        this.#isChanging = false;
+      });
+  }
+
+  #change(
+    replica: Replica,
+    name: ReturnType<typeof createReplicaName>,
+    change: 'promote' | 'demote' | 'remove',
+  ): Promise<Result<void, Failure>> {
+    if (change === 'remove') return replica.removeReplica(name);
+    return replica.assignKind(name, change === 'promote' ? 'joining' : 'learner');
+  }
+}
--- /dev/null
+++ b/packages/registry/src/lib/RegistryMachine.ts
@@ -0,0 +1,111 @@
+import { StateMachine } from '@berylwood/consensus';
+import { Packr, Unpackr } from 'msgpackr';
+
+/** A configuration as it was sent, compressed, under its external version. @public */
+export interface StoredConfiguration {
+  readonly version: number;
+  /** Raw deflate of the document's bytes, so that it is read back unchanged. */
+  readonly body: Uint8Array;
+}
+
+/** What became of a proposed configuration. @public */
+export interface ConfigureOutcome {
+  /** Whether the version was higher than the one held, and the document is now in force. */
+  readonly isStored: boolean;
+  /** The version in force. */
+  readonly version: number;
+}
+
+/** A command of the log. @internal */
+export type RegistryCommand =
+  | { readonly type: 'configure'; readonly version: number; readonly body: Uint8Array }
+  | { readonly type: 'closeWindow'; readonly window: number; readonly counts: string }
+  | { readonly type: 'confirm' };
+
+interface Snapshot {
+  readonly format: number;
+  readonly configuration: StoredConfiguration | undefined;
+  readonly windows: readonly [number, string][];
+}
+
+const FORMAT = 1;
+
+/** Closed windows kept for exact repeats: an hour of windows of five seconds. */
+const KEPT_WINDOWS = 720;
+
+const packr = new Packr({ useRecords: false });
+const unpackr = new Unpackr({ useRecords: false });
+
+/** @internal */
+export function encodeCommand(command: RegistryCommand): Uint8Array {
+  return packr.pack(command);
+}
+
+/** The document in force and the frozen counts of usage windows. @public */
+export class RegistryMachine extends StateMachine {
+  /** Called after a higher version was stored or restored. */
+  onConfiguration: (configuration: StoredConfiguration) => void = () => {};
+
+  #configuration: StoredConfiguration | undefined;
+
+  #windows = new Map<number, string>();
+
+  get configuration(): StoredConfiguration | undefined {
+    return this.#configuration;
+  }
+
+  /** Number of the latest window that is closed; -1 without one. */
+  get lastWindow(): number {
+    return Math.max(-1, ...this.#windows.keys());
+  }
+
+  /** Frozen counts of closed windows, oldest first. */
+  get windows(): ReadonlyMap<number, string> {
+    return this.#windows;
+  }
+
+  override apply(_index: number, bytes: Uint8Array): Uint8Array {
+    const command = unpackr.unpack(bytes) as RegistryCommand;
+    switch (command.type) {
+      case 'configure':
+        return packr.pack(this.#configure(command.version, command.body));
+      case 'closeWindow':
+        return packr.pack(this.#closeWindow(command.window, command.counts));
+      default:
+        return packr.pack(null);
+    }
+  }
+
+  override snapshot(): Uint8Array {
+    const configuration = this.#configuration;
+    const snapshot: Snapshot = { format: FORMAT, configuration, windows: [...this.#windows] };
+    return packr.pack(snapshot);
+  }
+
+  override restore(bytes: Uint8Array): void {
+    const { configuration, windows } = unpackr.unpack(bytes) as Snapshot;
+    this.#windows = new Map(windows);
+    if (!configuration) return;
+    this.#configuration = configuration;
+    this.onConfiguration(configuration);
+  }
+
+  /** The highest version wins; a repeat or an overtaken version changes nothing. */
+  #configure(version: number, body: Uint8Array): ConfigureOutcome {
+    const held = this.#configuration;
+    if (held && held.version >= version) return { isStored: false, version: held.version };
+    this.#configuration = { version, body: Uint8Array.from(body) };
+    this.onConfiguration(this.#configuration);
+    return { isStored: true, version };
+  }
+
+  /** The first counts of a window are kept, so that a report is the same however often it is sent. */
+  #closeWindow(window: number, counts: string): string {
+    const frozen = this.#windows.get(window);
+    if (frozen !== undefined) return frozen;
+    this.#windows.set(window, counts);
+    const [oldest] = this.#windows.keys();
+    if (this.#windows.size > KEPT_WINDOWS && oldest !== undefined) this.#windows.delete(oldest);
+    return counts;
+  }
+}
--- /dev/null
+++ b/packages/registry/src/lib/UsageLedger.ts
@@ -0,0 +1,59 @@
+/** Requests begun by each workspace in one window. @public */
+export type WindowCounts = Record<string, number>;
+
+/**
+ * Counts of usage windows that are not closed yet. Each instance reports cumulative counts, so that
+ * a repeated report changes nothing and a new leader learns all of them again.
+ * @public
+ */
+export class UsageLedger {
+  readonly #windows = new Map<number, Map<string, WindowCounts>>();
+
+  /** Adds requests of this instance. */
+  add(source: string, window: number, workspace: string): void {
+    const counts = this.#of(window, source);
+    counts[workspace] = (counts[workspace] ?? 0) + 1;
+  }
+
+  /** Takes over the cumulative counts that another instance reports. */
+  report(source: string, window: number, counts: WindowCounts): void {
+    const known = this.#of(window, source);
+    for (const [workspace, count] of Object.entries(counts)) {
+      known[workspace] = Math.max(known[workspace] ?? 0, count);
+    }
+  }
+
+  /** Counts of one source in the windows after a number. */
+  since(source: string, window: number): [number, WindowCounts][] {
+    return [...this.#windows].flatMap(([number, sources]): [number, WindowCounts][] => {
+      const counts = sources.get(source);
+      return number > window && counts ? [[number, counts]] : [];
+    });
+  }
+
+  /** Sum over all sources. */
+  total(window: number): WindowCounts {
+    const total: WindowCounts = {};
+    for (const counts of this.#windows.get(window)?.values() ?? []) {
+      for (const [workspace, count] of Object.entries(counts)) {
+        total[workspace] = (total[workspace] ?? 0) + count;
+      }
+    }
+    return total;
+  }
+
+  /** Forgets windows up to a number. */
+  forget(window: number): void {
+    for (const number of this.#windows.keys()) {
+      if (number <= window) this.#windows.delete(number);
+    }
+  }
+
+  #of(window: number, source: string): WindowCounts {
+    const sources = this.#windows.get(window) ?? new Map<string, WindowCounts>();
+    this.#windows.set(window, sources);
+    const counts = sources.get(source) ?? {};
+    sources.set(source, counts);
+    return counts;
+  }
+}
--- /dev/null
+++ b/packages/registry/src/lib/codes.ts
@@ -0,0 +1,19 @@
+import { defineCodes } from '@berylwood/base';
+
+/** Result codes of the registry (9200 to 9299). @public */
+export const registryCodes = defineCodes({
+  leaderUnknown: {
+    number: 9200,
+    status: 503,
+    notRun: true,
+    meaning: 'No leader of the registry is known or reachable.',
+    remedy: 'Retry on another instance, or after an election.',
+  },
+  replicaClosed: {
+    number: 9201,
+    status: 503,
+    notRun: true,
+    meaning: 'The replica of this instance is closed or opening again after a failure of its disk.',
+    remedy: 'Retry on another instance; look at the disk if it lasts.',
+  },
+});
--- /dev/null
+++ b/packages/registry/src/lib/planMembership.ts
@@ -0,0 +1,50 @@
+import type { MemberKind, ReplicaName } from '@berylwood/consensus';
+
+/** What the leader knows of a member. @public */
+export interface MemberHealth {
+  readonly replica: ReplicaName;
+  readonly kind: MemberKind;
+  /** Time since its last answer, or since the leader began to wait for one, in milliseconds. */
+  readonly silenceMs: number;
+}
+
+/** One change of the membership. @public */
+export interface MembershipStep {
+  readonly replica: ReplicaName;
+  readonly change: 'promote' | 'demote' | 'remove';
+}
+
+/** Limits of the plan, in milliseconds. @internal */
+export interface MembershipLimits {
+  /** Silence after which a voter is replaced by a learner. */
+  readonly replaceAfterMs: number;
+  /** Silence after which a learner is forgotten. */
+  readonly forgetAfterMs: number;
+}
+
+/**
+ * The next change that brings the number of voters to the target and moves votes from silent
+ * members to answering ones. A silent voter keeps its vote as long as nobody can take it over: it
+ * may come back, and fewer voters tolerate fewer losses.
+ * @public
+ */
+export function planMembership(
+  members: readonly MemberHealth[],
+  target: number,
+  limits: MembershipLimits,
+): MembershipStep | undefined {
+  const isSilent = ({ silenceMs }: MemberHealth, limitMs: number): boolean => silenceMs > limitMs;
+  if (members.some(({ kind }) => kind === 'joining')) return undefined;
+  const voters = members.filter(({ kind }) => kind === 'voter');
+  const learners = members.filter(({ kind }) => kind === 'learner');
+  const silent = voters.find((member) => isSilent(member, limits.replaceAfterMs));
+  if (silent && voters.length > target) return { replica: silent.replica, change: 'demote' };
+  const [candidate] = learners.filter((member) => !isSilent(member, limits.replaceAfterMs));
+  if (candidate && (voters.length < target || silent)) {
+    return { replica: candidate.replica, change: 'promote' };
+  }
+  const surplus = voters.length > target ? voters[voters.length - 1] : undefined;
+  if (surplus) return { replica: surplus.replica, change: 'demote' };
+  const lost = learners.find((member) => isSilent(member, limits.forgetAfterMs));
+  return lost && { replica: lost.replica, change: 'remove' };
+}
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -9,6 +9,7 @@
 export * from './lib/Configuration';
 export { loadConfiguration } from './lib/loadConfiguration';
 export * from './lib/Settings';
+export { type GatewaySettings } from './lib/GatewaySettings';
 export * from './lib/AttemptMessage';
 export * from './lib/ControlMessage';
 export * from './lib/Order';
--- a/packages/schema/src/lib/Settings.ts
+++ b/packages/schema/src/lib/Settings.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { nameSchema } from './Configuration';
+import { gatewaySettingsSchema } from './GatewaySettings';
 
 const MAX_PORT = 65_535;
 
@@ -24,6 +25,8 @@
   level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
   /** File for log lines; standard error when left out. */
   file: z.string().optional(),
+  /** Writes log lines to standard output, without ever waiting for its reader. */
+  output: z.boolean().default(false),
 });
 
 const certificateSchema = z.strictObject({ certificate: z.string(), key: z.string() });
@@ -158,9 +161,10 @@
 /** Settings of one process: the roles whose tables are present run in it. @public */
 export const settingsSchema = z.strictObject({
   process: processSchema,
-  log: logSchema.default({ level: 'info' }),
+  log: logSchema.default({ level: 'info', output: false }),
   admin: adminSchema.optional(),
   tls: tlsSchema.optional(),
+  gateway: gatewaySettingsSchema.optional(),
   entry: entrySchema.optional(),
   control: controlSchema.optional(),
   observer: observerSchema.optional(),
