Start faster, keep the last configuration for a restart, relay answers without a length as such

Cause: after all processes were killed nothing was served for 3 s: half of it was compiling and loading code, the rest an election before the configuration was known. Answers that end with their connection were given a length.

--- a/apps/berylwood/src/lib/CommandError.ts
+++ b/apps/berylwood/src/lib/CommandError.ts
@@ -1,4 +1,4 @@
-import type { ExitCode } from './codes';
+import type { ExitCode } from './ExitCode';
 
 /** Ends a command with an exit code and lines for standard error. @internal */
 export class CommandError extends Error {
--- a/apps/berylwood/src/lib/askOperator.ts
+++ b/apps/berylwood/src/lib/askOperator.ts
@@ -1,5 +1,5 @@
 import { TRPCClientError } from '@trpc/client';
-import { ExitCode } from './codes';
+import { ExitCode } from './ExitCode';
 import { CommandError } from './CommandError';
 import { createOperatorClient, type OperatorClient } from './createOperatorClient';
 
--- a/apps/berylwood/src/lib/createProgram.ts
+++ b/apps/berylwood/src/lib/createProgram.ts
@@ -1,10 +1,12 @@
+import './codes';
 import { Command, Option } from 'commander';
 import { checkFile } from './checkFile';
-import { ExitCode } from './codes';
+import { ExitCode } from './ExitCode';
 import { CommandError } from './CommandError';
 import { createStandIn } from './createStandIn';
 import { loadCommand } from './loadCommand';
 import { operatorCommands } from './operatorCommands';
+import { runCommand } from './runCommand';
 import { timelineCommand } from './timelineCommand';
 
 /** Version of the build; the bundler fills it in. */
@@ -19,20 +21,6 @@
   readonly decodeRate: string;
 }
 
-function runCommand(): Command {
-  return new Command('run')
-    .description('start the roles of a settings file')
-    .addOption(
-      new Option('--settings <file>', 'settings in TOML')
-        .env('BERYLWOOD_CONFIG')
-        .makeOptionMandatory(),
-    )
-    .action(async ({ settings }: { settings: string }) => {
-      const { runProcess } = await import('./runProcess');
-      await runProcess(settings);
-    });
-}
-
 function checkCommand(): Command {
   return new Command('check')
     .description('check settings files and operator lists')
--- a/apps/berylwood/src/lib/keysCommand.ts
+++ b/apps/berylwood/src/lib/keysCommand.ts
@@ -3,7 +3,7 @@
 import { hashSecret } from '@berylwood/control';
 import { asWorkspaceId, createKeyId, type KeyId } from '@berylwood/schema';
 import { Command } from 'commander';
-import { ExitCode } from './codes';
+import { ExitCode } from './ExitCode';
 import { CommandError } from './CommandError';
 import {
   addChangeOptions,
--- a/apps/berylwood/src/lib/loadCommand.ts
+++ b/apps/berylwood/src/lib/loadCommand.ts
@@ -20,7 +20,7 @@
 import { Command } from 'commander';
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
-import { ExitCode } from './codes';
+import { ExitCode } from './ExitCode';
 import { CommandError } from './CommandError';
 
 /** Keys by workspace, as `keys give --json` prints each. */
--- a/apps/berylwood/src/lib/plansCommand.ts
+++ b/apps/berylwood/src/lib/plansCommand.ts
@@ -1,6 +1,6 @@
 import { formatProblem, loadConfiguration } from '@berylwood/schema';
 import { Command } from 'commander';
-import { ExitCode } from './codes';
+import { ExitCode } from './ExitCode';
 import { CommandError } from './CommandError';
 import {
   addChangeOptions,
--- a/apps/berylwood/src/lib/readSettings.ts
+++ b/apps/berylwood/src/lib/readSettings.ts
@@ -1,5 +1,5 @@
 import { formatProblem, readToml, settingsSchema, type Settings } from '@berylwood/schema';
-import { ExitCode } from './codes';
+import { ExitCode } from './ExitCode';
 import { CommandError } from './CommandError';
 
 /**
--- a/apps/berylwood/src/lib/runProcess.ts
+++ b/apps/berylwood/src/lib/runProcess.ts
@@ -3,7 +3,7 @@
 import { createIncarnationId, type Settings } from '@berylwood/schema';
 import pino from 'pino';
 import { CommandError } from './CommandError';
-import { ExitCode } from './codes';
+import { ExitCode } from './ExitCode';
 import { createRoles, type Reloadable } from './createRoles';
 import { hangUps } from './hangUps';
 import { readSettings } from './readSettings';
--- a/apps/berylwood/src/lib/timelineCommand.ts
+++ b/apps/berylwood/src/lib/timelineCommand.ts
@@ -9,7 +9,7 @@
   type Filter,
 } from '@berylwood/timeline';
 import { Command } from 'commander';
-import { ExitCode } from './codes';
+import { ExitCode } from './ExitCode';
 import { CommandError } from './CommandError';
 
 interface TimelineOptions extends Filter {
--- a/apps/berylwood/src/lib/waitInForce.ts
+++ b/apps/berylwood/src/lib/waitInForce.ts
@@ -1,4 +1,4 @@
-import { ExitCode } from './codes';
+import { ExitCode } from './ExitCode';
 import { CommandError } from './CommandError';
 import { ask, type OperatorOptions } from './operatorOptions';
 
--- a/apps/berylwood/src/main.ts
+++ b/apps/berylwood/src/main.ts
@@ -1,12 +1,19 @@
 import './lib/hangUps';
 import { CommandError } from './lib/CommandError';
-import { ExitCode } from './lib/codes';
-import { createProgram } from './lib/createProgram';
+import { createRunProgram } from './lib/createRunProgram';
+import { ExitCode } from './lib/ExitCode';
 
-createProgram()
-  .parseAsync(process.argv)
-  .catch((error: unknown) => {
-    const isExpected = error instanceof CommandError;
-    process.stderr.write(`${isExpected ? error.message : String(error)}\n`);
-    process.exit(isExpected ? error.exitCode : ExitCode.Fault);
-  });
+/** Starting a process does not wait for the code of the other commands. */
+async function parse(): Promise<void> {
+  const isRun = process.argv[2] === 'run';
+  const program = isRun
+    ? createRunProgram()
+    : (await import('./lib/createProgram')).createProgram();
+  await program.parseAsync(process.argv);
+}
+
+parse().catch((error: unknown) => {
+  const isExpected = error instanceof CommandError;
+  process.stderr.write(`${isExpected ? error.message : String(error)}\n`);
+  process.exit(isExpected ? error.exitCode : ExitCode.Fault);
+});
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -40,12 +40,15 @@
   },
   {
     files: ['scripts/**'],
+    // Node.js resolves modules of its own by their full file names.
+    rules: { 'import-x/extensions': 'off' },
     languageOptions: {
       globals: {
         process: 'readonly',
         console: 'readonly',
         fetch: 'readonly',
         setTimeout: 'readonly',
+        __dirname: 'readonly',
       },
     },
   },
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -9,7 +9,7 @@
 import { EntryKind, type Entry } from './Entry';
 import { consensusEvents } from './events';
 import { Follower } from './Follower';
-import type { Identity, Incarnation, ReplicaName } from './ids';
+import type { Incarnation, ReplicaName } from './ids';
 import { Joiner } from './Joiner';
 import { Leader } from './Leader';
 import { LeadershipTransfer } from './LeadershipTransfer';
@@ -19,6 +19,7 @@
 import { openCore } from './openCore';
 import { Proposals } from './Proposals';
 import { ReplicatedLog, type Applied, type LogStatus } from './ReplicatedLog';
+import type { ReplicaStatus } from './ReplicaStatus';
 import { withDefaults, type ReplicaOptions } from './ReplicaOptions';
 import { roleMachine, type Role, type RoleEffects } from './roleMachine';
 
@@ -28,21 +29,6 @@
 /** Election timeouts after which a transfer is not waited for any longer. */
 const TRANSFER_ELECTIONS = 3;
 
-/** What an embedder may observe of a replica beside the status of its log. @public */
-export interface ReplicaStatus extends LogStatus {
-  readonly identity: Identity;
-  /** The latest membership in the log, committed or not. */
-  readonly membership: Membership;
-  /** The committed membership; a replacement counts as joining until it is settled. */
-  readonly settledMembership: Membership;
-  /** Why the replica has stopped, if it has. */
-  readonly failure: Failure | undefined;
-  readonly lastIndex: number;
-  readonly snapshotIndex: number;
-  /** Syncs of entries since the start. */
-  readonly syncs: number;
-}
-
 /** A leadership together with what the leader does beside replicating. */
 interface Leadership {
   readonly leader: Leader;
--- a/packages/gateway/src/lib/Answer.ts
+++ b/packages/gateway/src/lib/Answer.ts
@@ -97,7 +97,8 @@
   /** Completes the answer. */
   finish(): void {
     const body = Buffer.concat(this.#takeHeld());
-    if (!this.#isStarted) this.#start(this.isEventStream ? undefined : body.length);
+    const isSized = !this.isEventStream && this.#head?.hasLength;
+    if (!this.#isStarted) this.#start(isSized ? body.length : undefined);
     this.#response.end(body);
   }
 
@@ -117,7 +118,10 @@
     const { status = 0, rawHeaders = [] } = this.#head ?? {};
     const headers = this.#wire.answerHeaders(rawHeaders);
     if (bodyBytes !== undefined) headers.push('Content-Length', String(bodyBytes));
-    if (this.#isClosing) headers.push('Connection', 'close');
+    const isUnframed = this.#head?.hasLength === false;
+    if (this.#isClosing || isUnframed) headers.push('Connection', 'close');
+    // Whether such an answer is whole can't be known, so the caller gets it without a length, too.
+    if (isUnframed) this.#response.useChunkedEncodingByDefault = false;
     this.#isStarted = true;
     this.#response.writeHead(status, headers);
   }
--- /dev/null
+++ b/packages/gateway/src/lib/Attempt.test.ts
@@ -0,0 +1,126 @@
+import assert from 'node:assert/strict';
+import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { test } from 'node:test';
+import { SystemTimer, asId } from '@berylwood/base';
+import { Attempt, type AnswerHead, type AttemptEnd } from './Attempt';
+import { Endpoint } from './Endpoint';
+import { Wire, type AnswerFacts } from './Wire';
+
+const FACTS: AnswerFacts = {
+  attempt: undefined,
+  isNotRun: false,
+  isMisdirected: false,
+  load: undefined,
+  keepAliveMs: undefined,
+  closes: true,
+};
+
+/** Takes all headers as they are. */
+class PlainWire extends Wire {
+  readonly paths = { readiness: '/ready', configuration: '/configuration' };
+
+  override readRequest(): never {
+    throw new Error('not used');
+  }
+
+  override endpointHeaders(): string[] {
+    return [];
+  }
+
+  override readAnswer(): AnswerFacts {
+    return FACTS;
+  }
+
+  override answerHeaders(): string[] {
+    return [];
+  }
+
+  override decodeConfiguration(): never {
+    throw new Error('not used');
+  }
+}
+
+/** An endpoint that answers each connection by a function. */
+async function createEndpoint(answer: (socket: Socket) => void) {
+  const server = createServer((socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => answer(socket));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const listed = {
+    id: asId<'endpoint'>('e-1'),
+    pool: asId<'pool'>('pool'),
+    address: `127.0.0.1:${port}`,
+    dataCentre: 'a',
+    slots: 4,
+    isDraining: false,
+  };
+  const endpoint = new Endpoint(listed, 4, new SystemTimer());
+  return { endpoint, close: () => server.close() };
+}
+
+function send(endpoint: Endpoint): Promise<{ end: AttemptEnd; head?: AnswerHead; body: string }> {
+  return new Promise((resolve) => {
+    let head: AnswerHead | undefined;
+    let body = '';
+    const outgoing = {
+      method: 'GET',
+      target: '/',
+      headers: ['Host', 'x'],
+      body: Buffer.alloc(0),
+      attempt: asId<'attempt'>('a-1'),
+    };
+    const listener = {
+      onHead: (given: AnswerHead) => {
+        head = given;
+      },
+      onData: (chunk: Buffer) => {
+        body += chunk.toString();
+        return true;
+      },
+      onEnd: (end: AttemptEnd) => resolve({ end, head, body }),
+    };
+    const parts = { wire: new PlainWire(), timer: new SystemTimer() };
+    // eslint-disable-next-line no-new -- the attempt reports to its listener
+    new Attempt(endpoint, outgoing, listener, parts);
+  });
+}
+
+test('an answer without a length is complete when the connection is closed in order', async () => {
+  const { endpoint, close } = await createEndpoint((socket) => {
+    socket.end('HTTP/1.1 200 OK\r\n\r\nwhole');
+  });
+  const { end, body } = await send(endpoint);
+  assert.deepEqual(end, { type: 'complete' });
+  assert.equal(body, 'whole');
+  close();
+});
+
+test('an answer without a length that is reset on the way is broken', async () => {
+  const { endpoint, close } = await createEndpoint((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhalf', () => {
+      setTimeout(() => socket.resetAndDestroy(), 50);
+    });
+  });
+  const { end } = await send(endpoint);
+  assert.equal(end.type, 'broken');
+  close();
+});
+
+test('a refused connection proves that nothing was sent', async () => {
+  const { endpoint, close } = await createEndpoint(() => {});
+  close();
+  const { end } = await send(endpoint);
+  assert.equal(end.type, 'unsent');
+  assert.equal(endpoint.isUsable, false);
+});
+
+test('a connection that breaks after the request was sent leaves the outcome unknown', async () => {
+  const { endpoint, close } = await createEndpoint((socket) => socket.destroy());
+  const { end } = await send(endpoint);
+  assert.equal(end.type, 'broken');
+  close();
+});
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -23,6 +23,8 @@
   readonly rawHeaders: readonly string[];
   readonly facts: AnswerFacts;
   readonly isEventStream: boolean;
+  /** Whether the answer states where it ends, other than by the end of its connection. */
+  readonly hasLength: boolean;
 }
 
 /**
@@ -69,6 +71,9 @@
 
   #connectTimeout: Disposable | undefined;
 
+  /** Whether the endpoint has closed its side of the connection in order, not by a reset. */
+  #isClosedInOrder = false;
+
   /** Whether bytes may have left for the endpoint. */
   #isSent = false;
 
@@ -130,6 +135,9 @@
   }
 
   #onSocket(socket: Socket): void {
+    socket.once('end', () => {
+      this.#isClosedInOrder = true;
+    });
     if (!socket.connecting) {
       this.#isSent = true;
       return;
@@ -161,14 +169,18 @@
     if (facts.load) this.endpoint.observe(facts.load);
     const type = answer.headers['content-type'] ?? '';
     const isEventStream = type.startsWith('text/event-stream');
-    const head: AnswerHead = { status, rawHeaders, facts, isEventStream };
+    const hasLength = 'content-length' in answer.headers || 'transfer-encoding' in answer.headers;
+    const head: AnswerHead = { status, rawHeaders, facts, isEventStream, hasLength };
     this.#isRefusal = facts.isNotRun || facts.isMisdirected;
     if (!this.#isRefusal) this.#listener.onHead(head);
     answer.on('data', (chunk: Buffer) => {
       if (this.#isRefusal || this.#isOver) return;
       if (!this.#listener.onData(chunk)) answer.pause();
     });
-    answer.on('end', () => this.#onAnswerEnd(head, answer.complete));
+    // The parser takes the reset of a connection, too, as the end of an answer without a length.
+    answer.on('end', () => {
+      this.#onAnswerEnd(head, answer.complete && (hasLength || this.#isClosedInOrder));
+    });
     answer.on('error', (error) => this.#end({ type: 'broken', reason: String(error) }));
     answer.on('close', () => this.#end({ type: 'broken', reason: 'answer cut off' }));
   }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -82,6 +82,9 @@
 
   #isStopping = false;
 
+  /** Whether new requests on kept connections are refused, as they might not end in time. */
+  #isRefusing = false;
+
   #wasReady = false;
 
   constructor(options: GatewayOptions) {
@@ -122,7 +125,7 @@
     await this.#front.listen(settings.callers);
     if (settings.operators) await this.#operators.listen(settings.operators);
     this.#list?.open();
-    this.#mesh.open();
+    await this.#mesh.open();
     await this.#registry?.open();
     this.#reportUsage();
   }
@@ -145,6 +148,7 @@
     const startedAt = timer.now();
     const endsAt = startedAt + settings.graceS * 1000 - CUT_BEFORE_MS;
     await timer.sleep(Math.min(NOTICE_MS, endsAt - startedAt));
+    this.#isRefusing = true;
     this.#front.closeIdle();
     while (this.#front.openRequests > 0 && timer.now() < endsAt) {
       await timer.sleep(TICK_MS);
@@ -207,6 +211,7 @@
       dataCentre: settings.dataCentre,
       table: () => this.#table,
       isStopping: () => this.#isStopping,
+      isRefusing: () => this.#isRefusing,
       countRun: (workspace) => this.#countRun(workspace),
     };
   }
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -19,7 +19,10 @@
   readonly dataCentre: string;
   /** The routing table in force, if any. */
   readonly table: () => RoutingTable | undefined;
+  /** Whether connections are closed after their present answer. */
   readonly isStopping: () => boolean;
+  /** Whether requests that arrive now are refused, since the process ends soon. */
+  readonly isRefusing: () => boolean;
   /** Counts a request that an endpoint has begun to run. */
   readonly countRun: (workspace: WorkspaceName | undefined, pool: PoolName) => void;
 }
--- a/packages/gateway/src/lib/ListReader.ts
+++ b/packages/gateway/src/lib/ListReader.ts
@@ -9,6 +9,9 @@
 /** Longest interval, in milliseconds: an endpoint must be left before its drain is over. */
 const MAX_READ_MS = 1500;
 
+/** Interval until the first list has been read, in milliseconds: nothing is served before. */
+const FIRST_READ_MS = 250;
+
 /** Part of the platform's calls that reading may use; duties need the rest. */
 const CALL_SHARE = 0.5;
 
@@ -46,7 +49,8 @@
   }
 
   get #intervalMs(): number {
-    const { callsPerS, instances } = this.#options;
+    const { callsPerS, instances, directory } = this.#options;
+    if (!directory.isKnown) return FIRST_READ_MS;
     const fairMs = (1000 * this.#pages * instances()) / (callsPerS * CALL_SHARE);
     return Math.min(MAX_READ_MS, Math.max(READ_MS, fairMs));
   }
--- a/packages/gateway/src/lib/resolveRequest.ts
+++ b/packages/gateway/src/lib/resolveRequest.ts
@@ -23,6 +23,7 @@
   context: GatewayContext,
   request: IncomingMessage,
 ): Result<ResolvedRequest, Failure> {
+  if (context.isRefusing()) return fail(gatewayCodes.stopping, 'the instance is stopping');
   const table = context.table();
   if (!table) return fail(gatewayCodes.unconfigured, 'no configuration is in force');
   const facts = context.wire.readRequest(request.rawHeaders);
--- a/packages/link/src/lib/Dialer.ts
+++ b/packages/link/src/lib/Dialer.ts
@@ -10,10 +10,12 @@
   /** Path that names the kind of link. */
   readonly path: string;
   readonly identity?: LinkIdentity;
+  /** Longest time for a connection to be made, in milliseconds; 2000 by default. */
+  readonly connectMs?: number;
   readonly random?: Random;
 }
 
-const CONNECT_TIMEOUT_MS = 2000;
+const DEFAULT_CONNECT_MS = 2000;
 const FIRST_BACKOFF_MS = 20;
 const LAST_BACKOFF_MS = 1000;
 
@@ -74,10 +76,10 @@
     if (this.#disposed) return;
     const address = this.#addresses[this.#next % this.#addresses.length] ?? '';
     this.#next += 1;
-    const { identity, path } = this.#options;
+    const { identity, path, connectMs = DEFAULT_CONNECT_MS } = this.#options;
     const scheme = identity ? 'wss' : 'ws';
     const socket = new WebSocket(`${scheme}://${address}${path}`, {
-      handshakeTimeout: CONNECT_TIMEOUT_MS,
+      handshakeTimeout: connectMs,
       maxPayload: MAX_FRAME_BYTES,
       perMessageDeflate: false,
       ...(identity && {
--- a/packages/registry/src/lib/FleetClock.ts
+++ b/packages/registry/src/lib/FleetClock.ts
@@ -8,8 +8,7 @@
   readonly at: number;
 }
 
-/** @internal */
-export function median(values: readonly number[]): number {
+function median(values: readonly number[]): number {
   const sorted = [...values].sort((a, b) => a - b);
   const middle = Math.floor(sorted.length / 2);
   if (sorted.length % 2 === 1) return sorted[middle] ?? 0;
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -37,6 +37,9 @@
 const KEEP_ALIVE_MS = 400;
 const SILENCE_MS = 1200;
 
+/** A machine without power answers nothing; it is tried again while it may be starting. */
+const CONNECT_MS = 500;
+
 /** Windows kept while no leader closes them: ten minutes of windows of five seconds. */
 const KEPT_WINDOWS = 120;
 
@@ -101,9 +104,11 @@
     );
   }
 
-  /** Begins to dial. */
-  open(): void {
+  /** Begins to dial; until a newer configuration comes, the one that was last in force holds. */
+  async open(): Promise<void> {
     this.#dialMissing();
+    const remembered = await this.#options.registry?.recall();
+    if (remembered) this.#adopt(remembered);
   }
 
   /** Commits a configuration through the leader. */
@@ -183,6 +188,7 @@
     const fields = { version, bytes: body.byteLength };
     this.#options.journal.record(registryEvents.configurationApplied, fields);
     this.onConfiguration(configuration);
+    this.#options.registry?.remember(configuration);
     this.#announce();
   }
 
@@ -253,6 +259,7 @@
       const dialer = new Dialer<Upward, Status>({
         addresses: [target],
         path: PATH,
+        connectMs: CONNECT_MS,
         timer,
         journal,
         schema: statusSchema,
--- a/packages/registry/src/lib/MeshMessage.ts
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -15,19 +15,19 @@
 }
 
 /** Asks for the configuration that the other end holds. @internal */
-export interface Fetch {
+interface Fetch {
   readonly type: 'fetch';
 }
 
 /** Asks the leader to commit a configuration. @internal */
-export interface Configure {
+interface Configure {
   readonly type: 'configure';
   readonly version: number;
   readonly body: Uint8Array;
 }
 
 /** Asks the leader for the newest configuration, confirmed by a quorum. @internal */
-export interface ReadNewest {
+interface ReadNewest {
   readonly type: 'readNewest';
 }
 
--- a/packages/registry/src/lib/PeerTransport.ts
+++ b/packages/registry/src/lib/PeerTransport.ts
@@ -21,6 +21,9 @@
 const KEEP_ALIVE_MS = 300;
 const SILENCE_MS = 1200;
 
+/** A machine without power answers nothing; it is tried again while it may be starting. */
+const CONNECT_MS = 500;
+
 /** The border check: the log itself copes with stale and unexpected messages of this shape. */
 const messageSchema = z.custom<Message>((value) => {
   const { from, to, term, body } = (value ?? {}) as Partial<Message>;
@@ -83,6 +86,7 @@
         ...this.#linkOptions,
         addresses: [address],
         path: PATH,
+        connectMs: CONNECT_MS,
         identity,
       }),
     );
--- a/packages/registry/src/lib/Registry.ts
+++ b/packages/registry/src/lib/Registry.ts
@@ -11,6 +11,7 @@
 import { Unpackr } from 'msgpackr';
 import { err, ok, type Result } from 'neverthrow';
 import { registryCodes } from './codes';
+import { ConfigurationCache } from './ConfigurationCache';
 import { registryEvents } from './events';
 import { planMembership } from './planMembership';
 import {
@@ -62,6 +63,8 @@
 /** Pause before a replica with a failed disk is opened again. */
 const REOPEN_MS = 500;
 
+const CACHE_FILE = 'configuration.cache';
+
 const unpackr = new Unpackr({ useRecords: false });
 
 /** Takes every instance with a disk as a learner; the plan of the membership promotes it. */
@@ -82,6 +85,8 @@
 
   readonly #store = new DisposableStore();
 
+  readonly #cache: ConfigurationCache;
+
   #replica: Replica | undefined;
 
   #isChanging = false;
@@ -93,6 +98,7 @@
 
   constructor(options: RegistryOptions) {
     this.#options = options;
+    this.#cache = new ConfigurationCache(join(options.folder, CACHE_FILE), options.journal);
     this.#store.add(options.timer.every(WATCH_MS, () => this.#watch()));
   }
 
@@ -154,8 +160,14 @@
     return this.#replica?.status.membership.members.map(({ replica }) => replica) ?? [];
   }
 
-  get configuration(): StoredConfiguration | undefined {
-    return this.machine.configuration;
+  /** The configuration that was in force here before a restart. */
+  recall(): Promise<StoredConfiguration | undefined> {
+    return this.#cache.read();
+  }
+
+  /** Keeps a committed configuration for the next start. */
+  remember(configuration: StoredConfiguration): void {
+    this.#cache.write(configuration);
   }
 
   /** Commits a document; resolves once a quorum has it on disk. */
--- a/packages/registry/src/lib/events.ts
+++ b/packages/registry/src/lib/events.ts
@@ -50,4 +50,10 @@
     meaning: 'A newer configuration was announced but could not be fetched.',
     action: 'None: another instance is asked.',
   },
+  cacheFailed: {
+    number: 9208,
+    level: 'warn',
+    meaning: 'The file with the configuration last in force could not be read or written.',
+    action: 'None: the configuration comes from the replicas. Look at the disk.',
+  },
 });
--- a/packages/schema/src/lib/GatewaySettings.ts
+++ b/packages/schema/src/lib/GatewaySettings.ts
@@ -18,7 +18,7 @@
   /** Listener for operators; none if left out. */
   operators: addressSchema.optional(),
   /** Port of this instance, and of all others, for links between instances. */
-  meshPort: z.number().int().positive().max(MAX_PORT),
+  meshPort: z.number().int().nonnegative().max(MAX_PORT),
   /** Addresses of instances to ask first; only their IP addresses are used. */
   seeds: z.array(addressSchema).default([]),
   /** Whether the seeds found the registry: true only for the very first start. */
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,16 +1,26 @@
-/** Bundles the command line and all roles into one file, FOLDER/berylwood.cjs. */
-import { mkdirSync, readFileSync } from 'node:fs';
+/**
+ * Bundles the command line and all roles into one file, FOLDER/berylwood.cjs. With `--warm`, adds
+ * the compiled code of a started gateway, and FOLDER/start.cjs that loads both: a restart on half a
+ * core then spends its time on work, not on compiling.
+ */
+import { execFileSync } from 'node:child_process';
+import { mkdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { build } from 'esbuild';
 
-/** Optional native parts of libraries, which work without them; a single file can not hold them. */
-const withoutNativeParts = {
-  name: 'without-native-parts',
+/**
+ * Optional native parts of libraries, which work without them and can not be held by a single file,
+ * and the push client for metrics, which is not used and slow to load.
+ */
+const withoutOptionalParts = {
+  name: 'without-optional-parts',
   setup({ onResolve, onLoad }) {
-    const filter = /^(msgpackr-extract|bufferutil|utf-8-validate)$/;
+    const filter = /^(msgpackr-extract|bufferutil|utf-8-validate|\.\/lib\/pushgateway)$/;
     onResolve({ filter }, ({ path }) => ({ path, namespace: 'native' }));
     onLoad({ filter: /.*/, namespace: 'native' }, ({ path }) => ({
-      contents: `throw new Error('${path} is not part of the executable');`,
+      contents: path.endsWith('pushgateway')
+        ? 'module.exports = class {};'
+        : `throw new Error('${path} is not part of the executable');`,
     }));
   },
 };
@@ -27,12 +37,54 @@
     target: 'node20',
     format: 'cjs',
     outfile,
+    minifyWhitespace: true,
+    legalComments: 'none',
     define: { 'process.env.BERYLWOOD_VERSION': JSON.stringify(version) },
     logLevel: 'warning',
-    plugins: [withoutNativeParts],
+    plugins: [withoutOptionalParts],
   });
   return outfile;
 }
 
-const [, script, folder] = process.argv;
-if (script?.endsWith('bundle.mjs') && folder) await bundle(folder);
+/** Settings of the gateway whose compiled code is kept; the kernel chooses its ports. */
+const WARM_SETTINGS = `
+[process]
+name = "warm"
+[log]
+output = true
+[admin]
+listen = "127.0.0.1:0"
+[gateway]
+instance = "warm"
+ip = "127.0.0.1"
+data_centre = "warm"
+callers = "127.0.0.1:0"
+readiness = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+mesh_port = 0
+platform = "127.0.0.1:1"
+`;
+
+/** Time for the gateway to start, in milliseconds. */
+const WARM_UP_MS = 1500;
+
+/** Starts the bundle once and keeps what V8 has compiled. */
+function warm(folder, flags) {
+  const settings = join(folder, 'warm.toml');
+  const start = join(folder, 'start.cjs');
+  const cache = join(folder, 'berylwood.cache');
+  rmSync(cache, { force: true });
+  writeFileSync(settings, WARM_SETTINGS);
+  writeFileSync(start, readFileSync('scripts/start.template.cjs'));
+  execFileSync(process.execPath, [...flags, start, 'run', '--settings', settings], {
+    env: { ...process.env, BERYLWOOD_WARM_UP_MS: String(WARM_UP_MS) },
+    stdio: ['ignore', 'ignore', 'inherit'],
+  });
+}
+
+const [, script, folder, ...options] = process.argv;
+if (script?.endsWith('bundle.mjs') && folder) {
+  await bundle(folder);
+  const [isWarm, ...flags] = options;
+  if (isWarm === '--warm') warm(folder, flags);
+}
--- /dev/null
+++ b/scripts/start.template.cjs
@@ -0,0 +1,21 @@
+/** Runs the bundle beside this file, with its compiled code where that fits this Node.js. */
+process.on('SIGHUP', () => {});
+const { existsSync, readFileSync, writeFileSync } = require('node:fs');
+const { join } = require('node:path');
+const { Script } = require('node:vm');
+
+const filename = join(__dirname, 'berylwood.cjs');
+const cache = join(__dirname, 'berylwood.cache');
+const source = readFileSync(filename, 'latin1');
+const script = new Script(
+  `(function (exports, require, module, __filename, __dirname) {${source}\n})`,
+  { filename, cachedData: existsSync(cache) ? readFileSync(cache) : undefined },
+);
+const warmUpMs = Number(process.env.BERYLWOOD_WARM_UP_MS ?? 0);
+if (warmUpMs > 0) {
+  setTimeout(() => {
+    writeFileSync(cache, script.createCachedData());
+    process.exit(0);
+  }, warmUpMs);
+}
+script.runInThisContext()(exports, require, module, filename, __dirname);
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -69,6 +69,10 @@
 if (named.length > 0) process.exit(runUnitTests(named) ? 0 : 1);
 const build = spawnSync(process.execPath, ['scripts/build.mjs'], { stdio: 'inherit' });
 if (build.status !== 0) process.exit(1);
-const unitTestsPass = runUnitTests([...findTests('packages'), ...findTests('apps')]);
+const unitTestsPass = runUnitTests([
+  ...findTests('packages'),
+  ...findTests('platform'),
+  ...findTests('apps'),
+]);
 const scenariosPass = runScenarios();
 process.exit(unitTestsPass && scenariosPass ? 0 : 1);
