Take silent streams away from endpoints that serve later ones; let connections be reused without leaks

Cause: an endpoint ran a request and its answer was lost, while it served others, so the caller waited to its deadline; the agent's own listeners were kept on reused connections; the configuration that was last in force was lost with the power. Ruled out: an endpoint that is silent as a whole (others were served).

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -71,9 +71,6 @@
 
   #connectTimeout: Disposable | undefined;
 
-  /** Whether the endpoint has closed its side of the connection in order, not by a reset. */
-  #isClosedInOrder = false;
-
   /** Whether bytes may have left for the endpoint. */
   #isSent = false;
 
@@ -135,9 +132,6 @@
   }
 
   #onSocket(socket: Socket): void {
-    socket.once('end', () => {
-      this.#isClosedInOrder = true;
-    });
     if (!socket.connecting) {
       this.#isSent = true;
       return;
@@ -177,9 +171,10 @@
       if (this.#isRefusal || this.#isOver) return;
       if (!this.#listener.onData(chunk)) answer.pause();
     });
-    // The parser takes the reset of a connection, too, as the end of an answer without a length.
+    const { socket } = answer;
     answer.on('end', () => {
-      this.#onAnswerEnd(head, answer.complete && (hasLength || this.#isClosedInOrder));
+      // The parser takes the reset of a connection, too, as the end of an answer without a length.
+      this.#onAnswerEnd(head, answer.complete && (hasLength || socket.readableEnded));
     });
     answer.on('error', (error) => this.#end({ type: 'broken', reason: String(error) }));
     answer.on('close', () => this.#end({ type: 'broken', reason: 'answer cut off' }));
--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -13,6 +13,9 @@
 /** Share of a stated load of others that is still counted after this time, in milliseconds. */
 const LOAD_HALF_LIFE_MS = 600;
 
+/** Requests sent within this time may begin in any order, in milliseconds. */
+const OVERTAKEN_MS = 250;
+
 /** One endpoint as this instance sees it. @internal */
 export class Endpoint implements Disposable {
   readonly agent: EndpointAgent;
@@ -40,6 +43,9 @@
 
   #isLeaving = false;
 
+  /** By rank, the latest time at which a request was sent that has begun to run since. */
+  readonly #begunSentAt = new Map<number, number>();
+
   constructor(listed: ListedEndpoint, maxConnections: number, timer: Timer) {
     this.#listed = listed;
     this.#timer = timer;
@@ -108,6 +114,21 @@
     this.#inFlight -= 1;
   }
 
+  /** Notes that a request which was sent at a time has begun to run. */
+  begun(rank: number, sentAt: number): void {
+    this.#begunSentAt.set(rank, Math.max(sentAt, this.#begunSentAt.get(rank) ?? -Infinity));
+  }
+
+  /**
+   * Whether a request that is no more urgent, and was sent clearly later, has begun to run: then
+   * the answer to an earlier one that is still silent is probably lost.
+   */
+  hasOvertaken(rank: number, sentAt: number): boolean {
+    return [...this.#begunSentAt].some(
+      ([other, at]) => other >= rank && at > sentAt + OVERTAKEN_MS,
+    );
+  }
+
   /** Takes in the load that the endpoint states with an answer. */
   observe({ running, waiting }: StatedLoad): void {
     this.#others = Math.max(0, running + waiting - this.#inFlight);
--- a/packages/gateway/src/lib/EndpointAgent.ts
+++ b/packages/gateway/src/lib/EndpointAgent.ts
@@ -43,9 +43,9 @@
     return true;
   }
 
-  override reuseSocket(socket: Duplex): void {
-    (socket as Socket).setTimeout(0);
-    (socket as Socket).ref();
+  override reuseSocket(stream: Duplex, request: ClientRequest): void {
+    super.reuseSocket(stream, request);
+    (stream as Socket).setTimeout(0);
   }
 }
 
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -20,6 +20,12 @@
 /** Multiple of the objective without an answer after which a repeatable call goes elsewhere. */
 const SILENCE_OBJECTIVES = 2;
 
+/** Multiple of the objective after which a silent stream that others have overtaken goes elsewhere. */
+const OVERTAKEN_OBJECTIVES = 0.5;
+
+/** Interval at which a silent stream is looked at again, as a multiple of the objective. */
+const WATCH_OBJECTIVES = 0.125;
+
 /** Endpoints take no deadline of 0. */
 const MIN_DEADLINE_MS = 1;
 
@@ -90,7 +96,7 @@
   }
 
   onHead(head: AnswerHead): void {
-    this.#silenceTimer?.[Symbol.dispose]();
+    if (!head.isEventStream) this.#silenceTimer?.[Symbol.dispose]();
     if (!this.#answer) this.#answer = new Answer(this.#response, this.#context.wire);
     if (this.#answer.isStarted && !head.isEventStream) {
       this.#attempt?.reject(`stream not resumed, status ${head.status}`);
@@ -104,7 +110,11 @@
     const answer = this.#answer as Answer;
     const hadEvents = answer.hasEvents;
     const isWritable = answer.push(chunk);
-    if (answer.hasEvents && !hadEvents) this.#countRun();
+    if (answer.hasEvents && !hadEvents) {
+      this.#countRun();
+      this.#silenceTimer?.[Symbol.dispose]();
+      this.#attempt?.endpoint.begun(this.#rank, this.#attempt.startedAt);
+    }
     if (answer.isStarted && this.#firstAt === undefined) {
       this.#firstAt = this.#context.timer.now();
       this.#move('answer');
@@ -139,8 +149,7 @@
 
   /** Takes the request away from an endpoint that has fallen silent, if it may be repeated. */
   onSilence(reason: string): void {
-    const isUnread = this.#answer === undefined || this.#answer.isEventStream;
-    if (isUnread && this.#mayRepeatAfterRun()) this.#attempt?.reject(reason);
+    if (!this.#answer?.isStarted && this.#mayRepeatAfterRun()) this.#attempt?.reject(reason);
   }
 
   #onBody(body: Buffer | 'tooLarge' | 'gone'): void {
@@ -166,12 +175,12 @@
     this.#tried.add(placed.listed.id);
     this.#sends += 1;
     this.#move('send');
-    const { facts, route, workspace } = resolved;
+    const { facts, workspace } = resolved;
     const headers = context.wire.endpointHeaders(this.#request.rawHeaders, {
       endpoint: placed.listed.id,
       workspace: workspace?.name,
       deadlineMs: Math.max(MIN_DEADLINE_MS, Math.floor(this.#leftMs)),
-      rank: workspace?.rank ?? route.rank,
+      rank: this.#rank,
       bodyBytes: this.#body.length,
       resumeAfter: this.#answer?.lastEventId ?? facts.resumeAfter,
     });
@@ -183,11 +192,33 @@
       attempt: facts.attempt,
     };
     this.#attempt = new Attempt(placed, outgoing, this, context);
-    if (route.kind === 'repeatable') this.#armSilence(route.objectiveMs * SILENCE_OBJECTIVES);
+    this.#watchSilence();
+  }
+
+  /**
+   * Load pattern: an endpoint runs a request and its answer is lost, while it serves others. A
+   * stream counts as lost only once later ones have begun there, since in a burst all are slow.
+   */
+  #watchSilence(): void {
+    const { timer } = this.#context;
+    const { kind, objectiveMs } = this.#parts.resolved.route;
+    if (kind === 'repeatable') {
+      const limitMs = objectiveMs * SILENCE_OBJECTIVES;
+      this.#silenceTimer = timer.after(limitMs, () => this.onSilence('no answer'));
+    } else if (kind === 'stream' && !this.#answer?.isStarted) {
+      const look = (): void => {
+        const attempt = this.#attempt as Attempt;
+        if (attempt.endpoint.hasOvertaken(this.#rank, attempt.startedAt)) {
+          this.onSilence('overtaken without an answer');
+        } else this.#silenceTimer = timer.after(objectiveMs * WATCH_OBJECTIVES, look);
+      };
+      this.#silenceTimer = timer.after(objectiveMs * OVERTAKEN_OBJECTIVES, look);
+    }
   }
 
-  #armSilence(limitMs: number): void {
-    this.#silenceTimer = this.#context.timer.after(limitMs, () => this.onSilence('no answer'));
+  get #rank(): number {
+    const { route, workspace } = this.#parts.resolved;
+    return workspace?.rank ?? route.rank;
   }
 
   get #parts(): { context: GatewayContext; resolved: ResolvedRequest } {
--- a/packages/registry/src/lib/ConfigurationCache.ts
+++ b/packages/registry/src/lib/ConfigurationCache.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { readFile, rename, writeFile } from 'node:fs/promises';
+import { open, readFile, rename } from 'node:fs/promises';
 import type { Journal } from '@berylwood/base';
 import { Packr, Unpackr } from 'msgpackr';
 import { registryEvents } from './events';
@@ -15,8 +15,8 @@
 
 /**
  * The committed configuration that was last in force here, in a file of its own. After a restart it
- * serves requests while the replicas elect a leader. It is written without a sync: a file that a
- * loss of power has torn fails its digest and counts as missing.
+ * serves requests while the replicas elect a leader. A file that a loss of power has torn
+ * fails its digest and counts as missing.
  * @internal
  */
 export class ConfigurationCache {
@@ -59,7 +59,13 @@
         const packed = packr.pack(this.#next);
         this.#next = undefined;
         const temporary = this.#file + TEMPORARY_SUFFIX;
-        await writeFile(temporary, Buffer.concat([digest(packed), packed]));
+        const handle = await open(temporary, 'w');
+        try {
+          await handle.writeFile(Buffer.concat([digest(packed), packed]));
+          await handle.sync();
+        } finally {
+          await handle.close();
+        }
         await rename(temporary, this.#file);
       }
     } catch (error) {
