--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -13,19 +13,11 @@
 import { resolveRequest, type ResolvedRequest } from './resolveRequest';
 import type { RequestRecord } from './RequestLog';
 import { sendFailure } from './sendFailure';
+import { SilenceWatch } from './SilenceWatch';
 
 /** Time for which a caller's room is expected to take when a pool has no usable endpoint. */
 const ROOM_IN_MS = 600;
 
-/** Multiple of the objective without an answer after which a repeatable call goes elsewhere. */
-const SILENCE_OBJECTIVES = 2;
-
-/** Multiple of the objective after which a silent stream that others have overtaken goes elsewhere. */
-const OVERTAKEN_OBJECTIVES = 0.5;
-
-/** Interval at which a silent stream is looked at again, as a multiple of the objective. */
-const WATCH_OBJECTIVES = 0.125;
-
 /** Endpoints take no deadline of 0. */
 const MIN_DEADLINE_MS = 1;
 
@@ -49,7 +41,7 @@
 
   #endTimer: Disposable | undefined;
 
-  #silenceTimer: Disposable | undefined;
+  #silence: SilenceWatch | undefined;
 
   #attempt: Attempt | undefined;
 
@@ -96,7 +88,7 @@
   }
 
   onHead(head: AnswerHead): void {
-    if (!head.isEventStream) this.#silenceTimer?.[Symbol.dispose]();
+    if (!head.isEventStream) this.#silence?.[Symbol.dispose]();
     if (!this.#answer) this.#answer = new Answer(this.#response, this.#context.wire);
     if (this.#answer.isStarted && !head.isEventStream) {
       this.#attempt?.reject(`stream not resumed, status ${head.status}`);
@@ -112,7 +104,7 @@
     const isWritable = answer.push(chunk);
     if (answer.hasEvents && !hadEvents) {
       this.#countRun();
-      this.#silenceTimer?.[Symbol.dispose]();
+      this.#silence?.[Symbol.dispose]();
       this.#attempt?.endpoint.begun(this.#rank, this.#attempt.startedAt);
     }
     if (answer.isStarted && this.#firstAt === undefined) {
@@ -123,7 +115,7 @@
   }
 
   onEnd(end: AttemptEnd): void {
-    this.#silenceTimer?.[Symbol.dispose]();
+    this.#silence?.[Symbol.dispose]();
     switch (end.type) {
       case 'complete':
         this.#onComplete();
@@ -175,7 +167,7 @@
     this.#tried.add(placed.listed.id);
     this.#sends += 1;
     this.#move('send');
-    const { facts, workspace } = resolved;
+    const { facts, workspace, route } = resolved;
     const headers = context.wire.endpointHeaders(this.#request.rawHeaders, {
       endpoint: placed.listed.id,
       workspace: workspace?.name,
@@ -192,28 +184,10 @@
       attempt: facts.attempt,
     };
     this.#attempt = new Attempt(placed, outgoing, this, context);
-    this.#watchSilence();
-  }
-
-  /**
-   * Load pattern: an endpoint runs a request and its answer is lost, while it serves others. A
-   * stream counts as lost only once later ones have begun there, since in a burst all are slow.
-   */
-  #watchSilence(): void {
+    if (this.#answer?.isStarted) return;
+    const onSilence = (reason: string): void => this.onSilence(reason);
     const { timer } = this.#context;
-    const { kind, objectiveMs } = this.#parts.resolved.route;
-    if (kind === 'repeatable') {
-      const limitMs = objectiveMs * SILENCE_OBJECTIVES;
-      this.#silenceTimer = timer.after(limitMs, () => this.onSilence('no answer'));
-    } else if (kind === 'stream' && !this.#answer?.isStarted) {
-      const look = (): void => {
-        const attempt = this.#attempt as Attempt;
-        if (attempt.endpoint.hasOvertaken(this.#rank, attempt.startedAt)) {
-          this.onSilence('overtaken without an answer');
-        } else this.#silenceTimer = timer.after(objectiveMs * WATCH_OBJECTIVES, look);
-      };
-      this.#silenceTimer = timer.after(objectiveMs * OVERTAKEN_OBJECTIVES, look);
-    }
+    this.#silence = new SilenceWatch(timer, this.#attempt, route, this.#rank, onSilence);
   }
 
   get #rank(): number {
@@ -350,7 +324,7 @@
 
   #end(status: number, code: number | undefined, reason: string | undefined): void {
     this.#endTimer?.[Symbol.dispose]();
-    this.#silenceTimer?.[Symbol.dispose]();
+    this.#silence?.[Symbol.dispose]();
     const { context } = this.#parts;
     const resolved = this.#resolved;
     const record: RequestRecord = {
--- /dev/null
+++ b/packages/registry/src/lib/RegistryMachine.test.ts
@@ -0,0 +1,50 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Unpackr } from 'msgpackr';
+import { RegistryMachine, encodeCommand, type RegistryCommand } from './RegistryMachine';
+
+const unpackr = new Unpackr({ useRecords: false });
+
+function apply(machine: RegistryMachine, command: RegistryCommand): unknown {
+  return unpackr.unpack(machine.apply(1, encodeCommand(command)));
+}
+
+function configure(version: number, text: string): RegistryCommand {
+  return { type: 'configure', version, body: Buffer.from(text) };
+}
+
+function heldText(machine: RegistryMachine): string {
+  return Buffer.from(machine.configuration?.body ?? []).toString();
+}
+
+test('the highest version wins, in whatever order versions come', () => {
+  const machine = new RegistryMachine();
+  assert.deepEqual(apply(machine, configure(7, 'seven')), { isStored: true, version: 7 });
+  assert.deepEqual(apply(machine, configure(3, 'three')), { isStored: false, version: 7 });
+  assert.equal(heldText(machine), 'seven');
+});
+
+test('other content under the version held changes nothing', () => {
+  const machine = new RegistryMachine();
+  apply(machine, configure(7, 'seven'));
+  assert.deepEqual(apply(machine, configure(7, 'other')), { isStored: false, version: 7 });
+  assert.equal(heldText(machine), 'seven');
+});
+
+test('the first counts of a window are kept', () => {
+  const machine = new RegistryMachine();
+  const close = (counts: string) => apply(machine, { type: 'closeWindow', window: 12, counts });
+  assert.equal(close('{"a":1}'), '{"a":1}');
+  assert.equal(close('{"a":2}'), '{"a":1}');
+  assert.equal(machine.lastWindow, 12);
+});
+
+test('a snapshot restores configuration and windows', () => {
+  const machine = new RegistryMachine();
+  apply(machine, configure(7, 'seven'));
+  apply(machine, { type: 'closeWindow', window: 12, counts: '{}' });
+  const restored = new RegistryMachine();
+  restored.restore(machine.snapshot());
+  assert.equal(heldText(restored), 'seven');
+  assert.deepEqual([...restored.windows], [[12, '{}']]);
+});
--- /dev/null
+++ b/packages/registry/src/lib/planMembership.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createReplicaName, type MemberKind } from '@berylwood/consensus';
+import { planMembership, type MemberHealth } from './planMembership';
+
+const LIMITS = { replaceAfterMs: 3000, forgetAfterMs: 60_000 };
+
+function member(name: string, kind: MemberKind = 'voter', silenceMs = 0): MemberHealth {
+  return { replica: createReplicaName(name), kind, silenceMs };
+}
+
+test('learners become voters up to the target', () => {
+  const members = [member('a'), member('b', 'learner'), member('c', 'learner')];
+  assert.deepEqual(planMembership(members, 3, LIMITS), { replica: 'b', change: 'promote' });
+});
+
+test('one change is made at a time', () => {
+  const members = [member('a'), member('b', 'joining'), member('c', 'learner')];
+  assert.equal(planMembership(members, 3, LIMITS), undefined);
+});
+
+test('a silent voter keeps its vote while nobody can take it over', () => {
+  const members = [member('a'), member('b'), member('c', 'voter', 9000)];
+  assert.equal(planMembership(members, 3, LIMITS), undefined);
+});
+
+test('a learner takes the place of a silent voter, which becomes a learner', () => {
+  const members = [member('a'), member('b'), member('c', 'voter', 9000), member('d', 'learner')];
+  assert.deepEqual(planMembership(members, 3, LIMITS), { replica: 'd', change: 'promote' });
+  const after = [member('a'), member('b'), member('c', 'voter', 9000), member('d')];
+  assert.deepEqual(planMembership(after, 3, LIMITS), { replica: 'c', change: 'demote' });
+});
+
+test('a voter beyond the target becomes a learner', () => {
+  const members = [member('a'), member('b'), member('c'), member('d')];
+  assert.deepEqual(planMembership(members, 3, LIMITS), { replica: 'd', change: 'demote' });
+});
+
+test('a learner that has been silent for long is forgotten', () => {
+  const members = [member('a'), member('b'), member('c'), member('d', 'learner', 70_000)];
+  assert.deepEqual(planMembership(members, 3, LIMITS), { replica: 'd', change: 'remove' });
+});
