Keep prompts at the home of their shared part, by the work of all instances

A reading that leaving a home causes now weighs 40 times its own time. Conclusion: while parts are cold the cache is the capacity.

--- a/packages/gateway/src/lib/Attempt.test.ts
+++ b/packages/gateway/src/lib/Attempt.test.ts
@@ -72,6 +72,7 @@
       headers: ['Host', 'x'],
       body: Buffer.alloc(0),
       attempt: asId<'attempt'>('a-1'),
+      promptTokens: 0,
     };
     const listener = {
       onHead: (given: AnswerHead) => {
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -15,6 +15,8 @@
   readonly headers: string[];
   readonly body: Buffer;
   readonly attempt: AttemptId | undefined;
+  /** Prompt tokens that the endpoint is expected to read. */
+  readonly promptTokens: number;
 }
 
 /** The beginning of an answer. @internal */
@@ -76,6 +78,9 @@
 
   #isRefusal = false;
 
+  /** Prompt tokens that count as not read yet. */
+  #unreadTokens: number;
+
   #isOver = false;
 
   constructor(
@@ -90,7 +95,9 @@
     this.#wire = parts.wire;
     this.#timer = parts.timer;
     this.startedAt = parts.timer.now();
+    this.#unreadTokens = outgoing.promptTokens;
     endpoint.began();
+    endpoint.queue(this.#unreadTokens);
     const { host, port } = splitAddress(endpoint.listed.address);
     const { method, target, headers, body } = outgoing;
     this.#request = sendRequest({
@@ -113,6 +120,12 @@
     return this.#isSent;
   }
 
+  /** Notes that the endpoint has read the prompt. */
+  promptRead(): void {
+    this.endpoint.queue(-this.#unreadTokens);
+    this.#unreadTokens = 0;
+  }
+
   /** Breaks the attempt off; the endpoint sees its connection closed. */
   cancel(): void {
     if (this.#isOver) return;
@@ -201,6 +214,7 @@
   #finish(): void {
     this.#isOver = true;
     this.#connectTimeout?.[Symbol.dispose]();
+    this.promptRead();
     this.endpoint.ended();
   }
 }
--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -1,5 +1,5 @@
 import type { Timer } from '@berylwood/base';
-import { CircuitBreaker, type Place } from '@berylwood/policy';
+import { CircuitBreaker, type EnginePlace, type Place } from '@berylwood/policy';
 import { EndpointAgent } from './EndpointAgent';
 import type { ListedEndpoint, StatedLoad } from './Wire';
 
@@ -13,6 +13,9 @@
 /** Share of a stated load of others that is still counted after this time, in milliseconds. */
 const LOAD_HALF_LIFE_MS = 600;
 
+/** Time for which the work that the leader told counts as known, in milliseconds. */
+const SHARED_LIFE_MS = 1000;
+
 /** Requests sent within this time may begin in any order, in milliseconds. */
 const OVERTAKEN_MS = 250;
 
@@ -43,6 +46,12 @@
 
   #isLeaving = false;
 
+  /** Prompt tokens sent from here that are not known to be read yet. */
+  #unreadTokens = 0;
+
+  /** Unread tokens and requests of all other instances, as the leader last told them. */
+  #shared = { tokens: 0, requests: 0, at: -Infinity };
+
   /** By rank, the latest time at which a request was sent that has begun to run since. */
   readonly #begunSentAt = new Map<number, number>();
 
@@ -92,6 +101,35 @@
     this.#isLeaving = true;
   }
 
+  /** Prompt tokens and requests on their way from this instance. */
+  get ownWork(): { readonly tokens: number; readonly requests: number } {
+    return { tokens: this.#unreadTokens, requests: this.#inFlight };
+  }
+
+  /** Takes in the work that all other instances have on its way there. */
+  share(tokens: number, requests: number): void {
+    this.#shared = { tokens, requests, at: this.#timer.now() };
+  }
+
+  /** Notes prompt tokens that were sent, or with a negative number, that have been read. */
+  queue(tokens: number): void {
+    this.#unreadTokens += tokens;
+  }
+
+  engineView(dataCentre: string, instances: number): EnginePlace & { readonly endpoint: Endpoint } {
+    const { tokens, requests, at } = this.#shared;
+    const isFresh = this.#timer.now() - at < SHARED_LIFE_MS;
+    // Without news of the others, they are taken to do as this instance does.
+    const factor = isFresh ? 1 : instances;
+    return {
+      key: this.#listed.id,
+      queuedTokens: this.#unreadTokens * factor + (isFresh ? tokens : 0),
+      running: this.#inFlight * factor + (isFresh ? requests : 0),
+      isNear: this.#listed.dataCentre === dataCentre,
+      endpoint: this,
+    };
+  }
+
   view(dataCentre: string): Place & { readonly endpoint: Endpoint } {
     const ageMs = this.#timer.now() - this.#othersAt;
     const others = this.#others * 0.5 ** (ageMs / LOAD_HALF_LIFE_MS);
--- a/packages/gateway/src/lib/EndpointDirectory.ts
+++ b/packages/gateway/src/lib/EndpointDirectory.ts
@@ -1,4 +1,5 @@
 import type { Journal, Timer } from '@berylwood/base';
+import type { EndpointWork } from '@berylwood/registry';
 import { Endpoint } from './Endpoint';
 import { gatewayEvents } from './events';
 import type { PoolName } from './ids';
@@ -49,6 +50,23 @@
     return this.#pools.get(pool) ?? [];
   }
 
+  /** Work that this instance has on its way to endpoints. */
+  ownWork(): EndpointWork[] {
+    return [...this.#endpoints.values()].flatMap(({ listed, ownWork }): EndpointWork[] => {
+      const { tokens, requests } = ownWork;
+      return requests > 0 ? [[listed.id, Math.round(tokens), requests]] : [];
+    });
+  }
+
+  /** Takes in the work of all other instances; endpoints that aren't named have none. */
+  share(work: readonly EndpointWork[]): void {
+    const byId = new Map(work.map((item) => [item[0], item]));
+    for (const endpoint of this.#endpoints.values()) {
+      const [, tokens, requests] = byId.get(endpoint.listed.id) ?? ['', 0, 0];
+      endpoint.share(tokens, requests);
+    }
+  }
+
   /** Takes over a whole list; endpoints that it doesn't name get no more requests. */
   replace(listed: readonly ListedEndpoint[]): void {
     const before = this.#endpoints;
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -8,6 +8,7 @@
 import { gatewayEvents } from './events';
 import { exchangeTable, type ExchangeEvent } from './exchangeMachine';
 import type { GatewayContext } from './GatewayContext';
+import { Pace } from './Pace';
 import { placeRequest } from './placeRequest';
 import { readBody } from './readBody';
 import { resolveRequest, type ResolvedRequest } from './resolveRequest';
@@ -56,7 +57,7 @@
   /** Whether an endpoint may have run the request. */
   #mayHaveRun = false;
 
-  #firstAt: number | undefined;
+  readonly #pace = new Pace();
 
   constructor(context: GatewayContext, request: IncomingMessage, response: ServerResponse) {
     this.#context = context;
@@ -102,15 +103,14 @@
     const answer = this.#answer as Answer;
     const hadEvents = answer.hasEvents;
     const isWritable = answer.push(chunk);
+    if (answer.isStarted) this.#pace.mark(this.#context.timer.now());
     if (answer.hasEvents && !hadEvents) {
       this.#countRun();
       this.#silence?.[Symbol.dispose]();
+      this.#attempt?.promptRead();
       this.#attempt?.endpoint.begun(this.#rank, this.#attempt.startedAt);
     }
-    if (answer.isStarted && this.#firstAt === undefined) {
-      this.#firstAt = this.#context.timer.now();
-      this.#move('answer');
-    }
+    if (answer.isStarted && this.#life.can('answer')) this.#move('answer');
     return isWritable;
   }
 
@@ -141,7 +141,7 @@
 
   /** Takes the request away from an endpoint that has fallen silent, if it may be repeated. */
   onSilence(reason: string): void {
-    if (!this.#answer?.isStarted && this.#mayRepeatAfterRun()) this.#attempt?.reject(reason);
+    if (!this.#answer?.isStarted && this.#mayRepeat(false)) this.#attempt?.reject(reason);
   }
 
   #onBody(body: Buffer | 'tooLarge' | 'gone'): void {
@@ -164,12 +164,13 @@
       this.#giveUp(gatewayCodes.noEndpoint, 'no endpoint can take it');
       return;
     }
-    this.#tried.add(placed.listed.id);
+    const { endpoint, tokens } = placed;
+    this.#tried.add(endpoint.listed.id);
     this.#sends += 1;
     this.#move('send');
     const { facts, workspace, route } = resolved;
     const headers = context.wire.endpointHeaders(this.#request.rawHeaders, {
-      endpoint: placed.listed.id,
+      endpoint: endpoint.listed.id,
       workspace: workspace?.name,
       deadlineMs: Math.max(MIN_DEADLINE_MS, Math.floor(this.#leftMs)),
       rank: this.#rank,
@@ -182,8 +183,9 @@
       headers,
       body: this.#body,
       attempt: facts.attempt,
+      promptTokens: tokens,
     };
-    this.#attempt = new Attempt(placed, outgoing, this, context);
+    this.#attempt = new Attempt(endpoint, outgoing, this, context);
     if (this.#answer?.isStarted) return;
     const onSilence = (reason: string): void => this.onSilence(reason);
     const { timer } = this.#context;
@@ -210,40 +212,23 @@
       this.#mayHaveRun = true;
       this.#attempt?.endpoint.failed();
       this.#noteFailure('answer', `status ${answer.status}`);
-      if (this.#mayRepeatAfterRun() && this.#tryRepeat()) return;
+      if (this.#mayRepeat(false) && this.#tryRepeat()) return;
     } else this.#attempt?.endpoint.answered();
     answer.finish();
     this.#move('finish');
     this.#end(answer.status, undefined, isFailure ? 'failed at the endpoint' : undefined);
   }
 
-  #mayRepeatAfterRun(): boolean {
-    const { route } = this.#parts.resolved;
-    return mayRepeat({
-      kind: route.kind,
-      isResumable: route.isResumable,
-      isNotRun: false,
-      sends: this.#sends,
-      maxAttempts: route.maxAttempts,
-      misses: this.#misses,
-      leftMs: this.#leftMs,
-    });
+  #mayRepeat(isNotRun: boolean): boolean {
+    const { kind, isResumable, maxAttempts } = this.#parts.resolved.route;
+    const tries = { sends: this.#sends, misses: this.#misses, leftMs: this.#leftMs };
+    return mayRepeat({ kind, isResumable, maxAttempts, isNotRun, ...tries });
   }
 
   /** Sends the request to another endpoint, or ends it with a code that says what is known. */
   #repeat(code: Code, reason: string): void {
     if (this.#life.isFinal) return;
-    const { route } = this.#parts.resolved;
-    const isAllowed = mayRepeat({
-      kind: route.kind,
-      isResumable: route.isResumable,
-      isNotRun: !this.#mayHaveRun,
-      sends: this.#sends,
-      maxAttempts: route.maxAttempts,
-      misses: this.#misses,
-      leftMs: this.#leftMs,
-    });
-    if (isAllowed && this.#tryRepeat()) return;
+    if (this.#mayRepeat(!this.#mayHaveRun) && this.#tryRepeat()) return;
     this.#giveUp(code, reason);
   }
 
@@ -337,7 +322,9 @@
       code,
       reason,
       sends: this.#sends,
-      firstMs: this.#firstAt === undefined ? undefined : this.#firstAt - this.#arrivedAt,
+      firstMs: this.#pace.firstAt && this.#pace.firstAt - this.#arrivedAt,
+      pauseMs: this.#pace.longestPauseMs,
+      promptTokens: resolved?.facts.promptTokens,
       totalMs: context.timer.now() - this.#arrivedAt,
       deadlineMs: resolved?.facts.deadlineMs,
       version: resolved?.table.version,
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -46,6 +46,9 @@
 
 const TICK_MS = 100;
 
+/** Interval at which instances tell each other their work, in milliseconds: a few engine steps. */
+const SHARE_MS = 100;
+
 /** Routes requests of callers to the endpoints of pools, by a configuration from the registry. @public */
 export class Gateway extends Task {
   readonly name = 'gateway';
@@ -125,6 +128,9 @@
     await this.#front.listen(settings.callers);
     if (settings.operators) await this.#operators.listen(settings.operators);
     this.#list?.open();
+    this.#mesh.onWork = (work) => this.#directory.share(work);
+    const share = (): void => this.#mesh.shareWork(this.#directory.ownWork());
+    this.store.add(this.#options.timer.every(SHARE_MS, share));
     await this.#mesh.open();
     await this.#registry?.open();
     this.#reportUsage();
--- a/packages/gateway/src/lib/RequestLog.ts
+++ b/packages/gateway/src/lib/RequestLog.ts
@@ -20,6 +20,9 @@
   /** Endpoints that may have got bytes of it. */
   readonly sends: number;
   readonly firstMs: number | undefined;
+  /** Longest pause between parts of the answer, in milliseconds. */
+  readonly pauseMs: number;
+  readonly promptTokens: number | undefined;
   readonly totalMs: number;
   /** Time that the caller gave, in milliseconds. */
   readonly deadlineMs: number | undefined;
--- a/packages/gateway/src/lib/placeRequest.ts
+++ b/packages/gateway/src/lib/placeRequest.ts
@@ -1,7 +1,24 @@
-import { choosePlace } from '@berylwood/policy';
+import { chooseEngine, choosePlace, type PromptCost } from '@berylwood/policy';
 import type { Endpoint } from './Endpoint';
 import type { GatewayContext } from './GatewayContext';
 import type { ResolvedRequest } from './resolveRequest';
+import type { RequestFacts } from './Wire';
+
+/** An endpoint chosen for a request. @internal */
+export interface Placement {
+  readonly endpoint: Endpoint;
+  /** Prompt tokens that it is expected to read; 0 for plain services. */
+  readonly tokens: number;
+}
+
+/** The last part of a prompt belongs to the request alone, the one before it is shared by many. */
+function costOf({ prompt, promptTokens }: RequestFacts): PromptCost {
+  const shared = prompt.at(-2);
+  const listed = prompt.reduce((sum, { tokens }) => sum + tokens, 0);
+  const own = prompt.at(-1)?.tokens ?? 0;
+  const ownTokens = own + Math.max(0, promptTokens - listed);
+  return { sharedPart: shared?.id, sharedTokens: shared?.tokens ?? 0, ownTokens };
+}
 
 /**
  * Chooses an endpoint for a request among those that can be used. When all are spared, any that
@@ -10,16 +27,23 @@
  */
 export function placeRequest(
   context: GatewayContext,
-  { route, facts, target }: ResolvedRequest,
+  { route, facts, target, table }: ResolvedRequest,
   tried: ReadonlySet<string>,
-): Endpoint | undefined {
-  const untried = context.directory
+): Placement | undefined {
+  const { directory, random, dataCentre } = context;
+  const untried = directory
     .of(target)
     .filter((endpoint) => !tried.has(endpoint.listed.id) && endpoint.hasRoom);
   const usable = untried.filter(({ isUsable }) => isUsable);
   const candidates = usable.length > 0 ? usable : untried.filter(({ isStaying }) => isStaying);
-  const places = candidates.map((endpoint) => endpoint.view(context.dataCentre));
-  // The last part belongs to the request alone, unless it is the only one.
-  const shared = route.hasAffinity ? (facts.prompt.at(-2) ?? facts.prompt.at(-1)) : undefined;
-  return choosePlace(places, shared?.id, context.random.next())?.endpoint;
+  if (!route.hasAffinity || !table.findPool(target)?.engine) {
+    const places = candidates.map((endpoint) => endpoint.view(dataCentre));
+    const place = choosePlace(places, random.next());
+    return place && { endpoint: place.endpoint, tokens: 0 };
+  }
+  const places = candidates.map((endpoint) =>
+    endpoint.engineView(dataCentre, directory.instances()),
+  );
+  const choice = chooseEngine(places, costOf(facts), random.next());
+  return choice && { endpoint: choice.place.endpoint, tokens: choice.tokens };
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -55,4 +55,12 @@
   type Place,
   type PlacementOptions,
 } from './lib/placement/choosePlace';
+export {
+  ENGINE_OPTIONS,
+  chooseEngine,
+  type EngineChoice,
+  type EngineOptions,
+  type EnginePlace,
+  type PromptCost,
+} from './lib/placement/chooseEngine';
 export { retryAfterMs } from './lib/placement/retryAfter';
--- /dev/null
+++ b/packages/policy/src/lib/placement/chooseEngine.ts
@@ -0,0 +1,98 @@
+import { rankHomes } from './choosePlace';
+
+/** A model engine as a candidate for a request. @public */
+export interface EnginePlace {
+  /** Key for the ranking by hash; the same on all instances. */
+  readonly key: string;
+  /** Prompt tokens that all instances have sent there and that are not read yet, as estimated. */
+  readonly queuedTokens: number;
+  /** Requests that run there. */
+  readonly running: number;
+  /** Whether it lies in the data centre of the instance that asks. */
+  readonly isNear: boolean;
+}
+
+/** A prompt as the placement sees it. @public */
+export interface PromptCost {
+  /** The longest part that other requests share; undefined without one. */
+  readonly sharedPart: string | undefined;
+  /** Tokens of that part, which an engine reads unless it keeps them. */
+  readonly sharedTokens: number;
+  /** Tokens that any engine has to read. */
+  readonly ownTokens: number;
+}
+
+/** Options of the placement. @public */
+export interface EngineOptions {
+  /** Prompt tokens read in one step of a batch. */
+  readonly chunkTokens: number;
+  /** Time of a step with one chunk, in milliseconds. */
+  readonly stepMs: number;
+  /** Growth of a step by each request that runs, in milliseconds. */
+  readonly stepMsPerRequest: number;
+  /** Endpoints, in the order of their rank, that may have read a shared part, and how probably. */
+  readonly warmth: readonly number[];
+  /**
+   * Weight of tokens that are read once more because a prompt leaves its home: they delay all that
+   * is queued behind them, too.
+   */
+  readonly rereadWeight: number;
+  /** Lead that a far engine must have, in milliseconds: traffic between data centres costs. */
+  readonly farMs: number;
+}
+
+/** Defaults; the times of a step are those of the engines' data sheet. @public */
+export const ENGINE_OPTIONS: EngineOptions = {
+  chunkTokens: 1024,
+  stepMs: 15.5,
+  stepMsPerRequest: 0.11,
+  warmth: [1, 0.5, 0.25],
+  rereadWeight: 40,
+  farMs: 0,
+};
+
+/** Tokens that an engine will read for a prompt, given the chance that it keeps the shared part. */
+function tokensToRead({ ownTokens, sharedTokens }: PromptCost, warmth: number): number {
+  return ownTokens + sharedTokens * (1 - warmth);
+}
+
+/** The choice of an engine, and the tokens it is expected to read. @public */
+export interface EngineChoice<P extends EnginePlace> {
+  readonly place: P;
+  readonly tokens: number;
+  /** Expected time until the prompt is read there, in milliseconds. */
+  readonly readMs: number;
+}
+
+/**
+ * Chooses the engine that will have read the prompt first. Load pattern: bursts of long prompts of
+ * which large parts are shared and few are warm yet. An engine's queue is counted in tokens to read
+ * over all instances, since prompts differ by a factor of a hundred; leaving the home of a shared
+ * part costs its reading, so that a prompt moves only when the queue it escapes is longer.
+ * @param draw uniform in [0, 1): spreads ties over the instances that decide at the same time
+ * @public
+ */
+export function chooseEngine<P extends EnginePlace>(
+  places: readonly P[],
+  prompt: PromptCost,
+  draw: number,
+  options: EngineOptions = ENGINE_OPTIONS,
+): EngineChoice<P> | undefined {
+  const { sharedPart, sharedTokens } = prompt;
+  const hasShared = sharedPart !== undefined && sharedTokens > 0;
+  const homes = hasShared ? rankHomes(places, sharedPart, options.warmth.length) : [];
+  const start = Math.floor(draw * places.length);
+  let best: (EngineChoice<P> & { costMs: number }) | undefined;
+  for (let step = 0; step < places.length; step += 1) {
+    const place = places[(start + step) % places.length] as P;
+    const rank = homes.indexOf(place);
+    const tokens = tokensToRead(prompt, rank < 0 ? 0 : (options.warmth[rank] ?? 0));
+    const tokenMs =
+      (options.stepMs + options.stepMsPerRequest * place.running) / options.chunkTokens;
+    const readMs = (place.queuedTokens + tokens) * tokenMs;
+    const rereadMs = (tokens - prompt.ownTokens) * (options.rereadWeight - 1) * tokenMs;
+    const costMs = readMs + rereadMs + (place.isNear ? 0 : options.farMs);
+    if (!best || costMs < best.costMs) best = { place, tokens, readMs, costMs };
+  }
+  return best;
+}
--- a/packages/policy/src/lib/placement/choosePlace.ts
+++ b/packages/policy/src/lib/placement/choosePlace.ts
@@ -12,23 +12,12 @@
 
 /** Options of the placement. @public */
 export interface PlacementOptions {
-  /** Endpoints that may keep the same prompt warm. */
-  readonly homes: number;
-  /** Load of a home, as a multiple of the mean, above which the next one is tried. */
-  readonly homeLoadFactor: number;
-  /** Requests above that multiple which don't matter: the mean is noisy when little runs. */
-  readonly homeLoadSlack: number;
   /** Lead that a far endpoint must have over a near one, as a share of its slots. */
   readonly farPenalty: number;
 }
 
-/** Defaults, by trials on recorded loads: see docs/design/platform.md. @public */
-export const PLACEMENT: PlacementOptions = {
-  homes: 3,
-  homeLoadFactor: 1.5,
-  homeLoadSlack: 2,
-  farPenalty: 0,
-};
+/** Defaults. @public */
+export const PLACEMENT: PlacementOptions = { farPenalty: 0 };
 
 /** 32-bit FNV-1a with a final mix: ranks places by prompt the same way on all instances. */
 function hash(text: string): number {
@@ -44,7 +33,7 @@
 }
 
 /** The places that keep a prompt warm, best first (rendezvous hashing). @public */
-export function rankHomes<P extends Place>(
+export function rankHomes<P extends { readonly key: string }>(
   places: readonly P[],
   prompt: string,
   count: number,
@@ -56,10 +45,16 @@
     .map(([, place]) => place);
 }
 
-function leastLoaded<P extends Place>(
+/**
+ * Chooses an endpoint of a plain service: the one with most room for its size. Load pattern: short
+ * calls that many instances send at the same time.
+ * @param draw uniform in [0, 1): spreads ties over the instances that decide at the same time
+ * @public
+ */
+export function choosePlace<P extends Place>(
   places: readonly P[],
-  options: PlacementOptions,
   draw: number,
+  options: PlacementOptions = PLACEMENT,
 ): P | undefined {
   const start = Math.floor(draw * places.length);
   let best: P | undefined;
@@ -74,27 +69,3 @@
   }
   return best;
 }
-
-/**
- * Chooses an endpoint. Load pattern: many callers share long prompt parts, of which some are hot. A
- * shared part goes to the few endpoints that rank highest for it, so that it is read once there;
- * when these carry clearly more than the mean, the least loaded endpoint takes the request, so that
- * a hot part doesn't delay what else runs at its homes.
- * @param prompt the longest shared part of the prompt, or undefined without one
- * @param draw uniform in [0, 1): spreads ties over the instances that decide at the same time
- * @public
- */
-export function choosePlace<P extends Place>(
-  places: readonly P[],
-  prompt: string | undefined,
-  draw: number,
-  options: PlacementOptions = PLACEMENT,
-): P | undefined {
-  if (prompt !== undefined) {
-    const mean = places.reduce((sum, { load }) => sum + load, 0) / places.length;
-    const limit = options.homeLoadFactor * mean + options.homeLoadSlack;
-    const home = rankHomes(places, prompt, options.homes).find(({ load }) => load < limit);
-    if (home) return home;
-  }
-  return leastLoaded(places, options, draw);
-}
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -11,6 +11,7 @@
 export { Registry, type RegistryOptions } from './lib/Registry';
 export { planMembership, type MemberHealth, type MembershipStep } from './lib/planMembership';
 export { Mesh, type MeshOptions } from './lib/Mesh';
+export type { EndpointWork } from './lib/MeshMessage';
 export { UsageLedger, type WindowCounts } from './lib/UsageLedger';
 export { FleetClock } from './lib/FleetClock';
 export { registryCodes } from './lib/codes';
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -3,11 +3,21 @@
 import { ok, type Result } from 'neverthrow';
 import { registryCodes } from './codes';
 import { registryEvents } from './events';
+import { CALL_MS, ConfigurationFetcher } from './ConfigurationFetcher';
 import type { FleetClock } from './FleetClock';
-import { statusSchema, upwardSchema, type Report, type Status, type Upward } from './MeshMessage';
+import {
+  downwardSchema,
+  upwardSchema,
+  type Downward,
+  type EndpointWork,
+  type Report,
+  type Status,
+  type Upward,
+} from './MeshMessage';
 import type { Registry } from './Registry';
 import type { ConfigureOutcome, StoredConfiguration } from './RegistryMachine';
 import type { UsageLedger } from './UsageLedger';
+import { WorkBoard } from './WorkBoard';
 
 /** Options of the mesh of one instance. @public */
 export interface MeshOptions {
@@ -30,9 +40,6 @@
 /** Interval of statuses and reports: a few hundred bytes each. */
 const STATUS_MS = 400;
 
-/** Callers of the operator's interface give up after a second. */
-const CALL_MS = 900;
-
 /** A silent link is replaced well within the time that a configuration may take to arrive. */
 const KEEP_ALIVE_MS = 400;
 const SILENCE_MS = 1200;
@@ -44,7 +51,7 @@
 const KEPT_WINDOWS = 120;
 
 interface Peer {
-  readonly dialer: Dialer<Upward, Status>;
+  readonly dialer: Dialer<Upward, Downward>;
   status: Status | undefined;
 }
 
@@ -57,18 +64,23 @@
   /** Called with each newer configuration. */
   onConfiguration: (configuration: StoredConfiguration) => void = () => {};
 
+  /** Called with the work that all other instances have handed to endpoints. */
+  onWork: (endpoints: readonly EndpointWork[]) => void = () => {};
+
   readonly #options: MeshOptions;
 
+  readonly #board = new WorkBoard<Link<Downward, Upward> | 'own'>();
+
   readonly #store = new DisposableStore();
 
   readonly #peers = new Map<string, Peer>();
 
   /** Links of instances that have dialled this one, with their addresses once known. */
-  readonly #incoming = new Map<Link<Status, Upward>, string>();
+  readonly #incoming = new Map<Link<Downward, Upward>, string>();
 
   #configuration: StoredConfiguration | undefined;
 
-  #isFetching = false;
+  readonly #fetcher: ConfigurationFetcher;
 
   #instances = 0;
 
@@ -76,7 +88,8 @@
 
   constructor(options: MeshOptions) {
     this.#options = options;
-    const { registry, timer } = options;
+    const { registry, timer, journal } = options;
+    this.#fetcher = new ConfigurationFetcher(journal, (newer) => this.#adopt(newer));
     if (registry) {
       registry.machine.onConfiguration = (configuration) => this.#adopt(configuration);
       registry.onRole = () => this.#announce();
@@ -97,7 +110,7 @@
   serve(server: LinkServer): void {
     const { timer, journal } = this.#options;
     const times = { keepAliveMs: KEEP_ALIVE_MS, silenceMs: SILENCE_MS };
-    server.accept<Status, Upward>(
+    server.accept<Downward, Upward>(
       PATH,
       { timer, journal, schema: upwardSchema, ...times },
       (link) => this.#accept(link),
@@ -126,6 +139,19 @@
     return answer.map((configuration) => configuration ?? undefined);
   }
 
+  /** Tells the work that this instance has handed over; the leader tells all others the sums. */
+  shareWork(endpoints: readonly EndpointWork[]): void {
+    if (!this.#options.registry?.isLeader) {
+      this.#leaderPeer?.dialer.link?.send({ type: 'work', endpoints });
+      return;
+    }
+    this.#board.set('own', endpoints);
+    this.onWork(this.#board.othersOf('own'));
+    for (const [link, instance] of this.#incoming) {
+      if (instance !== '') link.send({ type: 'work', endpoints: this.#board.othersOf(link) });
+    }
+  }
+
   [Symbol.dispose](): void {
     this.#store[Symbol.dispose]();
     for (const { dialer } of this.#peers.values()) dialer[Symbol.dispose]();
@@ -145,17 +171,21 @@
     return leaders.sort((a, b) => (b.status?.term ?? 0) - (a.status?.term ?? 0))[0];
   }
 
-  #accept(link: Link<Status, Upward>): void {
+  #accept(link: Link<Downward, Upward>): void {
     this.#incoming.set(link, '');
-    link.onClose = () => this.#incoming.delete(link);
+    link.onClose = () => {
+      this.#incoming.delete(link);
+      this.#board.forget(link);
+    };
     link.onMessage = (message) => {
       if (message.type === 'report') this.#takeReport(link, message);
+      else if (message.type === 'work') this.#board.set(link, message.endpoints);
     };
     link.onCall = (message) => this.#answer(message);
     link.send(this.#status());
   }
 
-  #takeReport(link: Link<Status, Upward>, { instance, source, wallMs, windows }: Report): void {
+  #takeReport(link: Link<Downward, Upward>, { instance, source, wallMs, windows }: Report): void {
     this.#incoming.set(link, instance);
     if (!this.#options.registry?.isLeader) return;
     this.#options.clock.observe(instance, wallMs);
@@ -219,18 +249,13 @@
       this.#instances = new Set([...this.#incoming.values(), this.#options.address, '']).size - 1;
       usage.forget(registry.machine.lastWindow);
     }
-    usage.forget(this.#lastWindowOfUse - KEPT_WINDOWS);
+    usage.forget(usage.latest - KEPT_WINDOWS);
     this.#announce();
     this.#dialMissing();
     this.#report();
     this.#noteLeader();
   }
 
-  get #lastWindowOfUse(): number {
-    const windows = this.#options.usage.since(this.#options.source, -1).map(([window]) => window);
-    return Math.max(0, ...windows);
-  }
-
   #report(): void {
     const peer = this.#leaderPeer;
     if (!peer?.dialer.link || !peer.status) return;
@@ -256,13 +281,13 @@
     wanted.delete(address);
     for (const target of wanted) {
       if (this.#peers.has(target)) continue;
-      const dialer = new Dialer<Upward, Status>({
+      const dialer = new Dialer<Upward, Downward>({
         addresses: [target],
         path: PATH,
         connectMs: CONNECT_MS,
         timer,
         journal,
-        schema: statusSchema,
+        schema: downwardSchema,
         keepAliveMs: KEEP_ALIVE_MS,
         silenceMs: SILENCE_MS,
       });
@@ -283,44 +308,24 @@
     }
   }
 
-  #opened(peer: Peer, link: Link<Upward, Status>): void {
-    link.onMessage = (status) => this.#takeStatus(peer, link, status);
+  #opened(peer: Peer, link: Link<Upward, Downward>): void {
+    link.onMessage = (message) => {
+      if (message.type === 'status') this.#takeStatus(peer, link, message);
+      else if (peer === this.#leaderPeer) this.onWork(message.endpoints);
+    };
     link.onClose = () => {
       peer.status = undefined;
     };
     this.#report();
   }
 
-  #takeStatus(peer: Peer, link: Link<Upward, Status>, status: Status): void {
+  #takeStatus(peer: Peer, link: Link<Upward, Downward>, status: Status): void {
     peer.status = status;
     if (status.isLeader && peer === this.#leaderPeer && !this.#options.registry?.isLeader) {
       this.#instances = Math.max(1, status.instances);
       this.#options.clock.follow(status.timeMs);
       this.#options.usage.forget(status.closedWindow);
     }
-    if (status.version > (this.#configuration?.version ?? -1)) this.#fetch(link);
-  }
-
-  #fetch(link: Link<Upward, Status>): void {
-    if (this.#isFetching) return;
-    this.#isFetching = true;
-    link
-      .call<StoredConfiguration | null>({ type: 'fetch' }, CALL_MS)
-      .then((answer) => {
-        this.#isFetching = false;
-        if (answer.isOk() && answer.value) {
-          const { version, body } = answer.value;
-          if (Number.isSafeInteger(version) && body instanceof Uint8Array)
-            this.#adopt(answer.value);
-          return;
-        }
-        const error = answer.isErr() ? answer.error.message : 'the other end holds none';
-        this.#options.journal.record(registryEvents.fetchFailed, { peer: link.peer, error });
-      })
-      .catch((error: unknown) => {
-        this.#isFetching = false;
-        const fields = { peer: link.peer, error: String(error) };
-        this.#options.journal.record(registryEvents.fetchFailed, fields);
-      });
+    if (status.version > (this.#configuration?.version ?? -1)) this.#fetcher.fetch(link);
   }
 }
--- a/packages/registry/src/lib/MeshMessage.ts
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -31,8 +31,20 @@
   readonly type: 'readNewest';
 }
 
+/** Work that is on its way to one endpoint: its id, tokens to be read, and requests. @public */
+export type EndpointWork = readonly [endpoint: string, tokens: number, requests: number];
+
+/** Work that an instance has handed to endpoints; from the leader, that of all other instances. */
+interface Work {
+  readonly type: 'work';
+  readonly endpoints: readonly EndpointWork[];
+}
+
+/** @internal */
+export type Upward = Report | Fetch | Configure | ReadNewest | Work;
+
 /** @internal */
-export type Upward = Report | Fetch | Configure | ReadNewest;
+export type Downward = Status | Work;
 
 /** What an instance tells those that have dialled it. @internal */
 export interface Status {
@@ -66,6 +78,19 @@
   );
 }
 
+function isWork({ endpoints }: Record<string, unknown>): boolean {
+  return (
+    Array.isArray(endpoints) &&
+    endpoints.every(
+      (item) =>
+        Array.isArray(item) &&
+        typeof item[0] === 'string' &&
+        Number.isFinite(item[1]) &&
+        Number.isFinite(item[2]),
+    )
+  );
+}
+
 /** @internal */
 export const upwardSchema = z.custom<Upward>((value) => {
   if (!isRecord(value)) return false;
@@ -74,14 +99,18 @@
       return isReport(value);
     case 'configure':
       return isCount(value.version) && value.body instanceof Uint8Array;
+    case 'work':
+      return isWork(value);
     default:
       return value.type === 'fetch' || value.type === 'readNewest';
   }
 }, 'expected a message of an instance');
 
 /** @internal */
-export const statusSchema = z.custom<Status>((value) => {
-  if (!isRecord(value) || value.type !== 'status') return false;
+export const downwardSchema = z.custom<Downward>((value) => {
+  if (!isRecord(value)) return false;
+  if (value.type === 'work') return isWork(value);
+  if (value.type !== 'status') return false;
   const { version, isLeader, term, members, instances, closedWindow, timeMs } = value;
   return (
     [version, term, instances, closedWindow].every(isCount) &&
@@ -90,4 +119,4 @@
     Array.isArray(members) &&
     members.every((item) => typeof item === 'string')
   );
-}, 'expected a status');
+}, 'expected a status or work');
--- a/packages/registry/src/lib/UsageLedger.ts
+++ b/packages/registry/src/lib/UsageLedger.ts
@@ -9,7 +9,12 @@
 export class UsageLedger {
   readonly #windows = new Map<number, Map<string, WindowCounts>>();
 
-  /** Adds requests of this instance. */
+  /** Number of the latest window with counts; 0 without one. */
+  get latest(): number {
+    return Math.max(0, ...this.#windows.keys());
+  }
+
+  /** Adds a request of this instance. */
   add(source: string, window: number, workspace: string): void {
     const counts = this.#of(window, source);
     counts[workspace] = (counts[workspace] ?? 0) + 1;
--- /dev/null
+++ b/packages/registry/src/lib/WorkBoard.ts
@@ -0,0 +1,31 @@
+import type { EndpointWork } from './MeshMessage';
+
+/**
+ * Work on its way to endpoints, by the instance that has handed it over. Each instance is told the
+ * sum of all others, since it knows its own work better.
+ * @internal
+ */
+export class WorkBoard<Source> {
+  readonly #sources = new Map<Source, readonly EndpointWork[]>();
+
+  set(source: Source, endpoints: readonly EndpointWork[]): void {
+    this.#sources.set(source, endpoints);
+  }
+
+  forget(source: Source): void {
+    this.#sources.delete(source);
+  }
+
+  /** The work of all sources but one. */
+  othersOf(source: Source): EndpointWork[] {
+    const sums = new Map<string, [number, number]>();
+    for (const [other, endpoints] of this.#sources) {
+      if (other === source) continue;
+      for (const [endpoint, tokens, requests] of endpoints) {
+        const sum = sums.get(endpoint) ?? [0, 0];
+        sums.set(endpoint, [sum[0] + tokens, sum[1] + requests]);
+      }
+    }
+    return [...sums].map(([endpoint, [tokens, requests]]) => [endpoint, tokens, requests]);
+  }
+}
