Wait for cut-off instances before a usage window is closed

Reports are due 10 s after the end, so the leader now waits up to 7 s for every replica and every instance that has reported to it.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -239,7 +239,7 @@
     const { usageWindowS: windowS, dutyPauseMs: pauseMs } = settings;
     const registry = this.#registry;
     if (!registry || !platform || windowS === undefined) return;
-    const parts = { registry, platform, timer, journal, windowS, pauseMs };
+    const parts = { registry, mesh: this.#mesh, platform, timer, journal, windowS, pauseMs };
     this.store.add(new UsageReporter({ ...parts, usage: this.#usage, clock: this.#clock }));
   }
 
--- a/packages/gateway/src/lib/UsageReporter.ts
+++ b/packages/gateway/src/lib/UsageReporter.ts
@@ -1,5 +1,5 @@
 import { DisposableStore, type Journal, type Timer } from '@berylwood/base';
-import type { FleetClock, Registry, UsageLedger } from '@berylwood/registry';
+import type { FleetClock, Mesh, Registry, UsageLedger } from '@berylwood/registry';
 import { gatewayCodes } from './codes';
 import { gatewayEvents } from './events';
 import type { PlatformCalls } from './Wire';
@@ -7,6 +7,7 @@
 /** @internal */
 export interface UsageReporterOptions {
   readonly registry: Registry;
+  readonly mesh: Mesh;
   readonly usage: UsageLedger;
   readonly clock: FleetClock;
   readonly platform: PlatformCalls;
@@ -18,12 +19,18 @@
 }
 
 /** Time after a window's end for the last counts of all instances to arrive, in milliseconds. */
-const SETTLE_MS = 2500;
+const SETTLE_MS = 2000;
+
+/** Longest wait for an instance that is cut off; reports are due ten seconds after the window. */
+const MAX_SETTLE_MS = 7000;
+
+/** Time after a window's end from which a report holds all of it, in milliseconds. */
+const REPORT_MARGIN_MS = 500;
 
 const TICK_MS = 500;
 
 /** Windows that a new leader reports again, since their reports may not have arrived. */
-const REPEATED_WINDOWS = 2;
+const REPEATED_WINDOWS = 3;
 
 /** Windows that are closed late after a pause of leadership. */
 const MAX_OVERDUE = 12;
@@ -84,26 +91,40 @@
   }
 
   async #work(term: number): Promise<void> {
+    await this.#closeWindows();
+    await this.#reportWindows(term);
+  }
+
+  async #closeWindows(): Promise<void> {
     const { registry, clock, usage } = this.#options;
     const last = this.#windowAt(clock.now() - SETTLE_MS) - 1;
     const closed = registry.machine.lastWindow;
     const from = closed < 0 ? this.#startedWindow : Math.max(closed + 1, last - MAX_OVERDUE);
     for (let window = from; window <= last; window += 1) {
+      if (!this.#isSettled(window)) return;
       const counts = JSON.stringify(usage.total(window));
       const frozen = await registry.closeWindow(window, counts);
       if (frozen.isErr()) return;
     }
-    const due = [...registry.machine.windows]
-      .slice(-MAX_OVERDUE)
-      .filter(
-        ([window]) => window > last - REPEATED_WINDOWS - MAX_OVERDUE && !this.#reported.has(window),
-      );
+  }
+
+  async #reportWindows(term: number): Promise<void> {
+    const { registry } = this.#options;
+    const latest = [...registry.machine.windows].slice(-REPEATED_WINDOWS);
+    const due = latest.filter(([window]) => !this.#reported.has(window));
     for (const [window, counts] of due) {
       if (!registry.isLeader || registry.term !== term) return;
       await this.#report(window, counts, term);
     }
   }
 
+  /** Whether the counts of a window have come from all instances, or are waited for no longer. */
+  #isSettled(window: number): boolean {
+    const { mesh, clock, windowS } = this.#options;
+    const endMs = (window + 1) * windowS * 1000;
+    return mesh.haveAllReported(endMs + REPORT_MARGIN_MS) || clock.now() - endMs >= MAX_SETTLE_MS;
+  }
+
   async #report(window: number, counts: string, fence: number): Promise<void> {
     const { platform, journal } = this.#options;
     const parsed = JSON.parse(counts) as Record<string, number>;
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -15,6 +15,7 @@
   type Upward,
 } from './MeshMessage';
 import type { Registry } from './Registry';
+import { ReportTimes } from './ReportTimes';
 import type { ConfigureOutcome, StoredConfiguration } from './RegistryMachine';
 import type { UsageLedger } from './UsageLedger';
 import { WorkBoard } from './WorkBoard';
@@ -84,6 +85,8 @@
 
   #instances = 0;
 
+  readonly #reports = new ReportTimes();
+
   #leader = '';
 
   constructor(options: MeshOptions) {
@@ -139,6 +142,16 @@
     return answer.map((configuration) => configuration ?? undefined);
   }
 
+  /**
+   * Whether every instance has reported to this leader since a fleet time, as far as it knows them:
+   * those that have reported before, and the replicas, which may be cut off.
+   */
+  haveAllReported(sinceMs: number): boolean {
+    const { address, registry } = this.#options;
+    const others = (registry?.members ?? []).filter((member) => member !== address);
+    return this.#reports.haveAllCome(others, sinceMs);
+  }
+
   /** Tells the work that this instance has handed over; the leader tells all others the sums. */
   shareWork(endpoints: readonly EndpointWork[]): void {
     if (!this.#options.registry?.isLeader) {
@@ -189,6 +202,7 @@
     this.#incoming.set(link, instance);
     if (!this.#options.registry?.isLeader) return;
     this.#options.clock.observe(instance, wallMs);
+    this.#reports.note(instance, this.#options.clock.now());
     const closed = this.#options.registry.machine.lastWindow;
     for (const [window, counts] of windows) {
       if (window > closed) this.#options.usage.report(source, window, counts);
@@ -248,7 +262,8 @@
       clock.settle();
       this.#instances = new Set([...this.#incoming.values(), this.#options.address, '']).size - 1;
       usage.forget(registry.machine.lastWindow);
-    }
+      this.#reports.forgetGone(clock.now());
+    } else this.#reports.clear();
     usage.forget(usage.latest - KEPT_WINDOWS);
     this.#announce();
     this.#dialMissing();
