Let instances learn of replicas from those that dial them; keep the last configuration through a loss of power

Cause: after the seeds had been exchanged for instances without a disk, a restart of all left these without any address of a replica, so they served nothing until an operator's change. The kept configuration was 21 versions old after a loss of power: its folder had not been synced.

--- a/packages/registry/src/lib/ConfigurationCache.ts
+++ b/packages/registry/src/lib/ConfigurationCache.ts
@@ -1,11 +1,11 @@
 import { createHash } from 'node:crypto';
-import { open, readFile, rename } from 'node:fs/promises';
 import type { Journal } from '@berylwood/base';
+import { FileDisk } from '@berylwood/consensus';
 import { Packr, Unpackr } from 'msgpackr';
 import { registryEvents } from './events';
 import type { StoredConfiguration } from './RegistryMachine';
 
-const TEMPORARY_SUFFIX = '.tmp';
+const FILE = 'configuration.cache';
 const DIGEST_BYTES = 32;
 
 const packr = new Packr({ useRecords: false });
@@ -15,12 +15,14 @@
 
 /**
  * The committed configuration that was last in force here, in a file of its own. After a restart it
- * serves requests while the replicas elect a leader. A file that a loss of power has torn
- * fails its digest and counts as missing.
+ * serves requests while the replicas elect a leader. A file that is damaged fails its digest and
+ * counts as missing.
  * @internal
  */
 export class ConfigurationCache {
-  readonly #file: string;
+  readonly #folder: string;
+
+  #disk: FileDisk | undefined;
 
   readonly #journal: Journal;
 
@@ -28,14 +30,15 @@
 
   #isWriting = false;
 
-  constructor(file: string, journal: Journal) {
-    this.#file = file;
+  constructor(folder: string, journal: Journal) {
+    this.#folder = folder;
     this.#journal = journal;
   }
 
   async read(): Promise<StoredConfiguration | undefined> {
     try {
-      const bytes = await readFile(this.#file);
+      const disk = await this.#open();
+      const bytes = Buffer.from(await disk.read(FILE));
       const packed = bytes.subarray(DIGEST_BYTES);
       if (!digest(packed).equals(bytes.subarray(0, DIGEST_BYTES))) return undefined;
       return unpackr.unpack(packed) as StoredConfiguration;
@@ -58,19 +61,17 @@
       while (this.#next) {
         const packed = packr.pack(this.#next);
         this.#next = undefined;
-        const temporary = this.#file + TEMPORARY_SUFFIX;
-        const handle = await open(temporary, 'w');
-        try {
-          await handle.writeFile(Buffer.concat([digest(packed), packed]));
-          await handle.sync();
-        } finally {
-          await handle.close();
-        }
-        await rename(temporary, this.#file);
+        const disk = await this.#open();
+        await disk.replace(FILE, Buffer.concat([digest(packed), packed]));
       }
     } catch (error) {
       this.#journal.record(registryEvents.cacheFailed, { error: String(error) });
     }
     this.#isWriting = false;
   }
+
+  async #open(): Promise<FileDisk> {
+    this.#disk ??= await FileDisk.open(this.#folder);
+    return this.#disk;
+  }
 }
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -3,6 +3,7 @@
 import { ok, type Result } from 'neverthrow';
 import { registryCodes } from './codes';
 import { registryEvents } from './events';
+import { AddressBook } from './AddressBook';
 import { CALL_MS, ConfigurationFetcher } from './ConfigurationFetcher';
 import type { FleetClock } from './FleetClock';
 import {
@@ -87,11 +88,14 @@
 
   readonly #reports = new ReportTimes();
 
+  readonly #addresses: AddressBook;
+
   #leader = '';
 
   constructor(options: MeshOptions) {
     this.#options = options;
     const { registry, timer, journal } = options;
+    this.#addresses = new AddressBook(options);
     this.#fetcher = new ConfigurationFetcher(journal, (newer) => this.#adopt(newer));
     if (registry) {
       registry.machine.onConfiguration = (configuration) => this.#adopt(configuration);
@@ -193,6 +197,7 @@
     link.onMessage = (message) => {
       if (message.type === 'report') this.#takeReport(link, message);
       else if (message.type === 'work') this.#board.set(link, message.endpoints);
+      else if (message.type === 'hello') this.#addresses.learn(message.members);
     };
     link.onCall = (message) => this.#answer(message);
     link.send(this.#status());
@@ -244,7 +249,7 @@
       version: this.#configuration?.version ?? -1,
       isLeader,
       term: registry?.term ?? 0,
-      members: registry?.members ?? [],
+      members: this.#addresses.members,
       instances: isLeader ? this.#instances : 0,
       closedWindow: registry?.machine.lastWindow ?? -1,
       timeMs: isLeader ? clock.now() : 0,
@@ -267,6 +272,9 @@
     usage.forget(usage.latest - KEPT_WINDOWS);
     this.#announce();
     this.#dialMissing();
+    if (registry) {
+      for (const { dialer } of this.#peers.values()) if (dialer.link) this.#sayHello(dialer.link);
+    }
     this.#report();
     this.#noteLeader();
   }
@@ -290,10 +298,8 @@
   }
 
   #dialMissing(): void {
-    const { seeds, registry, address, timer, journal } = this.#options;
-    const told = [...this.#peers.values()].flatMap(({ status }) => status?.members ?? []);
-    const wanted = new Set([...seeds(), ...(registry?.members ?? []), ...told]);
-    wanted.delete(address);
+    const { timer, journal } = this.#options;
+    const { wanted } = this.#addresses;
     for (const target of wanted) {
       if (this.#peers.has(target)) continue;
       const dialer = new Dialer<Upward, Downward>({
@@ -324,6 +330,7 @@
   }
 
   #opened(peer: Peer, link: Link<Upward, Downward>): void {
+    this.#sayHello(link);
     link.onMessage = (message) => {
       if (message.type === 'status') this.#takeStatus(peer, link, message);
       else if (peer === this.#leaderPeer) this.onWork(message.endpoints);
@@ -334,8 +341,13 @@
     this.#report();
   }
 
+  #sayHello(link: Link<Upward, Downward>): void {
+    link.send({ type: 'hello', members: this.#addresses.members });
+  }
+
   #takeStatus(peer: Peer, link: Link<Upward, Downward>, status: Status): void {
     peer.status = status;
+    this.#addresses.learn(status.members);
     if (status.isLeader && peer === this.#leaderPeer && !this.#options.registry?.isLeader) {
       this.#instances = Math.max(1, status.instances);
       this.#options.clock.follow(status.timeMs);
--- a/packages/registry/src/lib/MeshMessage.ts
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -40,8 +40,14 @@
   readonly endpoints: readonly EndpointWork[];
 }
 
+/** Tells an instance that was dialled where replicas are; it may know none itself. */
+interface Hello {
+  readonly type: 'hello';
+  readonly members: readonly string[];
+}
+
 /** @internal */
-export type Upward = Report | Fetch | Configure | ReadNewest | Work;
+export type Upward = Hello | Report | Fetch | Configure | ReadNewest | Work;
 
 /** @internal */
 export type Downward = Status | Work;
@@ -78,6 +84,9 @@
   );
 }
 
+const areTexts = (value: unknown): boolean =>
+  Array.isArray(value) && value.every((item) => typeof item === 'string');
+
 function isWork({ endpoints }: Record<string, unknown>): boolean {
   return (
     Array.isArray(endpoints) &&
@@ -101,6 +110,8 @@
       return isCount(value.version) && value.body instanceof Uint8Array;
     case 'work':
       return isWork(value);
+    case 'hello':
+      return areTexts(value.members);
     default:
       return value.type === 'fetch' || value.type === 'readNewest';
   }
@@ -116,7 +127,6 @@
     [version, term, instances, closedWindow].every(isCount) &&
     typeof isLeader === 'boolean' &&
     Number.isFinite(timeMs) &&
-    Array.isArray(members) &&
-    members.every((item) => typeof item === 'string')
+    areTexts(members)
   );
 }, 'expected a status or work');
--- a/packages/registry/src/lib/Registry.ts
+++ b/packages/registry/src/lib/Registry.ts
@@ -63,8 +63,6 @@
 /** Pause before a replica with a failed disk is opened again. */
 const REOPEN_MS = 500;
 
-const CACHE_FILE = 'configuration.cache';
-
 const unpackr = new Unpackr({ useRecords: false });
 
 /** Takes every instance with a disk as a learner; the plan of the membership promotes it. */
@@ -98,7 +96,7 @@
 
   constructor(options: RegistryOptions) {
     this.#options = options;
-    this.#cache = new ConfigurationCache(join(options.folder, CACHE_FILE), options.journal);
+    this.#cache = new ConfigurationCache(join(options.folder, 'cache'), options.journal);
     this.#store.add(options.timer.every(WATCH_MS, () => this.#watch()));
   }
 
