--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -1,5 +1,5 @@
 import { DisposableStore, fail, type Failure, type Journal, type Timer } from '@berylwood/base';
-import { Dialer, type Link, type LinkServer } from '@berylwood/link';
+import type { Link, LinkServer } from '@berylwood/link';
 import { ok, type Result } from 'neverthrow';
 import { registryCodes } from './codes';
 import { registryEvents } from './events';
@@ -7,7 +7,6 @@
 import { CALL_MS, ConfigurationFetcher } from './ConfigurationFetcher';
 import type { FleetClock } from './FleetClock';
 import {
-  downwardSchema,
   upwardSchema,
   type Downward,
   type EndpointWork,
@@ -16,6 +15,7 @@
   type Upward,
 } from './MeshMessage';
 import type { Registry } from './Registry';
+import { KEEP_ALIVE_MS, MESH_PATH, Peers, SILENCE_MS, type Peer } from './Peers';
 import { ReportTimes } from './ReportTimes';
 import type { ConfigureOutcome, StoredConfiguration } from './RegistryMachine';
 import type { UsageLedger } from './UsageLedger';
@@ -37,26 +37,12 @@
   readonly journal: Journal;
 }
 
-const PATH = '/mesh';
-
 /** Interval of statuses and reports: a few hundred bytes each. */
 const STATUS_MS = 400;
 
-/** A silent link is replaced well within the time that a configuration may take to arrive. */
-const KEEP_ALIVE_MS = 400;
-const SILENCE_MS = 1200;
-
-/** A machine without power answers nothing; it is tried again while it may be starting. */
-const CONNECT_MS = 500;
-
 /** Windows kept while no leader closes them: ten minutes of windows of five seconds. */
 const KEPT_WINDOWS = 120;
 
-interface Peer {
-  readonly dialer: Dialer<Upward, Downward>;
-  status: Status | undefined;
-}
-
 /**
  * Links between all instances: each dials the seeds and the replicas of the registry, learns of
  * newer configurations and of the leader, and reports its usage.
@@ -75,7 +61,7 @@
 
   readonly #store = new DisposableStore();
 
-  readonly #peers = new Map<string, Peer>();
+  readonly #peers: Peers;
 
   /** Links of instances that have dialled this one, with their addresses once known. */
   readonly #incoming = new Map<Link<Downward, Upward>, string>();
@@ -96,6 +82,7 @@
     this.#options = options;
     const { registry, timer, journal } = options;
     this.#addresses = new AddressBook(options);
+    this.#peers = new Peers(timer, journal, (peer, link) => this.#opened(peer, link));
     this.#fetcher = new ConfigurationFetcher(journal, (newer) => this.#adopt(newer));
     if (registry) {
       registry.machine.onConfiguration = (configuration) => this.#adopt(configuration);
@@ -118,7 +105,7 @@
     const { timer, journal } = this.#options;
     const times = { keepAliveMs: KEEP_ALIVE_MS, silenceMs: SILENCE_MS };
     server.accept<Downward, Upward>(
-      PATH,
+      MESH_PATH,
       { timer, journal, schema: upwardSchema, ...times },
       (link) => this.#accept(link),
     );
@@ -126,7 +113,7 @@
 
   /** Begins to dial; until a newer configuration comes, the one that was last in force holds. */
   async open(): Promise<void> {
-    this.#dialMissing();
+    this.#peers.dial(this.#addresses.wanted);
     const remembered = await this.#options.registry?.recall();
     if (remembered) this.#adopt(remembered);
   }
@@ -159,7 +146,7 @@
   /** Tells the work that this instance has handed over; the leader tells all others the sums. */
   shareWork(endpoints: readonly EndpointWork[]): void {
     if (!this.#options.registry?.isLeader) {
-      this.#leaderPeer?.dialer.link?.send({ type: 'work', endpoints });
+      this.#peers.leader?.dialer.link?.send({ type: 'work', endpoints });
       return;
     }
     this.#board.set('own', endpoints);
@@ -171,23 +158,16 @@
 
   [Symbol.dispose](): void {
     this.#store[Symbol.dispose]();
-    for (const { dialer } of this.#peers.values()) dialer[Symbol.dispose]();
+    this.#peers[Symbol.dispose]();
     for (const link of this.#incoming.keys()) link[Symbol.dispose]();
   }
 
   #askLeader<T>(message: Upward): Promise<Result<T, Failure>> {
-    const link = this.#leaderPeer?.dialer.link;
+    const link = this.#peers.leader?.dialer.link;
     if (link) return link.call<T>(message, CALL_MS);
     return Promise.resolve(fail(registryCodes.leaderUnknown, 'no leader is connected'));
   }
 
-  get #leaderPeer(): Peer | undefined {
-    const leaders = [...this.#peers.values()].filter(
-      ({ dialer, status }) => dialer.link && status?.isLeader,
-    );
-    return leaders.sort((a, b) => (b.status?.term ?? 0) - (a.status?.term ?? 0))[0];
-  }
-
   #accept(link: Link<Downward, Upward>): void {
     this.#incoming.set(link, '');
     link.onClose = () => {
@@ -271,16 +251,16 @@
     } else this.#reports.clear();
     usage.forget(usage.latest - KEPT_WINDOWS);
     this.#announce();
-    this.#dialMissing();
+    this.#peers.dial(this.#addresses.wanted);
     if (registry) {
-      for (const { dialer } of this.#peers.values()) if (dialer.link) this.#sayHello(dialer.link);
+      for (const link of this.#peers.links) this.#sayHello(link);
     }
     this.#report();
     this.#noteLeader();
   }
 
   #report(): void {
-    const peer = this.#leaderPeer;
+    const peer = this.#peers.leader;
     if (!peer?.dialer.link || !peer.status) return;
     const { address, source, timer, usage } = this.#options;
     const windows = usage.since(source, peer.status.closedWindow);
@@ -290,50 +270,18 @@
 
   #noteLeader(): void {
     const { registry, address, journal } = this.#options;
-    const known = [...this.#peers].find(([, peer]) => peer === this.#leaderPeer)?.[0] ?? '';
+    const known = this.#peers.leader?.address ?? '';
     const leader = registry?.isLeader ? address : known;
     if (leader === this.#leader) return;
     this.#leader = leader;
     journal.record(registryEvents.leaderChanged, { leader, term: registry?.term });
   }
 
-  #dialMissing(): void {
-    const { timer, journal } = this.#options;
-    const { wanted } = this.#addresses;
-    for (const target of wanted) {
-      if (this.#peers.has(target)) continue;
-      const dialer = new Dialer<Upward, Downward>({
-        addresses: [target],
-        path: PATH,
-        connectMs: CONNECT_MS,
-        timer,
-        journal,
-        schema: downwardSchema,
-        keepAliveMs: KEEP_ALIVE_MS,
-        silenceMs: SILENCE_MS,
-      });
-      const peer: Peer = { dialer, status: undefined };
-      dialer.onLink = (link) => this.#opened(peer, link);
-      this.#peers.set(target, peer);
-      dialer.open();
-    }
-    this.#dropUnwanted(wanted);
-  }
-
-  /** Ends dialling addresses that are neither seeds nor replicas and don't answer. */
-  #dropUnwanted(wanted: ReadonlySet<string>): void {
-    for (const [target, { dialer }] of this.#peers) {
-      if (wanted.has(target) || dialer.link) continue;
-      dialer[Symbol.dispose]();
-      this.#peers.delete(target);
-    }
-  }
-
   #opened(peer: Peer, link: Link<Upward, Downward>): void {
     this.#sayHello(link);
     link.onMessage = (message) => {
       if (message.type === 'status') this.#takeStatus(peer, link, message);
-      else if (peer === this.#leaderPeer) this.onWork(message.endpoints);
+      else if (peer === this.#peers.leader) this.onWork(message.endpoints);
     };
     link.onClose = () => {
       peer.status = undefined;
@@ -348,7 +296,7 @@
   #takeStatus(peer: Peer, link: Link<Upward, Downward>, status: Status): void {
     peer.status = status;
     this.#addresses.learn(status.members);
-    if (status.isLeader && peer === this.#leaderPeer && !this.#options.registry?.isLeader) {
+    if (status.isLeader && peer === this.#peers.leader && !this.#options.registry?.isLeader) {
       this.#instances = Math.max(1, status.instances);
       this.#options.clock.follow(status.timeMs);
       this.#options.usage.forget(status.closedWindow);
--- /dev/null
+++ b/packages/registry/src/lib/Peers.ts
@@ -0,0 +1,89 @@
+import type { Journal, Timer } from '@berylwood/base';
+import { Dialer, type Link } from '@berylwood/link';
+import { downwardSchema, type Downward, type Status, type Upward } from './MeshMessage';
+
+/** A silent link is replaced well within the time that a configuration may take to arrive. @internal */
+export const KEEP_ALIVE_MS = 400;
+
+/** @internal */
+export const SILENCE_MS = 1200;
+
+/** A machine without power answers nothing; it is tried again while it may be starting. */
+const CONNECT_MS = 500;
+
+/** Path of the links between instances. @internal */
+export const MESH_PATH = '/mesh';
+
+/** An instance that this one dials. @internal */
+export interface Peer {
+  readonly address: string;
+  readonly dialer: Dialer<Upward, Downward>;
+  status: Status | undefined;
+}
+
+/** The instances that this one dials, and which of them leads the registry. @internal */
+export class Peers implements Disposable {
+  readonly #timer: Timer;
+
+  readonly #journal: Journal;
+
+  readonly #onLink: (peer: Peer, link: Link<Upward, Downward>) => void;
+
+  readonly #peers = new Map<string, Peer>();
+
+  constructor(
+    timer: Timer,
+    journal: Journal,
+    onLink: (peer: Peer, link: Link<Upward, Downward>) => void,
+  ) {
+    this.#timer = timer;
+    this.#journal = journal;
+    this.#onLink = onLink;
+  }
+
+  /** The connected instance that says it leads in the highest term. */
+  get leader(): Peer | undefined {
+    let leader: Peer | undefined;
+    for (const peer of this.#peers.values()) {
+      const isLeader = peer.dialer.link !== undefined && peer.status?.isLeader === true;
+      if (isLeader && (peer.status?.term ?? 0) > (leader?.status?.term ?? -1)) leader = peer;
+    }
+    return leader;
+  }
+
+  /** Open links. */
+  get links(): Link<Upward, Downward>[] {
+    return [...this.#peers.values()].flatMap(({ dialer }) => dialer.link ?? []);
+  }
+
+  /** Dials addresses that are new, and gives up those that are not wanted and don't answer. */
+  dial(wanted: ReadonlySet<string>): void {
+    for (const address of wanted) if (!this.#peers.has(address)) this.#add(address);
+    for (const [address, { dialer }] of this.#peers) {
+      if (wanted.has(address) || dialer.link) continue;
+      dialer[Symbol.dispose]();
+      this.#peers.delete(address);
+    }
+  }
+
+  [Symbol.dispose](): void {
+    for (const { dialer } of this.#peers.values()) dialer[Symbol.dispose]();
+  }
+
+  #add(address: string): void {
+    const dialer = new Dialer<Upward, Downward>({
+      addresses: [address],
+      path: MESH_PATH,
+      connectMs: CONNECT_MS,
+      timer: this.#timer,
+      journal: this.#journal,
+      schema: downwardSchema,
+      keepAliveMs: KEEP_ALIVE_MS,
+      silenceMs: SILENCE_MS,
+    });
+    const peer: Peer = { address, dialer, status: undefined };
+    dialer.onLink = (link) => this.#onLink(peer, link);
+    this.#peers.set(address, peer);
+    dialer.open();
+  }
+}
