Let the leader read the list of endpoints for all instances

An instance that is told nothing for 1.6 s reads by itself, so that a leader that is cut off holds no drain up.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -128,6 +128,7 @@
     await this.#front.listen(settings.callers);
     if (settings.operators) await this.#operators.listen(settings.operators);
     this.#list?.open();
+    this.#mesh.onNotice = (value) => this.#list?.take(value);
     this.#mesh.onWork = (work) => this.#directory.share(work);
     const share = (): void => this.#mesh.shareWork(this.#directory.ownWork());
     this.store.add(this.#options.timer.every(SHARE_MS, share));
@@ -231,6 +232,8 @@
       journal,
       callsPerS: settings.platformCallsPerS,
       instances: () => this.#instances,
+      isReader: () => this.#mesh.isLeader,
+      tell: (listed) => this.#mesh.notify(listed),
     });
   }
 
--- /dev/null
+++ b/packages/gateway/src/lib/ListReader.test.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { VirtualTimer, asId, createSilentJournal } from '@berylwood/base';
+import { ok } from 'neverthrow';
+import { EndpointDirectory } from './EndpointDirectory';
+import { ListReader } from './ListReader';
+import { PlatformCalls, type ListedEndpoint } from './Wire';
+
+function endpoint(id: string): ListedEndpoint {
+  return {
+    id: asId<'endpoint'>(id),
+    pool: asId<'pool'>('pool'),
+    address: '127.0.0.1:1',
+    dataCentre: 'a',
+    slots: 4,
+    isDraining: false,
+  };
+}
+
+class CountedPlatform extends PlatformCalls {
+  calls = 0;
+
+  override async listEndpoints() {
+    this.calls += 1;
+    return ok({ endpoints: [endpoint('e-1')], unreadable: 0, nextToken: undefined });
+  }
+
+  override async reportUsage() {
+    return ok(undefined);
+  }
+}
+
+function createReader(isReader: boolean) {
+  const timer = new VirtualTimer();
+  const journal = createSilentJournal(timer);
+  const directory = new EndpointDirectory(timer, journal);
+  const platform = new CountedPlatform();
+  const told: (readonly ListedEndpoint[])[] = [];
+  const reader = new ListReader({
+    platform,
+    directory,
+    timer,
+    journal,
+    callsPerS: 42,
+    instances: () => 7,
+    isReader: () => isReader,
+    tell: (listed) => told.push(listed),
+  });
+  return { timer, directory, platform, told, reader };
+}
+
+async function pass(timer: VirtualTimer, ms: number): Promise<void> {
+  for (let step = 0; step < ms / 100; step += 1) {
+    timer.advance(100);
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
+
+test('the reader reads about once a second and tells all others', async () => {
+  const { timer, platform, told, reader } = createReader(true);
+  reader.open();
+  await pass(timer, 10_000);
+  assert.ok(platform.calls >= 8 && platform.calls <= 12, `${platform.calls} calls`);
+  assert.equal(told.length, platform.calls);
+});
+
+test('an instance that is told the list does not read it', async () => {
+  const { timer, platform, directory, reader } = createReader(false);
+  reader.take([endpoint('e-2')]);
+  reader.open();
+  for (let second = 0; second < 10; second += 1) {
+    await pass(timer, 1000);
+    reader.take([endpoint('e-2')]);
+  }
+  assert.equal(platform.calls, 0);
+  assert.equal(directory.of(asId<'pool'>('pool')).length, 1);
+});
+
+test('an instance that is told nothing reads well within the drain of an endpoint', async () => {
+  const { timer, platform, directory, reader } = createReader(false);
+  reader.take([endpoint('e-2')]);
+  reader.open();
+  await pass(timer, 2000);
+  assert.equal(platform.calls, 1);
+  assert.equal(directory.of(asId<'pool'>('pool'))[0]?.listed.id, 'e-1');
+});
+
+test('what is no list of endpoints is refused', () => {
+  const { directory, reader } = createReader(false);
+  reader.take([{ id: 'e-1' }]);
+  assert.equal(directory.isKnown, false);
+});
--- a/packages/gateway/src/lib/ListReader.ts
+++ b/packages/gateway/src/lib/ListReader.ts
@@ -1,6 +1,7 @@
 import { DisposableStore, type Journal, type Timer } from '@berylwood/base';
 import type { EndpointDirectory } from './EndpointDirectory';
 import { gatewayEvents } from './events';
+import { listedEndpointsSchema } from './listedEndpointsSchema';
 import type { ListedEndpoint, PlatformCalls } from './Wire';
 
 /** Interval of reading while all is well, in milliseconds: a third of a short drain. */
@@ -9,8 +10,11 @@
 /** Longest interval, in milliseconds: an endpoint must be left before its drain is over. */
 const MAX_READ_MS = 1500;
 
-/** Interval until the first list has been read, in milliseconds: nothing is served before. */
-const FIRST_READ_MS = 250;
+/** Age of the list at which an instance that is told nothing reads by itself, in milliseconds. */
+const UNTOLD_MS = 1600;
+
+/** Interval of looking whether a list is due, in milliseconds; nothing is served before the first. */
+const CHECK_MS = 200;
 
 /** Part of the platform's calls that reading may use; duties need the rest. */
 const CALL_SHARE = 0.5;
@@ -26,9 +30,17 @@
   readonly journal: Journal;
   readonly callsPerS: number;
   readonly instances: () => number;
+  /** Whether this instance reads for all others. */
+  readonly isReader: () => boolean;
+  /** Tells all others a list. */
+  readonly tell: (listed: readonly ListedEndpoint[]) => void;
 }
 
-/** Reads the list of endpoints over and over; a list that can't be read in full is not used. */
+/**
+ * Keeps the list of endpoints: one instance reads it for all and tells the others; one that is told
+ * nothing for a while reads by itself. A list that can't be read in full is not used.
+ * @internal
+ */
 export class ListReader implements Disposable {
   readonly #options: ListReaderOptions;
 
@@ -36,12 +48,24 @@
 
   #pages = 1;
 
+  #triedAt = -Infinity;
+
+  #isReading = false;
+
   constructor(options: ListReaderOptions) {
     this.#options = options;
   }
 
   open(): void {
-    this.#read();
+    this.#store.add(this.#options.timer.every(CHECK_MS, () => this.#check()));
+    this.#check();
+  }
+
+  /** Takes a list that another instance has read. */
+  take(value: unknown): void {
+    const listed = listedEndpointsSchema.safeParse(value);
+    if (listed.success) this.#options.directory.replace(listed.data as ListedEndpoint[]);
+    else this.#options.journal.record(gatewayEvents.listFailed, { failure: listed.error.message });
   }
 
   [Symbol.dispose](): void {
@@ -49,25 +73,41 @@
   }
 
   get #intervalMs(): number {
-    const { callsPerS, instances, directory } = this.#options;
-    if (!directory.isKnown) return FIRST_READ_MS;
+    const { callsPerS, instances, isReader } = this.#options;
+    if (isReader()) return READ_MS;
     const fairMs = (1000 * this.#pages * instances()) / (callsPerS * CALL_SHARE);
     return Math.min(MAX_READ_MS, Math.max(READ_MS, fairMs));
   }
 
+  #check(): void {
+    const { directory, timer, isReader } = this.#options;
+    const sinceTryMs = timer.now() - this.#triedAt;
+    const isDue = directory.isKnown ? sinceTryMs >= this.#intervalMs : sinceTryMs >= CHECK_MS;
+    const isNeeded = isReader() || directory.ageMs >= UNTOLD_MS;
+    if (this.#isReading || !isDue || !isNeeded) return;
+    this.#triedAt = timer.now();
+    this.#isReading = true;
+    this.#read()
+      .catch((error: unknown) => {
+        this.#options.journal.record(gatewayEvents.listFailed, { failure: String(error) });
+      })
+      .finally(() => {
+        this.#isReading = false;
+      });
+  }
+
   async #read(): Promise<void> {
-    const { directory, journal, timer } = this.#options;
-    const startedAt = timer.now();
+    const { directory, journal, isReader, tell } = this.#options;
     const listed: ListedEndpoint[] = [];
     let unreadable = 0;
     let token: string | undefined;
     let pages = 0;
-    let failure: string | undefined;
     do {
       const page = await this.#options.platform.listEndpoints(token);
       if (page.isErr()) {
-        failure = page.error.message;
-        break;
+        const fields = { failure: page.error.message, ageMs: Math.round(directory.ageMs) };
+        journal.record(gatewayEvents.listFailed, fields);
+        return;
       }
       listed.push(...page.value.endpoints);
       unreadable += page.value.unreadable;
@@ -75,14 +115,9 @@
       pages += 1;
     } while (token !== undefined && pages < MAX_PAGES);
     if (this.#store.isDisposed) return;
-    if (failure === undefined) {
-      this.#pages = pages;
-      directory.replace(listed);
-      if (unreadable > 0) journal.record(gatewayEvents.listFailed, { unreadable, pages });
-    } else {
-      journal.record(gatewayEvents.listFailed, { failure, ageMs: Math.round(directory.ageMs) });
-    }
-    const waitMs = Math.max(0, this.#intervalMs - (timer.now() - startedAt));
-    this.#store.add(timer.after(waitMs, () => this.#read()));
+    this.#pages = pages;
+    directory.replace(listed);
+    if (isReader()) tell(listed);
+    if (unreadable > 0) journal.record(gatewayEvents.listFailed, { unreadable, pages });
   }
 }
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -55,6 +55,9 @@
   /** Called with the work that all other instances have handed to endpoints. */
   onWork: (endpoints: readonly EndpointWork[]) => void = () => {};
 
+  /** Called with what the leader has read for all instances; the receiver checks its form. */
+  onNotice: (value: unknown) => void = () => {};
+
   readonly #options: MeshOptions;
 
   readonly #board = new WorkBoard<Link<Downward, Upward> | 'own'>();
@@ -156,6 +159,17 @@
     }
   }
 
+  /** Whether this instance leads, and so reads for all others. */
+  get isLeader(): boolean {
+    return this.#options.registry?.isLeader ?? false;
+  }
+
+  /** As the leader, tells all others what it has read. */
+  notify(value: unknown): void {
+    if (!this.isLeader) return;
+    for (const link of this.#incoming.keys()) link.send({ type: 'notice', value });
+  }
+
   [Symbol.dispose](): void {
     this.#store[Symbol.dispose]();
     this.#peers[Symbol.dispose]();
@@ -281,7 +295,7 @@
     this.#sayHello(link);
     link.onMessage = (message) => {
       if (message.type === 'status') this.#takeStatus(peer, link, message);
-      else if (peer === this.#peers.leader) this.onWork(message.endpoints);
+      else if (peer === this.#peers.leader) this.#takeNews(message);
     };
     link.onClose = () => {
       peer.status = undefined;
@@ -289,6 +303,11 @@
     this.#report();
   }
 
+  #takeNews(message: Exclude<Downward, Status>): void {
+    if (message.type === 'work') this.onWork(message.endpoints);
+    else this.onNotice(message.value);
+  }
+
   #sayHello(link: Link<Upward, Downward>): void {
     link.send({ type: 'hello', members: this.#addresses.members });
   }
--- a/packages/registry/src/lib/MeshMessage.ts
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -49,8 +49,14 @@
 /** @internal */
 export type Upward = Hello | Report | Fetch | Configure | ReadNewest | Work;
 
+/** Something that the leader has read for all instances; opaque to the mesh. */
+interface Notice {
+  readonly type: 'notice';
+  readonly value: unknown;
+}
+
 /** @internal */
-export type Downward = Status | Work;
+export type Downward = Status | Work | Notice;
 
 /** What an instance tells those that have dialled it. @internal */
 export interface Status {
@@ -121,6 +127,7 @@
 export const downwardSchema = z.custom<Downward>((value) => {
   if (!isRecord(value)) return false;
   if (value.type === 'work') return isWork(value);
+  if (value.type === 'notice') return true;
   if (value.type !== 'status') return false;
   const { version, isLeader, term, members, instances, closedWindow, timeMs } = value;
   return (
@@ -129,4 +136,4 @@
     Number.isFinite(timeMs) &&
     areTexts(members)
   );
-}, 'expected a status or work');
+}, 'expected a status, work or a notice');
