Turn away at once what can't begin in time, by rank

Work is now told by rank, so that urgent requests see a shorter queue. Measured: answers began after 1.5 times the expected reading and 100 ms.

--- a/packages/gateway/src/lib/Attempt.test.ts
+++ b/packages/gateway/src/lib/Attempt.test.ts
@@ -73,6 +73,7 @@
       body: Buffer.alloc(0),
       attempt: asId<'attempt'>('a-1'),
       promptTokens: 0,
+      rank: 0,
     };
     const listener = {
       onHead: (given: AnswerHead) => {
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -17,6 +17,8 @@
   readonly attempt: AttemptId | undefined;
   /** Prompt tokens that the endpoint is expected to read. */
   readonly promptTokens: number;
+  /** 0 is the most urgent. */
+  readonly rank: number;
 }
 
 /** The beginning of an answer. @internal */
@@ -97,7 +99,7 @@
     this.startedAt = parts.timer.now();
     this.#unreadTokens = outgoing.promptTokens;
     endpoint.began();
-    endpoint.queue(this.#unreadTokens);
+    endpoint.queue(outgoing.rank, this.#unreadTokens);
     const { host, port } = splitAddress(endpoint.listed.address);
     const { method, target, headers, body } = outgoing;
     this.#request = sendRequest({
@@ -122,7 +124,7 @@
 
   /** Notes that the endpoint has read the prompt. */
   promptRead(): void {
-    this.endpoint.queue(-this.#unreadTokens);
+    this.endpoint.queue(this.#outgoing.rank, -this.#unreadTokens);
     this.#unreadTokens = 0;
   }
 
--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -13,6 +13,13 @@
 /** Share of a stated load of others that is still counted after this time, in milliseconds. */
 const LOAD_HALF_LIFE_MS = 600;
 
+/** Ranks that endpoints tell apart; 0 is the most urgent. */
+const RANKS = 10;
+
+function sumTo(tokens: readonly number[], rank: number): number {
+  return tokens.slice(0, rank + 1).reduce((sum, count) => sum + count, 0);
+}
+
 /** Time for which the work that the leader told counts as known, in milliseconds. */
 const SHARED_LIFE_MS = 1000;
 
@@ -46,11 +53,11 @@
 
   #isLeaving = false;
 
-  /** Prompt tokens sent from here that are not known to be read yet. */
-  #unreadTokens = 0;
+  /** By rank, prompt tokens sent from here that are not known to be read yet. */
+  readonly #unread: number[] = Array.from({ length: RANKS }, () => 0);
 
-  /** Unread tokens and requests of all other instances, as the leader last told them. */
-  #shared = { tokens: 0, requests: 0, at: -Infinity };
+  /** Unread tokens by rank and requests of all other instances, as the leader last told them. */
+  #shared = { tokens: [] as readonly number[], requests: 0, at: -Infinity };
 
   /** By rank, the latest time at which a request was sent that has begun to run since. */
   readonly #begunSentAt = new Map<number, number>();
@@ -102,28 +109,36 @@
   }
 
   /** Prompt tokens and requests on their way from this instance. */
-  get ownWork(): { readonly tokens: number; readonly requests: number } {
-    return { tokens: this.#unreadTokens, requests: this.#inFlight };
+  get ownWork(): { readonly tokens: readonly number[]; readonly requests: number } {
+    const last = this.#unread.findLastIndex((tokens) => tokens > 0);
+    const tokens = this.#unread.slice(0, last + 1).map(Math.round);
+    return { tokens, requests: this.#inFlight };
   }
 
   /** Takes in the work that all other instances have on its way there. */
-  share(tokens: number, requests: number): void {
+  share(tokens: readonly number[], requests: number): void {
     this.#shared = { tokens, requests, at: this.#timer.now() };
   }
 
   /** Notes prompt tokens that were sent, or with a negative number, that have been read. */
-  queue(tokens: number): void {
-    this.#unreadTokens += tokens;
+  queue(rank: number, tokens: number): void {
+    const at = Math.min(RANKS - 1, Math.max(0, rank));
+    this.#unread[at] = (this.#unread[at] ?? 0) + tokens;
   }
 
-  engineView(dataCentre: string, instances: number): EnginePlace & { readonly endpoint: Endpoint } {
+  /** The endpoint as a request of a rank sees it: what is less urgent waits behind it. */
+  engineView(
+    dataCentre: string,
+    instances: number,
+    rank: number,
+  ): EnginePlace & { readonly endpoint: Endpoint } {
     const { tokens, requests, at } = this.#shared;
     const isFresh = this.#timer.now() - at < SHARED_LIFE_MS;
     // Without news of the others, they are taken to do as this instance does.
     const factor = isFresh ? 1 : instances;
     return {
       key: this.#listed.id,
-      queuedTokens: this.#unreadTokens * factor + (isFresh ? tokens : 0),
+      queuedTokens: sumTo(this.#unread, rank) * factor + (isFresh ? sumTo(tokens, rank) : 0),
       running: this.#inFlight * factor + (isFresh ? requests : 0),
       isNear: this.#listed.dataCentre === dataCentre,
       endpoint: this,
--- a/packages/gateway/src/lib/EndpointDirectory.ts
+++ b/packages/gateway/src/lib/EndpointDirectory.ts
@@ -54,7 +54,7 @@
   ownWork(): EndpointWork[] {
     return [...this.#endpoints.values()].flatMap(({ listed, ownWork }): EndpointWork[] => {
       const { tokens, requests } = ownWork;
-      return requests > 0 ? [[listed.id, Math.round(tokens), requests]] : [];
+      return requests > 0 ? [[listed.id, tokens, requests]] : [];
     });
   }
 
@@ -62,7 +62,7 @@
   share(work: readonly EndpointWork[]): void {
     const byId = new Map(work.map((item) => [item[0], item]));
     for (const endpoint of this.#endpoints.values()) {
-      const [, tokens, requests] = byId.get(endpoint.listed.id) ?? ['', 0, 0];
+      const [, tokens, requests] = byId.get(endpoint.listed.id) ?? ['', [], 0];
       endpoint.share(tokens, requests);
     }
   }
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Failure, Lifecycle, type Code } from '@berylwood/base';
-import { retryAfterMs } from '@berylwood/policy';
+import { admits, retryAfterMs } from '@berylwood/policy';
 import { Answer } from './Answer';
 import { Attempt, type AnswerHead, type AttemptEnd, type AttemptListener } from './Attempt';
 import { gatewayCodes } from './codes';
@@ -12,6 +12,7 @@
 import { placeRequest } from './placeRequest';
 import { readBody } from './readBody';
 import { resolveRequest, type ResolvedRequest } from './resolveRequest';
+import { describeRequest } from './describeRequest';
 import type { RequestRecord } from './RequestLog';
 import { sendFailure } from './sendFailure';
 import { SilenceWatch } from './SilenceWatch';
@@ -59,6 +60,9 @@
 
   readonly #pace = new Pace();
 
+  /** Expected time until its prompt is read, when it was placed. */
+  #expectedMs = 0;
+
   constructor(context: GatewayContext, request: IncomingMessage, response: ServerResponse) {
     this.#context = context;
     this.#request = request;
@@ -160,10 +164,15 @@
   #place(): void {
     const { context, resolved } = this.#parts;
     const placed = placeRequest(context, resolved, this.#tried);
-    if (!placed) {
+    if (placed === undefined) {
       this.#giveUp(gatewayCodes.noEndpoint, 'no endpoint can take it');
       return;
     }
+    this.#expectedMs = placed.readMs;
+    if (this.#isTooLate(placed.readMs)) {
+      this.#giveUp(gatewayCodes.overloaded, 'it would begin too late');
+      return;
+    }
     const { endpoint, tokens } = placed;
     this.#tried.add(endpoint.listed.id);
     this.#sends += 1;
@@ -184,6 +193,7 @@
       body: this.#body,
       attempt: facts.attempt,
       promptTokens: tokens,
+      rank: this.#rank,
     };
     this.#attempt = new Attempt(endpoint, outgoing, this, context);
     if (this.#answer?.isStarted) return;
@@ -197,6 +207,15 @@
     return workspace?.rank ?? route.rank;
   }
 
+  /** Whether a request that no endpoint has got yet should be turned away. */
+  #isTooLate(readMs: number): boolean {
+    const { route, facts } = this.#parts.resolved;
+    if (this.#sends > 0) return false;
+    const { objectiveMs, timeoutMs } = route;
+    const leftMs = this.#leftMs;
+    return !admits({ readMs, objectiveMs, timeoutMs, leftMs, givenMs: facts.deadlineMs });
+  }
+
   get #parts(): { context: GatewayContext; resolved: ResolvedRequest } {
     return { context: this.#context, resolved: this.#resolved as ResolvedRequest };
   }
@@ -311,24 +330,17 @@
     this.#endTimer?.[Symbol.dispose]();
     this.#silence?.[Symbol.dispose]();
     const { context } = this.#parts;
-    const resolved = this.#resolved;
     const record: RequestRecord = {
-      request: resolved?.facts.attempt,
-      route: resolved?.route.name,
-      workspace: resolved?.workspace?.name,
-      pool: resolved?.target,
+      ...describeRequest(context, this.#resolved),
       endpoint: this.#attempt?.endpoint.listed.id,
       status,
       code,
       reason,
       sends: this.#sends,
       firstMs: this.#pace.firstAt && this.#pace.firstAt - this.#arrivedAt,
+      expectedMs: this.#expectedMs,
       pauseMs: this.#pace.longestPauseMs,
-      promptTokens: resolved?.facts.promptTokens,
       totalMs: context.timer.now() - this.#arrivedAt,
-      deadlineMs: resolved?.facts.deadlineMs,
-      version: resolved?.table.version,
-      listAgeMs: Math.round(context.directory.ageMs),
     };
     if (code === undefined && reason === undefined) context.log.served(record);
     else context.log.failed(record);
--- a/packages/gateway/src/lib/RequestLog.ts
+++ b/packages/gateway/src/lib/RequestLog.ts
@@ -20,6 +20,8 @@
   /** Endpoints that may have got bytes of it. */
   readonly sends: number;
   readonly firstMs: number | undefined;
+  /** Expected time until the prompt is read, in milliseconds, when it was placed; 0 for calls. */
+  readonly expectedMs: number;
   /** Longest pause between parts of the answer, in milliseconds. */
   readonly pauseMs: number;
   readonly promptTokens: number | undefined;
--- a/packages/gateway/src/lib/UsageReporter.ts
+++ b/packages/gateway/src/lib/UsageReporter.ts
@@ -22,7 +22,7 @@
 const SETTLE_MS = 2000;
 
 /** Longest wait for an instance that is cut off; reports are due ten seconds after the window. */
-const MAX_SETTLE_MS = 7000;
+const MAX_SETTLE_MS = 8500;
 
 /** Time after a window's end from which a report holds all of it, in milliseconds. */
 const REPORT_MARGIN_MS = 500;
--- /dev/null
+++ b/packages/gateway/src/lib/describeRequest.ts
@@ -0,0 +1,32 @@
+import type { GatewayContext } from './GatewayContext';
+import type { RequestRecord } from './RequestLog';
+import type { ResolvedRequest } from './resolveRequest';
+
+type Description = Pick<
+  RequestRecord,
+  | 'request'
+  | 'route'
+  | 'workspace'
+  | 'pool'
+  | 'promptTokens'
+  | 'deadlineMs'
+  | 'version'
+  | 'listAgeMs'
+>;
+
+/** What a request asked for, and the age of what it was handled by. @internal */
+export function describeRequest(
+  { directory }: GatewayContext,
+  resolved: ResolvedRequest | undefined,
+): Description {
+  return {
+    request: resolved?.facts.attempt,
+    route: resolved?.route.name,
+    workspace: resolved?.workspace?.name,
+    pool: resolved?.target,
+    promptTokens: resolved?.facts.promptTokens,
+    deadlineMs: resolved?.facts.deadlineMs,
+    version: resolved?.table.version,
+    listAgeMs: Math.round(directory.ageMs),
+  };
+}
--- a/packages/gateway/src/lib/placeRequest.ts
+++ b/packages/gateway/src/lib/placeRequest.ts
@@ -9,6 +9,8 @@
   readonly endpoint: Endpoint;
   /** Prompt tokens that it is expected to read; 0 for plain services. */
   readonly tokens: number;
+  /** Expected time until it has read them, in milliseconds; 0 for plain services. */
+  readonly readMs: number;
 }
 
 /** The last part of a prompt belongs to the request alone, the one before it is shared by many. */
@@ -27,7 +29,7 @@
  */
 export function placeRequest(
   context: GatewayContext,
-  { route, facts, target, table }: ResolvedRequest,
+  { route, facts, target, table, workspace }: ResolvedRequest,
   tried: ReadonlySet<string>,
 ): Placement | undefined {
   const { directory, random, dataCentre } = context;
@@ -39,11 +41,13 @@
   if (!route.hasAffinity || !table.findPool(target)?.engine) {
     const places = candidates.map((endpoint) => endpoint.view(dataCentre));
     const place = choosePlace(places, random.next());
-    return place && { endpoint: place.endpoint, tokens: 0 };
+    return place && { endpoint: place.endpoint, tokens: 0, readMs: 0 };
   }
   const places = candidates.map((endpoint) =>
-    endpoint.engineView(dataCentre, directory.instances()),
+    endpoint.engineView(dataCentre, directory.instances(), workspace?.rank ?? route.rank),
   );
   const choice = chooseEngine(places, costOf(facts), random.next());
-  return choice && { endpoint: choice.place.endpoint, tokens: choice.tokens };
+  return (
+    choice && { endpoint: choice.place.endpoint, tokens: choice.tokens, readMs: choice.readMs }
+  );
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -63,4 +63,5 @@
   type EnginePlace,
   type PromptCost,
 } from './lib/placement/chooseEngine';
+export { admits, type AdmissionInput } from './lib/placement/admits';
 export { retryAfterMs } from './lib/placement/retryAfter';
--- /dev/null
+++ b/packages/policy/src/lib/placement/admits.ts
@@ -0,0 +1,42 @@
+/** What is known of a request when it could be handed to an endpoint. @public */
+export interface AdmissionInput {
+  /** Expected time until the endpoint has read its prompt, in milliseconds. */
+  readonly readMs: number;
+  /** Time within which its answer should begin. */
+  readonly objectiveMs: number;
+  /** Time that its route allows in all. */
+  readonly timeoutMs: number;
+  /** Time that is left of it. */
+  readonly leftMs: number;
+  /** Time that the caller gave with it; less than the route allows if it has tried before. */
+  readonly givenMs: number | undefined;
+}
+
+/**
+ * Part of the objective that reading may take: answers began after 1.5 times the expected reading
+ * and 100 ms, in the middle of a measured burst.
+ */
+const READ_SHARE = 0.5;
+
+/** Callers that come back have waited already: they are let in with a longer queue before them. */
+const RETURNING_SHARE = 1.5;
+
+/** Part of the route's time below which a caller's own time shows that it has tried before. */
+const FIRST_TRY_SHARE = 0.85;
+
+/** Part of the time left that reading may take in any case. */
+const LEFT_SHARE = 0.7;
+
+/**
+ * Whether a request is let in. Load pattern: more long prompts arrive than engines can read. If all
+ * were let in, the queue would grow until every answer begins late; so as many are let in as can
+ * begin in time, and the others learn at once when to return. What is more urgent sees a shorter
+ * queue, so the least urgent are turned away first.
+ * @public
+ */
+export function admits(input: AdmissionInput): boolean {
+  const { readMs, objectiveMs, timeoutMs, leftMs, givenMs = timeoutMs } = input;
+  const isReturning = givenMs < timeoutMs * FIRST_TRY_SHARE;
+  const share = isReturning ? RETURNING_SHARE : READ_SHARE;
+  return readMs <= Math.min(objectiveMs * share, leftMs * LEFT_SHARE);
+}
--- a/packages/registry/src/lib/MeshMessage.ts
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -31,8 +31,8 @@
   readonly type: 'readNewest';
 }
 
-/** Work that is on its way to one endpoint: its id, tokens to be read, and requests. @public */
-export type EndpointWork = readonly [endpoint: string, tokens: number, requests: number];
+/** Work that is on its way to one endpoint: its id, tokens to be read by rank, and requests. @public */
+export type EndpointWork = readonly [endpoint: string, tokens: readonly number[], requests: number];
 
 /** Work that an instance has handed to endpoints; from the leader, that of all other instances. */
 interface Work {
@@ -100,7 +100,8 @@
       (item) =>
         Array.isArray(item) &&
         typeof item[0] === 'string' &&
-        Number.isFinite(item[1]) &&
+        Array.isArray(item[1]) &&
+        item[1].every(Number.isFinite) &&
         Number.isFinite(item[2]),
     )
   );
--- a/packages/registry/src/lib/WorkBoard.ts
+++ b/packages/registry/src/lib/WorkBoard.ts
@@ -18,14 +18,18 @@
 
   /** The work of all sources but one. */
   othersOf(source: Source): EndpointWork[] {
-    const sums = new Map<string, [number, number]>();
+    const sums = new Map<string, { tokens: number[]; requests: number }>();
     for (const [other, endpoints] of this.#sources) {
       if (other === source) continue;
       for (const [endpoint, tokens, requests] of endpoints) {
-        const sum = sums.get(endpoint) ?? [0, 0];
-        sums.set(endpoint, [sum[0] + tokens, sum[1] + requests]);
+        const sum = sums.get(endpoint) ?? { tokens: [], requests: 0 };
+        tokens.forEach((count, rank) => {
+          sum.tokens[rank] = (sum.tokens[rank] ?? 0) + count;
+        });
+        sum.requests += requests;
+        sums.set(endpoint, sum);
       }
     }
-    return [...sums].map(([endpoint, [tokens, requests]]) => [endpoint, tokens, requests]);
+    return [...sums].map(([endpoint, { tokens, requests }]) => [endpoint, tokens, requests]);
   }
 }
