--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -62,9 +62,18 @@
   /** By rank, the latest time at which a request was sent that has begun to run since. */
   readonly #begunSentAt = new Map<number, number>();
 
-  constructor(listed: ListedEndpoint, maxConnections: number, timer: Timer) {
+  /** Called when the endpoint is spared from now on, after failures. */
+  readonly #onSpared: (reason: string) => void;
+
+  constructor(
+    listed: ListedEndpoint,
+    maxConnections: number,
+    timer: Timer,
+    onSpared: (reason: string) => void = () => {},
+  ) {
     this.#listed = listed;
     this.#timer = timer;
+    this.#onSpared = onSpared;
     this.agent = new EndpointAgent(maxConnections);
   }
 
@@ -193,17 +202,16 @@
     this.#answers.succeeded();
   }
 
-  /** Notes an answer that failed or broke off; true if the endpoint is spared from now on. */
-  failed(): boolean {
+  /** Notes an answer that failed or broke off. */
+  failed(): void {
     this.#reach.abandoned();
-    this.#answers.failed(this.#timer.now());
-    return this.#answers.state === 'open';
+    this.#fail(this.#answers, 'answers fail');
   }
 
   /** Notes a connection that could not be made; the endpoint is spared from now on. */
   unreachable(): void {
     this.#answers.abandoned();
-    this.#reach.failed(this.#timer.now());
+    this.#fail(this.#reach, 'no connection');
   }
 
   /** Notes a request that the endpoint turned away, full or as another incarnation. */
@@ -218,6 +226,12 @@
     this.#answers.abandoned();
   }
 
+  #fail(breaker: CircuitBreaker, reason: string): void {
+    const before: string = breaker.state;
+    breaker.failed(this.#timer.now());
+    if (before !== 'open' && breaker.state === 'open') this.#onSpared(reason);
+  }
+
   [Symbol.dispose](): void {
     for (const sockets of Object.values(this.agent.freeSockets)) {
       sockets?.forEach((socket) => socket.destroy());
--- a/packages/gateway/src/lib/EndpointDirectory.ts
+++ b/packages/gateway/src/lib/EndpointDirectory.ts
@@ -78,7 +78,7 @@
       if (known && known.listed.isDraining !== item.isDraining) changes.push(`${item.id} leaving`);
       if (!known) changes.push(`${item.id} new`);
       const limit = this.#connectionLimit(item.pool);
-      const endpoint = known ?? new Endpoint(item, limit, this.#timer);
+      const endpoint = known ?? this.#create(item, limit);
       endpoint.update(item);
       endpoint.allow(limit);
       after.set(key, endpoint);
@@ -100,6 +100,13 @@
     for (const endpoint of this.#endpoints.values()) endpoint[Symbol.dispose]();
   }
 
+  #create(listed: ListedEndpoint, limit: number): Endpoint {
+    const { id, pool } = listed;
+    return new Endpoint(listed, limit, this.#timer, (reason) => {
+      this.#journal.record(gatewayEvents.endpointSpared, { endpoint: id, pool, reason });
+    });
+  }
+
   #index(): void {
     this.#pools = new Map();
     for (const endpoint of this.#endpoints.values()) {
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -271,7 +271,8 @@
     if (this.#answer?.isStarted) {
       this.#move('fail');
       this.#response.destroy();
-      this.#end(this.#answer.status, gatewayCodes.outcomeUnknown.number, reason);
+      const known = code.notRun === true ? gatewayCodes.outcomeUnknown : code;
+      this.#end(this.#answer.status, known.number, reason);
       return;
     }
     const isNotRun = code.notRun === true;
