Let prompts leave their home later

Cause: on the grown deployment prompts still left their homes often in a burst; a tenth of all tokens were read again.

--- a/packages/policy/src/lib/placement/chooseEngine.ts
+++ b/packages/policy/src/lib/placement/chooseEngine.ts
@@ -47,7 +47,7 @@
   stepMs: 15.5,
   stepMsPerRequest: 0.11,
   warmth: [1, 0.5, 0.25],
-  rereadWeight: 40,
+  rereadWeight: 150,
   farMs: 0,
 };
 
