--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,7 @@
 const MAX_FUNCTION_LINES = 60;
 
 export default [
-  { ignores: ['**/node_modules', '**/build'] },
+  { ignores: ['**/node_modules', '**/build', '**/target'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
