--- a/packages/control/src/lib/Control.ts
+++ b/packages/control/src/lib/Control.ts
@@ -3,11 +3,11 @@
 import { Ledger } from '@berylwood/ledger';
 import { LinkServer, type LinkIdentity } from '@berylwood/link';
 import type { ControlSettings } from '@berylwood/schema';
+import { PeerTransport } from '@berylwood/registry';
 import { ControlCore } from './ControlCore';
 import { controlEvents } from './events';
 import { openReplica } from './openReplica';
 import { OperatorServer } from './OperatorServer';
-import { PeerTransport } from '@berylwood/registry';
 
 /** Options of the control role. @public */
 export interface ControlOptions {
