--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -4,7 +4,8 @@
 import { Answer } from './Answer';
 import { Attempt, type AnswerHead, type AttemptEnd, type AttemptListener } from './Attempt';
 import { gatewayCodes } from './codes';
-import { mayRepeat } from './decideRepeat';
+import { mayRepeat } from './mayRepeat';
+import { describeRequest } from './describeRequest';
 import { gatewayEvents } from './events';
 import { exchangeTable, type ExchangeEvent } from './exchangeMachine';
 import type { GatewayContext } from './GatewayContext';
@@ -12,12 +13,11 @@
 import { placeRequest } from './placeRequest';
 import { readBody } from './readBody';
 import { resolveRequest, type ResolvedRequest } from './resolveRequest';
-import { describeRequest } from './describeRequest';
 import type { RequestRecord } from './RequestLog';
 import { sendFailure } from './sendFailure';
 import { SilenceWatch } from './SilenceWatch';
 
-/** Time for which a caller's room is expected to take when a pool has no usable endpoint. */
+/** Time in which a refused caller finds room, in milliseconds: about one answer of an engine. */
 const ROOM_IN_MS = 600;
 
 /** Endpoints take no deadline of 0. */
@@ -265,7 +265,7 @@
     return true;
   }
 
-  /** Ends the request without an answer of an endpoint, or with the failed one that it has. */
+  /** Ends the request without a complete answer; a stream that has begun is cut. */
   #giveUp(code: Code, reason: string): void {
     if (this.#life.isFinal) return;
     if (this.#answer?.isStarted) {
--- a/packages/gateway/src/lib/decideRepeat.test.ts
+++ b/packages/gateway/src/lib/mayRepeat.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { mayRepeat, type RepeatInput } from './decideRepeat';
+import { mayRepeat, type RepeatInput } from './mayRepeat';
 
 function input(given: Partial<RepeatInput>): RepeatInput {
   return {
