Turn away under load only the least urgent route of a pool

Ruled out: ranks on the way to engines. More urgent routes are let in whatever the queue, since engines serve them first.

--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -198,8 +198,7 @@
     this.#attempt = new Attempt(endpoint, outgoing, this, context);
     if (this.#answer?.isStarted) return;
     const onSilence = (reason: string): void => this.onSilence(reason);
-    const { timer } = this.#context;
-    this.#silence = new SilenceWatch(timer, this.#attempt, route, this.#rank, onSilence);
+    this.#silence = new SilenceWatch(context.timer, this.#attempt, route, this.#rank, onSilence);
   }
 
   get #rank(): number {
@@ -207,10 +206,13 @@
     return workspace?.rank ?? route.rank;
   }
 
-  /** Whether a request that no endpoint has got yet should be turned away. */
+  /**
+   * Whether a request that no endpoint has got yet should be turned away. Only the least urgent
+   * route of a pool is: the queue at one engine says little of the room that others have.
+   */
   #isTooLate(readMs: number): boolean {
-    const { route, facts } = this.#parts.resolved;
-    if (this.#sends > 0) return false;
+    const { route, facts, table, target } = this.#parts.resolved;
+    if (this.#sends > 0 || !table.isLeastUrgent(route, target)) return false;
     const { objectiveMs, timeoutMs } = route;
     const leftMs = this.#leftMs;
     return !admits({ readMs, objectiveMs, timeoutMs, leftMs, givenMs: facts.deadlineMs });
@@ -275,9 +277,8 @@
       this.#end(this.#answer.status, known.number, reason);
       return;
     }
-    const isNotRun = code.notRun === true;
-    const known = isNotRun && this.#mayHaveRun ? gatewayCodes.outcomeUnknown : code;
-    this.#refuse(new Failure(known, reason));
+    const isUnknown = code.notRun === true && this.#mayHaveRun;
+    this.#refuse(new Failure(isUnknown ? gatewayCodes.outcomeUnknown : code, reason));
   }
 
   #onTimeout(): void {
--- /dev/null
+++ b/packages/gateway/src/lib/RoutingTable.test.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { asId } from '@berylwood/base';
+import type { Route } from './RoutingConfiguration';
+import { RoutingTable, chooseTarget } from './RoutingTable';
+
+const POOL = asId<'pool'>('engines');
+
+function createRoute(name: string, prefix: string, rank: number): Route {
+  return {
+    name: asId<'route'>(name),
+    host: 'a.example',
+    prefix,
+    kind: 'stream',
+    isResumable: true,
+    timeoutMs: 5000,
+    objectiveMs: 1200,
+    pauseMs: 500,
+    rank,
+    targets: [{ pool: POOL, weight: 1 }],
+    maxAttempts: 2,
+    isAnonymous: false,
+    hasAffinity: true,
+  };
+}
+
+const report = createRoute('report', '/a/', 2);
+const letter = createRoute('letter', '/a/b/', 1);
+
+function createTable(): RoutingTable {
+  return new RoutingTable({
+    version: 1,
+    routes: [report, letter],
+    pools: [],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    workspaces: [{ name: asId<'workspace'>('w'), keys: ['k'], rank: 5 }],
+  });
+}
+
+test('the longest prefix that begins the path wins', () => {
+  const table = createTable();
+  assert.equal(table.findRoute('a.example', '/a/b/c')?.name, 'letter');
+  assert.equal(table.findRoute('a.example', '/a/c')?.name, 'report');
+  assert.equal(table.findRoute('b.example', '/a/c'), undefined);
+});
+
+test('only the least urgent route of a pool is turned away under load', () => {
+  const table = createTable();
+  assert.equal(table.isLeastUrgent(report, POOL), true);
+  assert.equal(table.isLeastUrgent(letter, POOL), false);
+});
+
+test('targets are drawn by weight', () => {
+  const other = asId<'pool'>('other');
+  const targets = [
+    { pool: POOL, weight: 90 },
+    { pool: other, weight: 10 },
+  ];
+  assert.equal(chooseTarget(targets, 0.5)?.pool, POOL);
+  assert.equal(chooseTarget(targets, 0.95)?.pool, other);
+});
--- a/packages/gateway/src/lib/RoutingTable.ts
+++ b/packages/gateway/src/lib/RoutingTable.ts
@@ -11,12 +11,18 @@
 
   readonly #pools = new Map<PoolName, Pool>();
 
+  /** By pool, the rank of its least urgent route. */
+  readonly #lastRanks = new Map<PoolName, number>();
+
   constructor(configuration: RoutingConfiguration) {
     this.configuration = configuration;
     for (const route of configuration.routes) {
       const routes = this.#routes.get(route.host) ?? [];
       routes.push(route);
       this.#routes.set(route.host, routes);
+      for (const { pool } of route.targets) {
+        this.#lastRanks.set(pool, Math.max(route.rank, this.#lastRanks.get(pool) ?? 0));
+      }
     }
     for (const routes of this.#routes.values()) {
       routes.sort((a, b) => b.prefix.length - a.prefix.length);
@@ -40,6 +46,11 @@
     return this.#routes.get(host)?.find(({ prefix }) => path.startsWith(prefix));
   }
 
+  /** Whether no other route of the pool is less urgent, so that its requests are turned away first. */
+  isLeastUrgent({ rank }: Route, pool: PoolName): boolean {
+    return rank >= (this.#lastRanks.get(pool) ?? rank);
+  }
+
   findWorkspace(key: string): Workspace | undefined {
     return this.#workspaces.get(key);
   }
