Remove members nobody calls and say once whose usage is counted

Ruled out as twins: the entry's readBody (it ends the connection, the gateway still answers 413). An event without an end is still not bounded in size: the removed bound was never enforced.

--- a/packages/gateway/src/lib/Answer.ts
+++ b/packages/gateway/src/lib/Answer.ts
@@ -90,7 +90,7 @@
   /** Drops what another endpoint will send anew. */
   reset(): void {
     this.#takeHeld();
-    this.#scanner?.takeRest();
+    this.#scanner?.dropRest();
     if (!this.#isStarted) this.#scanner = undefined;
   }
 
--- a/packages/gateway/src/lib/EndpointAgent.ts
+++ b/packages/gateway/src/lib/EndpointAgent.ts
@@ -25,13 +25,6 @@
     });
   }
 
-  /** Connections in use and idle. */
-  get connections(): number {
-    const count = (lists: NodeJS.ReadOnlyDict<unknown[]>): number =>
-      Object.values(lists).reduce((sum, list) => sum + (list?.length ?? 0), 0);
-    return count(this.sockets) + count(this.freeSockets);
-  }
-
   override keepSocketAlive(stream: Duplex): boolean {
     const socket = stream as Socket & { _httpMessage?: ClientRequest & { idleMs?: number } };
     // eslint-disable-next-line no-underscore-dangle -- the agent's only link to the last request
--- a/packages/gateway/src/lib/EventScanner.test.ts
+++ b/packages/gateway/src/lib/EventScanner.test.ts
@@ -30,7 +30,7 @@
 test('a resumed stream leaves out what was passed on and drops the unfinished event', () => {
   const scanner = new EventScanner();
   scanner.push(Buffer.from(`${event(1)}${event(2)}id: 3\nda`));
-  scanner.takeRest();
+  scanner.dropRest();
   const resumed = scanner.push(Buffer.from(event(2) + event(3)));
   assert.equal(resumed.bytes.toString(), event(3));
 });
--- a/packages/gateway/src/lib/EventScanner.ts
+++ b/packages/gateway/src/lib/EventScanner.ts
@@ -4,15 +4,11 @@
   readonly bytes: Buffer;
   /** Id of the last whole event that has one. */
   readonly lastId: string | undefined;
-  readonly count: number;
 }
 
 const NOTHING = Buffer.alloc(0);
 const LINE_FEED = 0x0a;
 
-/** An event without an end within this size is no event stream. */
-const MAX_EVENT_BYTES = 1024 * 1024;
-
 /**
  * Cuts a stream of server-sent events into whole events, so that a caller never gets a part of one
  * that its endpoint did not finish. Events that a resumed stream repeats are left out.
@@ -28,37 +24,27 @@
     return this.#pending.length > 0;
   }
 
-  get isOversized(): boolean {
-    return this.#pending.length > MAX_EVENT_BYTES;
-  }
-
   get lastId(): string | undefined {
     return this.#lastId;
   }
 
-  /** The unfinished end, which is dropped when another endpoint goes on. */
-  takeRest(): Buffer {
-    const rest = this.#pending;
+  /** Drops the unfinished end, since another endpoint goes on. */
+  dropRest(): void {
     this.#pending = NOTHING;
-    return rest;
   }
 
   push(chunk: Buffer): ScannedEvents {
     const bytes = this.#pending.length > 0 ? Buffer.concat([this.#pending, chunk]) : chunk;
     const parts: Buffer[] = [];
     let from = 0;
-    let count = 0;
     for (let end = findEnd(bytes, from); end > 0; end = findEnd(bytes, from)) {
       const event = bytes.subarray(from, end);
       from = end;
-      if (!this.#isRepeated(event)) {
-        parts.push(event);
-        count += 1;
-      }
+      if (!this.#isRepeated(event)) parts.push(event);
     }
     this.#pending = from < bytes.length ? Buffer.from(bytes.subarray(from)) : NOTHING;
     const whole = parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts);
-    return { bytes: whole, lastId: this.#lastId, count };
+    return { bytes: whole, lastId: this.#lastId };
   }
 
   #isRepeated(event: Buffer): boolean {
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -313,7 +313,7 @@
 
   #countRun(): void {
     const { context, resolved } = this.#parts;
-    context.countRun(resolved.workspace?.name, resolved.target);
+    context.countRun(resolved.workspace?.name);
   }
 
   #noteFailure(type: string, reason: string): void {
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -59,6 +59,9 @@
 
   readonly #address: string;
 
+  /** Name under which this incarnation's usage is counted. */
+  readonly #source: string;
+
   readonly #links = new LinkServer();
 
   readonly #clock: FleetClock;
@@ -96,12 +99,13 @@
     this.#options = options;
     this.#settings = settings;
     this.#address = `${settings.ip}:${settings.meshPort}`;
+    this.#source = `${settings.instance}/${incarnation}`;
     this.#clock = new FleetClock(timer);
     this.#transport = new PeerTransport({ timer, journal, locate: (replica) => replica });
     this.#registry = this.#createRegistry();
     this.#mesh = new Mesh({
       address: this.#address,
-      source: `${settings.instance}/${incarnation}`,
+      source: this.#source,
       seeds: () => this.#seeds,
       registry: this.#registry,
       clock: this.#clock,
@@ -250,7 +254,7 @@
     const { usageWindowS } = this.#options.settings;
     if (workspace === undefined || usageWindowS === undefined) return;
     const window = Math.floor(this.#clock.now() / 1000 / usageWindowS);
-    this.#usage.add(`${this.#settings.instance}/${this.#options.incarnation}`, window, workspace);
+    this.#usage.add(this.#source, window, workspace);
   }
 
   #apply({ version, body }: StoredConfiguration): void {
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -3,7 +3,7 @@
 import type { RequestLog } from './RequestLog';
 import type { RepeatBudgets } from './RepeatBudgets';
 import type { RoutingTable } from './RoutingTable';
-import type { PoolName, WorkspaceName } from './ids';
+import type { WorkspaceName } from './ids';
 import type { Wire } from './Wire';
 
 /** What all requests of a gateway share. @internal */
@@ -24,5 +24,5 @@
   /** Whether requests that arrive now are refused, since the process ends soon. */
   readonly isRefusing: () => boolean;
   /** Counts a request that an endpoint has begun to run. */
-  readonly countRun: (workspace: WorkspaceName | undefined, pool: PoolName) => void;
+  readonly countRun: (workspace: WorkspaceName | undefined) => void;
 }
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -94,10 +94,6 @@
     this.#store.add(timer.every(STATUS_MS, () => this.#tick()));
   }
 
-  get configuration(): StoredConfiguration | undefined {
-    return this.#configuration;
-  }
-
   /** Instances of the fleet as the leader has last counted them; 0 before it has. */
   get instances(): number {
     return this.#instances;
@@ -148,7 +144,7 @@
 
   /** Tells the work that this instance has handed over; the leader tells all others the sums. */
   shareWork(endpoints: readonly EndpointWork[]): void {
-    if (!this.#options.registry?.isLeader) {
+    if (!this.isLeader) {
       this.#peers.leader?.dialer.link?.send({ type: 'work', endpoints });
       return;
     }
@@ -237,7 +233,7 @@
 
   #status(): Status {
     const { registry, clock } = this.#options;
-    const isLeader = registry?.isLeader ?? false;
+    const { isLeader } = this;
     return {
       type: 'status',
       version: this.#configuration?.version ?? -1,
@@ -285,7 +281,7 @@
   #noteLeader(): void {
     const { registry, address, journal } = this.#options;
     const known = this.#peers.leader?.address ?? '';
-    const leader = registry?.isLeader ? address : known;
+    const leader = this.isLeader ? address : known;
     if (leader === this.#leader) return;
     this.#leader = leader;
     journal.record(registryEvents.leaderChanged, { leader, term: registry?.term });
@@ -315,7 +311,7 @@
   #takeStatus(peer: Peer, link: Link<Upward, Downward>, status: Status): void {
     peer.status = status;
     this.#addresses.learn(status.members);
-    if (status.isLeader && peer === this.#peers.leader && !this.#options.registry?.isLeader) {
+    if (status.isLeader && peer === this.#peers.leader && !this.isLeader) {
       this.#instances = Math.max(1, status.instances);
       this.#options.clock.follow(status.timeMs);
       this.#options.usage.forget(status.closedWindow);
--- a/packages/registry/src/lib/Registry.ts
+++ b/packages/registry/src/lib/Registry.ts
@@ -148,11 +148,6 @@
     return this.#replica?.status.term ?? 0;
   }
 
-  /** Address of the leader as this replica knows it. */
-  get leader(): string | undefined {
-    return this.#replica?.status.leader;
-  }
-
   /** Addresses of all members. */
   get members(): string[] {
     return this.#replica?.status.membership.members.map(({ replica }) => replica) ?? [];
