Keep the platform's name of the settings variable in deploy/

Cause: the command line knew the variable by which the platform names the settings file; nothing outside platform/ and deploy/ should.

--- a/scripts/start.template.cjs
+++ b/deploy/start.cjs
@@ -1,4 +1,7 @@
-/** Runs the bundle beside this file, with its compiled code where that fits this Node.js. */
+/**
+ * Runs the bundle beside this file, with its compiled code where that fits this Node.js, and with the
+ * settings file that the platform names in the environment.
+ */
 process.on('SIGHUP', () => {});
 const { existsSync, readFileSync, writeFileSync } = require('node:fs');
 const { join } = require('node:path');
@@ -11,6 +14,8 @@
   `(function (exports, require, module, __filename, __dirname) {${source}\n})`,
   { filename, cachedData: existsSync(cache) ? readFileSync(cache) : undefined },
 );
+const settings = process.env.BERYLWOOD_CONFIG;
+if (settings && !process.argv.includes('--settings')) process.argv.push('--settings', settings);
 const warmUpMs = Number(process.env.BERYLWOOD_WARM_UP_MS ?? 0);
 if (warmUpMs > 0) {
   setTimeout(() => {
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -39,7 +39,7 @@
     },
   },
   {
-    files: ['scripts/**'],
+    files: ['scripts/**', 'deploy/**'],
     // Node.js resolves modules of its own by their full file names.
     rules: { 'import-x/extensions': 'off' },
     languageOptions: {
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -75,7 +75,7 @@
   const cache = join(folder, 'berylwood.cache');
   rmSync(cache, { force: true });
   writeFileSync(settings, WARM_SETTINGS);
-  writeFileSync(start, readFileSync('scripts/start.template.cjs'));
+  writeFileSync(start, readFileSync('deploy/start.cjs'));
   execFileSync(process.execPath, [...flags, start, 'run', '--settings', settings], {
     env: { ...process.env, BERYLWOOD_WARM_UP_MS: String(WARM_UP_MS) },
     stdio: ['ignore', 'ignore', 'inherit'],
