Wait for usage to be handed in before a scenario compares it

Cause: sidecars hand usage in every 500 ms (METER_INTERVAL_MS); the step read it once, right after the last answer. Only the start of the command line's process, about half a second, made it pass as a rule. Ruled out: a count for the wrong workspace and a loss at the resets (with the interval at 3,000 ms and a step that waits, all 20 requests are counted, 10 for each). After: it passes with 3,000 ms and with 500 ms. It is stricter: it asks for equal billable counts, not for at least as many, and counts windows that were frozen meanwhile.

--- a/features/steps/requests.ts
+++ b/features/steps/requests.ts
@@ -6,6 +6,9 @@
 
 let count = 0;
 
+/** Sidecars hand usage in every 500 ms; the rest is for a process of the command line on a busy machine. */
+const USAGE_LIMIT_MS = 10_000;
+
 /** Starts requests through the entries in turn, without waiting for their answers. */
 function startRequests(
   world: ScenarioWorld,
@@ -139,15 +142,43 @@
   assert.equal(await countRuns(this), 0);
 });
 
+interface UsageRow {
+  readonly workspace: string;
+  readonly requests: number;
+  readonly billable: boolean;
+}
+
 Then('each request has run for its own workspace', async function checkOwn(this: ScenarioWorld) {
-  const usage = JSON.parse(await this.deployment.operate('usage', '--json')) as {
-    workspace: string;
-    requests: number;
-  }[];
   const all = await Promise.all(this.pending);
-  for (const { workspace } of this.keys) {
-    const sent = all.filter((item) => item.workspace === workspace).length;
-    const line = usage.find((item) => item.workspace === workspace);
-    assert.ok((line?.requests ?? 0) >= sent, `${workspace}: ${JSON.stringify(usage)}`);
-  }
+  const sent = this.keys.map(({ workspace }) => ({
+    workspace,
+    requests: all.filter((item) => item.workspace === workspace).length,
+  }));
+  let usage: UsageRow[] = [];
+  const isHandedIn = async (): Promise<boolean> => {
+    usage = await readUsage(this);
+    return sent.every((item) => countBillable(usage, item.workspace) >= item.requests);
+  };
+  // The error that follows shows the usage.
+  await until('the usage is handed in', isHandedIn, USAGE_LIMIT_MS).catch(() => {});
+  const counted = sent.map(({ workspace }) => ({
+    workspace,
+    requests: countBillable(usage, workspace),
+  }));
+  assert.deepEqual(counted, sent, JSON.stringify(usage));
 });
+
+/** Usage of all windows: one may be frozen between a request and the reading. */
+async function readUsage({ deployment }: ScenarioWorld): Promise<UsageRow[]> {
+  const open = JSON.parse(await deployment.operate('usage', 'open', '--json')) as UsageRow[];
+  const closed = JSON.parse(await deployment.operate('usage', 'windows', '--json')) as {
+    report: string;
+  }[];
+  const reports = closed.map(({ report }) => JSON.parse(report) as { lines: UsageRow[] });
+  return [...open, ...reports.flatMap(({ lines }) => lines)];
+}
+
+function countBillable(usage: readonly UsageRow[], workspace: string): number {
+  const rows = usage.filter((row) => row.workspace === workspace && row.billable);
+  return rows.reduce((sum, { requests }) => sum + requests, 0);
+}
