Give nothing new to a receiver before what an earlier leader sent to it is settled

KNOWN-RED: "leaders that freeze, are cut off or die give no orders or reports after a newer one" failed at times with "order of fence 1 after 2" (frozen leader) and "3 after 4" (killed leader).

Cause: the relay fell silent between the platform's 100-continue and the body. The leader had written the body under its lease; frozen or killed it could not reset the connection, and the network delivered the body when it healed. Ruled out: a lost lease (the go-ahead of the platform comes before anything of the newer leader) and a resend by the deposed leader (same bytes, one arrival). No sender can take back what a network holds, so the change is to what such a body can do: a new leader gives nothing new to a receiver until the orders that an earlier leader sent there are answered (selectOrders). A held body is then a repeat of an order that the receiver has taken. The check lets a late body pass only if the receiver had asked for it before anything newer came and has got the same order from the newer leader.

--- a/packages/control/src/lib/OrderGiver.ts
+++ b/packages/control/src/lib/OrderGiver.ts
@@ -5,6 +5,7 @@
 import { REQUEST_DEADLINE_MS } from './PlatformClient';
 import { PlatformTask, type PlatformTaskOptions } from './PlatformTask';
 import type { Publisher } from './Publisher';
+import { selectOrders } from './selectOrders';
 
 const INTERVAL_MS = 50;
 
@@ -38,6 +39,12 @@
 
   readonly #members: MemberTable;
 
+  /** Orders that an earlier leader had sent without an answer, as found at the first step. */
+  #inherited: ReadonlySet<OrderId> = new Set();
+
+  /** Fencing number for which the inherited orders were found. */
+  #fence = 0;
+
   constructor(options: OrderGiverOptions) {
     super(options, INTERVAL_MS);
     this.#publisher = options.publisher;
@@ -47,7 +54,13 @@
   protected override async step(): Promise<void> {
     const { ledger, leadership } = this.options;
     this.#members.setStopped(this.#stoppedRuns);
-    for (const order of ledger.orders.open) {
+    const { open } = ledger.orders;
+    if (this.#fence !== leadership.fence) {
+      this.#fence = leadership.fence;
+      const sent = open.filter(({ step }) => step !== 'intended');
+      this.#inherited = new Set(sent.map(({ order }) => order));
+    }
+    for (const order of selectOrders(open, this.#inherited)) {
       if (!leadership.mayAct(MARGIN_MS)) return;
       if (isForPlatform(order.action)) await this.#givePlatform(order, order.action);
       else await this.#giveSidecar(order, order.action);
--- a/packages/control/src/testing/startGroup.ts
+++ b/packages/control/src/testing/startGroup.ts
@@ -65,6 +65,11 @@
     this.deployment.relay(name, 'platform').set('silent');
   }
 
+  /** Cuts a replica from the platform when that has asked for the body of an order, and holds it. */
+  holdNextBody(name: string): void {
+    this.deployment.relay(name, 'platform').silenceAfterReply();
+  }
+
   /** Cuts a replica from the others and the platform, in silence; bytes on the way wait. */
   cut(name: string): void {
     for (const relay of this.#relaysOf(name)) relay.set('silent');
--- a/packages/testing/src/lib/Relay.ts
+++ b/packages/testing/src/lib/Relay.ts
@@ -33,6 +33,8 @@
 
   #delayMs = 0;
 
+  #silencesAfterReply = false;
+
   constructor(target: string) {
     this.#target = target;
     this.#server = createServer((near) => this.#accept(near));
@@ -54,11 +56,17 @@
   /** Switches the fault; `pass` heals, and lets go what was held. */
   set(mode: RelayMode): void {
     this.#mode = mode;
+    this.#silencesAfterReply = false;
     if (mode === 'refuse') this.reset();
     if (mode === 'pass') for (const { near, far } of this.#pairs) resume(near, far);
     if (mode === 'silent') for (const { near, far } of this.#pairs) pause(near, far);
   }
 
+  /** Falls silent right after the next bytes of a target, so that what answers them is held. */
+  silenceAfterReply(): void {
+    this.#silencesAfterReply = true;
+  }
+
   /** Delays each chunk of bytes. */
   delay(delayMs: number): void {
     this.#delayMs = delayMs;
@@ -107,6 +115,7 @@
     this.#pairs.add(pair);
     this.#join(near, far);
     this.#join(far, near);
+    far.on('data', () => this.#silence());
     for (const socket of [near, far]) {
       this.#sockets.add(socket);
       socket.setNoDelay(true);
@@ -121,6 +130,10 @@
     if (this.#mode === 'silent') pause(near, far);
   }
 
+  #silence(): void {
+    if (this.#silencesAfterReply) this.set('silent');
+  }
+
   #drop({ near, far }: Pair): void {
     near.destroy();
     far.destroy();
--- a/packages/testing/src/lib/StandIn.ts
+++ b/packages/testing/src/lib/StandIn.ts
@@ -60,14 +60,17 @@
     response: ServerResponse,
     url: URL,
     body: Buffer,
+    /** Wall time at which the head had arrived, and the client was told to send the body. */
+    headAt: number,
   ): Promise<void> | void;
 
   async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://stand-in');
+    const headAt = Date.now();
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     if (url.pathname === '/history') sendJson(response, 200, this.history.records);
-    else await this.serve(request, response, url, Buffer.concat(chunks));
+    else await this.serve(request, response, url, Buffer.concat(chunks), headAt);
   }
 }
 
--- a/packages/testing/src/lib/checks/checkFences.test.ts
+++ b/packages/testing/src/lib/checks/checkFences.test.ts
@@ -21,3 +21,14 @@
   const reports = createHistory('usage', { fence: 2, window: 'w1' });
   assert.equal(checkFences('platform', [...orders, ...reports]).length, 1);
 });
+
+test('a body that the network held passes as a repeat only', () => {
+  const held = { fence: 1, order: 'a', headAt: 0 };
+  const repeat = createHistory('order', { fence: 2, order: 'a' }, held);
+  assert.deepEqual(checkFences('platform', repeat), []);
+  const first = createHistory('order', { fence: 2, order: 'b' }, held);
+  assert.equal(checkFences('platform', first).length, 1);
+  const late = { ...held, headAt: Number.MAX_SAFE_INTEGER };
+  const sentLate = createHistory('order', { fence: 2, order: 'a' }, late);
+  assert.equal(checkFences('platform', sentLate).length, 1);
+});
--- a/packages/testing/src/lib/platform/PlatformServer.ts
+++ b/packages/testing/src/lib/platform/PlatformServer.ts
@@ -66,12 +66,13 @@
     response: ServerResponse,
     url: URL,
     body: Buffer,
+    headAt: number,
   ): Promise<void> {
     switch (`${request.method} ${url.pathname}`) {
       case 'POST /orders':
-        return this.#order(response, readOrder(request, body));
+        return this.#order(response, { ...readOrder(request, body), headAt });
       case 'POST /usage':
-        return this.#takeUsage(request, response, body);
+        return this.#takeUsage(request, response, body, headAt);
       case 'GET /instances':
         return sendJson(response, 200, { instances: this.#instances.instances });
       case 'POST /instances':
@@ -98,12 +99,13 @@
     request: IncomingMessage,
     response: ServerResponse,
     body: Buffer,
+    headAt: number,
   ): Promise<void> {
     const window = request.headers[ID_HEADER];
     const fence = Number(request.headers[FENCE_HEADER]);
     if (!window || Number.isNaN(fence)) throw new HttpFault(400, 'no window or no fence');
     const digest = createHash('sha256').update(body).digest('hex');
-    this.history.add('usage', { window, fence, digest, body: body.toString('utf8') });
+    this.history.add('usage', { window, fence, digest, headAt, body: body.toString('utf8') });
     await this.#acknowledge(response);
   }
 
