Let requests wait while an instance starts, and dial learned replicas at once

Two causes: - Requests that came before the first configuration and list were refused. StartGate holds them for at most a second after the start, or until their own time ends. - Instances without a disk got their configuration 370 ms after their start, all in the tick after they had learned where the replicas are. Mesh dials what it learns at once. Ruled out: late elections (configurations come from the file of each replica), the list (read within 50 ms). Lines of requests name the rank that the endpoint was told.

--- a/packages/gateway/src/lib/EndpointDirectory.ts
+++ b/packages/gateway/src/lib/EndpointDirectory.ts
@@ -29,6 +29,9 @@
   /** Connections that an endpoint of a pool takes from all instances. */
   maxConnections: (pool: PoolName) => number | undefined = () => undefined;
 
+  /** Called when the list is known for the first time. */
+  onKnown: () => void = () => {};
+
   /** Instances that share the endpoints. */
   instances: () => number = () => 1;
 
@@ -91,7 +94,9 @@
     }
     this.#endpoints = after;
     this.#index();
+    const wasKnown = this.isKnown;
     this.#readAt = this.#timer.now();
+    if (!wasKnown) this.onKnown();
     if (changes.length === 0) return;
     this.#journal.record(gatewayEvents.listRead, { endpoints: listed.length, changes });
   }
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -4,6 +4,7 @@
 import { Answer } from './Answer';
 import { Attempt, type AnswerHead, type AttemptEnd, type AttemptListener } from './Attempt';
 import { gatewayCodes } from './codes';
+import { composeAttempt } from './composeAttempt';
 import { mayRepeat } from './mayRepeat';
 import { describeRequest } from './describeRequest';
 import { gatewayEvents } from './events';
@@ -20,9 +21,6 @@
 /** Time in which a refused caller finds room, in milliseconds: about one answer of an engine. */
 const ROOM_IN_MS = 600;
 
-/** Endpoints take no deadline of 0. */
-const MIN_DEADLINE_MS = 1;
-
 /** One client attempt, from its arrival to its final answer. @internal */
 export class Exchange implements AttemptListener {
   readonly #context: GatewayContext;
@@ -49,6 +47,9 @@
 
   #answer: Answer | undefined;
 
+  /** Wait of a request that came while the instance was starting. */
+  #hold: Disposable | undefined;
+
   readonly #tried = new Set<string>();
 
   #sends = 0;
@@ -74,10 +75,19 @@
     return this.#endsAt - this.#context.timer.now();
   }
 
-  /** Reads the request and places it. */
+  /** Reads the request and places it, once the instance knows enough. */
   start(): void {
     this.#response.on('close', () => this.#onCallerClosed());
     this.#response.on('drain', () => this.#attempt?.resume());
+    const { gate, wire } = this.#context;
+    if (gate.isHolding) {
+      const { deadlineMs } = wire.readRequest(this.#request.rawHeaders);
+      const onTimeout = (): void => this.#onTimeout();
+      this.#hold = gate.wait({ onRelease: () => this.#resolve(), deadlineMs, onTimeout });
+    } else this.#resolve();
+  }
+
+  #resolve(): void {
     const resolved = resolveRequest(this.#context, this.#request);
     if (resolved.isErr()) {
       this.#refuse(resolved.error);
@@ -87,7 +97,7 @@
     const { facts, route, table, target } = resolved.value;
     const givenMs = Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs);
     this.#endsAt = this.#arrivedAt + givenMs;
-    this.#endTimer = this.#context.timer.after(givenMs, () => this.#onTimeout());
+    this.#endTimer = this.#context.timer.after(this.#leftMs, () => this.#onTimeout());
     this.#context.budgets.arrived(target);
     readBody(this.#request, table.configuration.limits.maxBodyBytes, (body) => this.#onBody(body));
   }
@@ -112,7 +122,7 @@
       this.#countRun();
       this.#silence?.[Symbol.dispose]();
       this.#attempt?.promptRead();
-      this.#attempt?.endpoint.begun(this.#rank, this.#attempt.startedAt);
+      this.#attempt?.endpoint.begun(this.#parts.resolved.rank, this.#attempt.startedAt);
     }
     if (answer.isStarted && this.#life.can('answer')) this.#move('answer');
     return isWritable;
@@ -177,33 +187,18 @@
     this.#tried.add(endpoint.listed.id);
     this.#sends += 1;
     this.#move('send');
-    const { facts, workspace, route } = resolved;
-    const headers = context.wire.endpointHeaders(this.#request.rawHeaders, {
+    const outgoing = composeAttempt(context, resolved, this.#request, {
       endpoint: endpoint.listed.id,
-      workspace: workspace?.name,
-      deadlineMs: Math.max(MIN_DEADLINE_MS, Math.floor(this.#leftMs)),
-      rank: this.#rank,
-      bodyBytes: this.#body.length,
-      resumeAfter: this.#answer?.lastEventId ?? facts.resumeAfter,
-    });
-    const outgoing = {
-      method: this.#request.method ?? 'GET',
-      target: this.#request.url ?? '/',
-      headers,
+      leftMs: this.#leftMs,
       body: this.#body,
-      attempt: facts.attempt,
-      promptTokens: tokens,
-      rank: this.#rank,
-    };
+      tokens,
+      resumeAfter: this.#answer?.lastEventId,
+    });
     this.#attempt = new Attempt(endpoint, outgoing, this, context);
     if (this.#answer?.isStarted) return;
     const onSilence = (reason: string): void => this.onSilence(reason);
-    this.#silence = new SilenceWatch(context.timer, this.#attempt, route, this.#rank, onSilence);
-  }
-
-  get #rank(): number {
-    const { route, workspace } = this.#parts.resolved;
-    return workspace?.rank ?? route.rank;
+    const { route, rank } = resolved;
+    this.#silence = new SilenceWatch(context.timer, this.#attempt, route, rank, onSilence);
   }
 
   /**
@@ -329,6 +324,7 @@
   }
 
   #end(status: number, code: number | undefined, reason: string | undefined): void {
+    this.#hold?.[Symbol.dispose]();
     this.#endTimer?.[Symbol.dispose]();
     this.#silence?.[Symbol.dispose]();
     const { context } = this.#parts;
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -21,6 +21,7 @@
 import { RepeatBudgets } from './RepeatBudgets';
 import { RequestLog } from './RequestLog';
 import { RoutingTable } from './RoutingTable';
+import { StartGate } from './StartGate';
 import { UsageReporter } from './UsageReporter';
 import type { PlatformCalls, Wire } from './Wire';
 
@@ -74,6 +75,8 @@
 
   readonly #mesh: Mesh;
 
+  readonly #gate: StartGate;
+
   readonly #front: FrontServer;
 
   readonly #readiness: ReadinessServer;
@@ -114,7 +117,9 @@
       journal,
     });
     this.#mesh.onConfiguration = (configuration) => this.#apply(configuration);
+    this.#gate = this.store.add(new StartGate(timer));
     this.#directory = new EndpointDirectory(timer, journal);
+    this.#directory.onKnown = () => this.#noteReadiness();
     this.#directory.instances = () => this.#instances;
     this.#directory.maxConnections = (pool) => this.#table?.findPool(pool)?.maxConnections;
     this.#front = new FrontServer(this.#createContext());
@@ -218,6 +223,7 @@
       random: new Random(Math.floor(Math.random() * 2 ** 31)),
       log: new RequestLog(journal, timer, metrics),
       directory: this.#directory,
+      gate: this.#gate,
       budgets: new RepeatBudgets(bounds, () => this.#instances),
       dataCentre: settings.dataCentre,
       table: () => this.#table,
@@ -278,7 +284,9 @@
   }
 
   #noteReadiness(): void {
-    const isReady = !this.#isStopping && this.#table !== undefined && this.#directory.isKnown;
+    const isInformed = this.#table !== undefined && this.#directory.isKnown;
+    if (isInformed) this.#gate.release();
+    const isReady = !this.#isStopping && isInformed;
     if (isReady === this.#wasReady) return;
     this.#wasReady = isReady;
     this.#options.journal.record(gatewayEvents.readinessChanged, {
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -3,6 +3,7 @@
 import type { RequestLog } from './RequestLog';
 import type { RepeatBudgets } from './RepeatBudgets';
 import type { RoutingTable } from './RoutingTable';
+import type { StartGate } from './StartGate';
 import type { WorkspaceName } from './ids';
 import type { Wire } from './Wire';
 
@@ -17,6 +18,7 @@
   readonly directory: EndpointDirectory;
   readonly budgets: RepeatBudgets;
   readonly dataCentre: string;
+  readonly gate: StartGate;
   /** The routing table in force, if any. */
   readonly table: () => RoutingTable | undefined;
   /** Whether connections are closed after their present answer. */
--- a/packages/gateway/src/lib/RequestLog.ts
+++ b/packages/gateway/src/lib/RequestLog.ts
@@ -12,6 +12,8 @@
   readonly route: string | undefined;
   readonly workspace: string | undefined;
   readonly pool: string | undefined;
+  /** Rank that the endpoint was told; 0 is the most urgent. */
+  readonly rank: number | undefined;
   readonly endpoint: string | undefined;
   readonly status: number;
   /** Number of the result code of this system; undefined for an endpoint's own answer. */
--- a/packages/gateway/src/lib/describeRequest.ts
+++ b/packages/gateway/src/lib/describeRequest.ts
@@ -8,6 +8,7 @@
   | 'route'
   | 'workspace'
   | 'pool'
+  | 'rank'
   | 'promptTokens'
   | 'deadlineMs'
   | 'version'
@@ -24,6 +25,7 @@
     route: resolved?.route.name,
     workspace: resolved?.workspace?.name,
     pool: resolved?.target,
+    rank: resolved?.rank,
     promptTokens: resolved?.facts.promptTokens,
     deadlineMs: resolved?.facts.deadlineMs,
     version: resolved?.table.version,
--- a/packages/gateway/src/lib/placeRequest.ts
+++ b/packages/gateway/src/lib/placeRequest.ts
@@ -29,7 +29,7 @@
  */
 export function placeRequest(
   context: GatewayContext,
-  { route, facts, target, table, workspace }: ResolvedRequest,
+  { route, facts, target, table, rank }: ResolvedRequest,
   tried: ReadonlySet<string>,
 ): Placement | undefined {
   const { directory, random, dataCentre } = context;
@@ -44,7 +44,7 @@
     return place && { endpoint: place.endpoint, tokens: 0, readMs: 0 };
   }
   const places = candidates.map((endpoint) =>
-    endpoint.engineView(dataCentre, directory.instances(), workspace?.rank ?? route.rank),
+    endpoint.engineView(dataCentre, directory.instances(), rank),
   );
   const choice = chooseEngine(places, costOf(facts), random.next());
   return (
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -187,7 +187,7 @@
     link.onMessage = (message) => {
       if (message.type === 'report') this.#takeReport(link, message);
       else if (message.type === 'work') this.#board.set(link, message.endpoints);
-      else if (message.type === 'hello') this.#addresses.learn(message.members);
+      else if (message.type === 'hello') this.#learn(message.members);
     };
     link.onCall = (message) => this.#answer(message);
     link.send(this.#status());
@@ -304,13 +304,19 @@
     else this.onNotice(message.value);
   }
 
+  /** Dials at once what it learns of: an instance that has just started knows little else. */
+  #learn(members: readonly string[]): void {
+    this.#addresses.learn(members);
+    this.#peers.dial(this.#addresses.wanted);
+  }
+
   #sayHello(link: Link<Upward, Downward>): void {
     link.send({ type: 'hello', members: this.#addresses.members });
   }
 
   #takeStatus(peer: Peer, link: Link<Upward, Downward>, status: Status): void {
     peer.status = status;
-    this.#addresses.learn(status.members);
+    this.#learn(status.members);
     if (status.isLeader && peer === this.#peers.leader && !this.isLeader) {
       this.#instances = Math.max(1, status.instances);
       this.#options.clock.follow(status.timeMs);
