Count the batch and the slots of an engine when a prompt is placed

Cause, from the lines of that engine's requests: from second 9 to 15 nearly all of its streams belonged to the hot workspace, whose rank is the most urgent and whose chats share one part of 170 tokens. Each instance kept them at the home of that part: a queue that only counts what is at least as urgent was empty for them, and the size of the batch counted for reading only, not for answers of 280 tokens, nor were slots counted. So the home ran 64 and more, with pauses of 130 to 150 ms, and pushed out what else lived there. Ruled out: wrong ranks on the wire (each line's rank is that of its workspace), other versions of the configuration (idle changes only), memory (0 preempted once batches spread). Change: the time that an answer loses to the batch, and the wait for a slot, count in the choice of an engine.

--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -26,6 +26,17 @@
 /** Requests sent within this time may begin in any order, in milliseconds. */
 const OVERTAKEN_MS = 250;
 
+/** What an engine's view depends on. */
+interface Viewer {
+  readonly dataCentre: string;
+  /** Instances that share the endpoints. */
+  readonly instances: number;
+  /** Rank of the request that is placed. */
+  readonly rank: number;
+  /** Requests that an engine of the pool runs at a time. */
+  readonly slots: number;
+}
+
 /** One endpoint as this instance sees it. @internal */
 export class Endpoint implements Disposable {
   readonly agent: EndpointAgent;
@@ -136,11 +147,12 @@
   }
 
   /** The endpoint as a request of a rank sees it: what is less urgent waits behind it. */
-  engineView(
-    dataCentre: string,
-    instances: number,
-    rank: number,
-  ): EnginePlace & { readonly endpoint: Endpoint } {
+  engineView({
+    dataCentre,
+    instances,
+    rank,
+    slots,
+  }: Viewer): EnginePlace & { readonly endpoint: Endpoint } {
     const { tokens, requests, at } = this.#shared;
     const isFresh = this.#timer.now() - at < SHARED_LIFE_MS;
     // Without news of the others, they are taken to do as this instance does.
@@ -149,6 +161,7 @@
       key: this.#listed.id,
       queuedTokens: sumTo(this.#unread, rank) * factor + (isFresh ? sumTo(tokens, rank) : 0),
       running: this.#inFlight * factor + (isFresh ? requests : 0),
+      slots,
       isNear: this.#listed.dataCentre === dataCentre,
       endpoint: this,
     };
--- a/packages/gateway/src/lib/placeRequest.ts
+++ b/packages/gateway/src/lib/placeRequest.ts
@@ -14,12 +14,13 @@
 }
 
 /** The last part of a prompt belongs to the request alone, the one before it is shared by many. */
-function costOf({ prompt, promptTokens }: RequestFacts): PromptCost {
+function costOf({ prompt, promptTokens, ...facts }: RequestFacts): PromptCost {
   const shared = prompt.at(-2);
   const listed = prompt.reduce((sum, { tokens }) => sum + tokens, 0);
   const own = prompt.at(-1)?.tokens ?? 0;
   const ownTokens = own + Math.max(0, promptTokens - listed);
-  return { sharedPart: shared?.id, sharedTokens: shared?.tokens ?? 0, ownTokens };
+  const answerTokens = Math.min(facts.answerTokens, facts.expectedTokens ?? Infinity);
+  return { sharedPart: shared?.id, sharedTokens: shared?.tokens ?? 0, ownTokens, answerTokens };
 }
 
 /**
@@ -38,14 +39,14 @@
     .filter((endpoint) => !tried.has(endpoint.listed.id) && endpoint.hasRoom);
   const usable = untried.filter(({ isUsable }) => isUsable);
   const candidates = usable.length > 0 ? usable : untried.filter(({ isStaying }) => isStaying);
-  if (!route.hasAffinity || !table.findPool(target)?.engine) {
+  const engine = table.findPool(target)?.engine;
+  if (!route.hasAffinity || !engine) {
     const places = candidates.map((endpoint) => endpoint.view(dataCentre));
     const place = choosePlace(places, random.next());
     return place && { endpoint: place.endpoint, tokens: 0, readMs: 0 };
   }
-  const places = candidates.map((endpoint) =>
-    endpoint.engineView(dataCentre, directory.instances(), rank),
-  );
+  const viewer = { dataCentre, instances: directory.instances(), rank, slots: engine.slots };
+  const places = candidates.map((endpoint) => endpoint.engineView(viewer));
   const choice = chooseEngine(places, costOf(facts), random.next());
   return (
     choice && { endpoint: choice.place.endpoint, tokens: choice.tokens, readMs: choice.readMs }
--- a/packages/policy/src/lib/placement/chooseEngine.test.ts
+++ b/packages/policy/src/lib/placement/chooseEngine.test.ts
@@ -4,14 +4,19 @@
 import { ENGINE_OPTIONS, chooseEngine, type EnginePlace, type PromptCost } from './chooseEngine';
 
 function engine(key: string, queuedTokens = 0, running = 10): EnginePlace {
-  return { key, queuedTokens, running, isNear: true };
+  return { key, queuedTokens, running, slots: 64, isNear: true };
 }
 
 function engines(queues: readonly number[]): EnginePlace[] {
   return queues.map((queued, at) => engine(`e-${at}`, queued));
 }
 
-const PROMPT: PromptCost = { sharedPart: 'part', sharedTokens: 3780, ownTokens: 2890 };
+const PROMPT: PromptCost = {
+  sharedPart: 'part',
+  sharedTokens: 3780,
+  ownTokens: 2890,
+  answerTokens: 50,
+};
 
 test('a shared part goes to the same engine from all instances', () => {
   const first = chooseEngine(engines([0, 0, 0, 0, 0, 0, 0, 0]), PROMPT, 0.1);
@@ -72,7 +77,7 @@
     const sharedPart = `part-${random.below(PARTS)}`;
     const ownTokens = 1900 * Math.exp(random.normal() - 0.5);
     const places = [...replayed].map(([key, { queuedTokens }]) => engine(key, queuedTokens));
-    const prompt = { sharedPart, sharedTokens: PROMPT.sharedTokens, ownTokens };
+    const prompt = { ...PROMPT, sharedPart, ownTokens };
     const options = { ...ENGINE_OPTIONS, rereadWeight };
     const choice = chooseEngine(places, prompt, random.next(), options);
     assert.ok(choice);
@@ -96,3 +101,57 @@
     assert.ok(staying.waitMs < 1200, figures);
   }
 });
+
+const isAfter = (now: number) => (time: number) => time > now;
+
+/** Step of a batch that reads no prompt, in milliseconds. */
+const DECODE_STEP_MS = 4.4;
+
+/**
+ * Five seconds of short prompts with long answers, 100 a second on eight engines, of which two in
+ * three share one part; answers the largest batch as a multiple of the mean one.
+ */
+function replayHotWorkspace(seed: number, batchWeight: number): number {
+  const random = new Random(seed);
+  const names = Array.from({ length: 8 }, (_, at) => `e-${at}`);
+  const ends = new Map(names.map((key) => [key, [] as number[]]));
+  let now = 0;
+  let largest = 0;
+  while (now < 5000) {
+    now += random.exponential(10);
+    for (const [key, times] of ends) ends.set(key, times.filter(isAfter(now)));
+    const places = [...ends].map(([key, { length }]) => engine(key, 0, length));
+    const sharedPart = random.next() < 2 / 3 ? 'hot' : `part-${random.below(100)}`;
+    const chat = { sharedPart, sharedTokens: 170, ownTokens: 540, answerTokens: 280 };
+    const options = { ...ENGINE_OPTIONS, batchWeight };
+    const choice = chooseEngine(places, chat, random.next(), options);
+    assert.ok(choice);
+    const stepMs = DECODE_STEP_MS + ENGINE_OPTIONS.stepMsPerRequest * choice.place.running;
+    ends.get(choice.place.key)?.push(now + chat.answerTokens * stepMs);
+    if (now > 2000) {
+      const sizes = [...ends.values()].map(({ length }) => length);
+      const total = sizes.reduce((sum, size) => sum + size, 0);
+      largest = Math.max(largest, (Math.max(...sizes) * names.length) / total);
+    }
+  }
+  return largest;
+}
+
+test('long answers of a hot workspace spread over the engines', () => {
+  for (const seed of [1, 2, 3]) {
+    const spread = replayHotWorkspace(seed, ENGINE_OPTIONS.batchWeight);
+    const piled = replayHotWorkspace(seed, 0);
+    const figures = `seed ${seed}: ${spread}, without batches ${piled}`;
+    assert.ok(spread < 2, figures);
+    assert.ok(piled > 3, figures);
+  }
+});
+
+test('no request is sent to an engine whose slots are full while others have room', () => {
+  const home = chooseEngine(engines([0, 0, 0]), PROMPT, 0)?.place.key;
+  const chat = { ...PROMPT, sharedTokens: 170, answerTokens: 280 };
+  const full = engines([0, 0, 0]).map((place) =>
+    place.key === home ? { ...place, running: 64 } : place,
+  );
+  assert.notEqual(chooseEngine(full, chat, 0)?.place.key, home);
+});
--- a/packages/policy/src/lib/placement/chooseEngine.ts
+++ b/packages/policy/src/lib/placement/chooseEngine.ts
@@ -6,8 +6,10 @@
   readonly key: string;
   /** Prompt tokens that all instances have sent there and that are not read yet, as estimated. */
   readonly queuedTokens: number;
-  /** Requests that run there. */
+  /** Requests that run or wait there, from all instances. */
   readonly running: number;
+  /** Requests that it runs at a time. */
+  readonly slots: number;
   /** Whether it lies in the data centre of the instance that asks. */
   readonly isNear: boolean;
 }
@@ -20,6 +22,8 @@
   readonly sharedTokens: number;
   /** Tokens that any engine has to read. */
   readonly ownTokens: number;
+  /** Tokens that the answer is expected to have. */
+  readonly answerTokens: number;
 }
 
 /** Options of the placement. @public */
@@ -37,6 +41,10 @@
    * is queued behind them, too.
    */
   readonly rereadWeight: number;
+  /** Weight of the time by which the batch slows the answer down; 0 leaves batches out. */
+  readonly batchWeight: number;
+  /** Time until one of the requests of a full batch ends, in milliseconds. */
+  readonly turnMs: number;
   /** Lead that a far engine must have, in milliseconds: traffic between data centres costs. */
   readonly farMs: number;
 }
@@ -48,6 +56,9 @@
   stepMsPerRequest: 0.11,
   warmth: [1, 0.5, 0.25],
   rereadWeight: 150,
+  batchWeight: 1,
+  // Requests stay for 1.5 s on average, in 64 slots.
+  turnMs: 25,
   farMs: 0,
 };
 
@@ -56,6 +67,16 @@
   return ownTokens + sharedTokens * (1 - warmth);
 }
 
+/**
+ * Time that an answer loses to the batch it joins, in milliseconds: each request of the batch
+ * lengthens each of its steps, and beyond the slots it waits for one to end, or takes its place.
+ */
+function batchMs({ answerTokens }: PromptCost, place: EnginePlace, options: EngineOptions): number {
+  const slowerMs = answerTokens * options.stepMsPerRequest * Math.min(place.running, place.slots);
+  const waitMs = Math.max(0, place.running + 1 - place.slots) * options.turnMs;
+  return slowerMs + waitMs;
+}
+
 /** The choice of an engine, and the tokens it is expected to read. @public */
 export interface EngineChoice<P extends EnginePlace> {
   readonly place: P;
@@ -65,10 +86,13 @@
 }
 
 /**
- * Chooses the engine that will have read the prompt first. Load pattern: bursts of long prompts of
- * which large parts are shared and few are warm yet. An engine's queue is counted in tokens to read
- * over all instances, since prompts differ by a factor of a hundred; leaving the home of a shared
- * part costs its reading, so that a prompt moves only when the queue it escapes is longer.
+ * Chooses the engine that will have answered first. Load patterns:
+ * - Bursts of long prompts of which large parts are shared and few are warm yet. An engine's queue is
+ *   counted in tokens to read over all instances, since prompts differ by a factor of a hundred;
+ *   leaving the home of a shared part costs its reading, so that a prompt moves only when the queue
+ *   it escapes is longer.
+ * - Many short prompts with long answers that share a small part, as of one workspace. They fill the
+ *   slots of its home, slow each other down and push others out; the size of the batch sends them on.
  * @param draw uniform in [0, 1): spreads ties over the instances that decide at the same time
  * @public
  */
@@ -91,7 +115,8 @@
       (options.stepMs + options.stepMsPerRequest * place.running) / options.chunkTokens;
     const readMs = (place.queuedTokens + tokens) * tokenMs;
     const rereadMs = (tokens - prompt.ownTokens) * (options.rereadWeight - 1) * tokenMs;
-    const costMs = readMs + rereadMs + (place.isNear ? 0 : options.farMs);
+    const answerMs = batchMs(prompt, place, options) * options.batchWeight;
+    const costMs = readMs + rereadMs + answerMs + (place.isNear ? 0 : options.farMs);
     if (!best || costMs < best.costMs) best = { place, tokens, readMs, costMs };
   }
   return best;
