Let callers that come back in with a queue in which they still begin in time

Cause: after a refusal a caller was let in with up to 1.5 objectives of reading before it, a first try with 0.5. In an overload of some seconds those that come back are as many as new ones; they kept the queue near 1.5 objectives, so whoever was let in began late, and more urgent prompts of the same workspaces waited with them.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -63,5 +63,10 @@
   type EnginePlace,
   type PromptCost,
 } from './lib/placement/chooseEngine';
-export { admits, type AdmissionInput } from './lib/placement/admits';
+export {
+  ADMISSION,
+  admits,
+  type AdmissionInput,
+  type AdmissionOptions,
+} from './lib/placement/admits';
 export { retryAfterMs } from './lib/placement/retryAfter';
--- a/packages/policy/src/lib/placement/admits.ts
+++ b/packages/policy/src/lib/placement/admits.ts
@@ -12,14 +12,20 @@
   readonly givenMs: number | undefined;
 }
 
+/** Options of the admission. @public */
+export interface AdmissionOptions {
+  /** Part of the objective that the reading of a first try may take. */
+  readonly readShare: number;
+  /** The same for callers that come back: they have waited already. */
+  readonly returningShare: number;
+}
+
 /**
- * Part of the objective that reading may take: answers began after 1.5 times the expected reading
- * and 100 ms, in the middle of a measured burst.
+ * Defaults. Answers began after 1.5 times the expected reading and 100 ms, in the middle of a
+ * measured burst; a prompt let in at `returningShare` still begins within the objective.
+ * @public
  */
-const READ_SHARE = 0.5;
-
-/** Callers that come back have waited already: they are let in with a longer queue before them. */
-const RETURNING_SHARE = 1.5;
+export const ADMISSION: AdmissionOptions = { readShare: 0.5, returningShare: 0.6 };
 
 /** Part of the route's time below which a caller's own time shows that it has tried before. */
 const FIRST_TRY_SHARE = 0.85;
@@ -31,12 +37,13 @@
  * Whether a request is let in. Load pattern: more long prompts arrive than engines can read. If all
  * were let in, the queue would grow until every answer begins late; so as many are let in as can
  * begin in time, and the others learn at once when to return. What is more urgent sees a shorter
- * queue, so the least urgent are turned away first.
+ * queue, so the least urgent are turned away first. Callers that come back are many then; a queue
+ * that is much longer for them stays that long, and everyone's answers begin late.
  * @public
  */
-export function admits(input: AdmissionInput): boolean {
+export function admits(input: AdmissionInput, options: AdmissionOptions = ADMISSION): boolean {
   const { readMs, objectiveMs, timeoutMs, leftMs, givenMs = timeoutMs } = input;
   const isReturning = givenMs < timeoutMs * FIRST_TRY_SHARE;
-  const share = isReturning ? RETURNING_SHARE : READ_SHARE;
+  const share = isReturning ? options.returningShare : options.readShare;
   return readMs <= Math.min(objectiveMs * share, leftMs * LEFT_SHARE);
 }
