--- a/packages/testing/src/lib/Relay.ts
+++ b/packages/testing/src/lib/Relay.ts
@@ -16,6 +16,8 @@
 interface Pair {
   readonly near: Socket;
   readonly far: Socket;
+  /** Time until which delayed bytes are on their way, in milliseconds. */
+  dueAt: number;
 }
 
 /** A TCP relay between two processes with switchable faults. @public */
@@ -111,20 +113,23 @@
     }
     const { host, port } = splitAddress(this.#target);
     const far = connect(port, host);
-    const pair = { near, far };
+    const pair: Pair = { near, far, dueAt: 0 };
     this.#pairs.add(pair);
-    this.#join(near, far);
-    this.#join(far, near);
+    this.#join(near, far, pair);
+    this.#join(far, near, pair);
     far.on('data', () => this.#silence());
     for (const socket of [near, far]) {
       this.#sockets.add(socket);
       socket.setNoDelay(true);
       socket.on('error', () => {});
-      socket.once('close', () => {
+      socket.once('close', (hadError) => {
         this.#sockets.delete(socket);
         const passes = this.#pairs.delete(pair);
         // A cut network tells neither side that the other is gone.
-        if (passes && this.#mode !== 'silent') this.#drop(pair);
+        if (!passes || this.#mode === 'silent') return;
+        const leftMs = hadError ? 0 : pair.dueAt + 1 - performance.now();
+        if (leftMs > 0) setTimeout(() => this.#drop(pair), leftMs);
+        else this.#drop(pair);
       });
     }
     if (this.#mode === 'silent') pause(near, far);
@@ -139,15 +144,24 @@
     far.destroy();
   }
 
-  #join(from: Socket, to: Socket): void {
-    from.on('data', (chunk) => {
-      if (this.#delayMs > 0) setTimeout(() => write(from, to, chunk), this.#delayMs);
-      else write(from, to, chunk);
-    });
+  #join(from: Socket, to: Socket, pair: Pair): void {
+    // Bytes never overtake each other, also when the delay ends while some are on their way.
+    let dueAt = 0;
+    const pass = (deliver: () => void): void => {
+      const now = performance.now();
+      if (this.#delayMs === 0 && dueAt <= now) {
+        deliver();
+        return;
+      }
+      dueAt = Math.max(now + this.#delayMs, dueAt + 1);
+      pair.dueAt = Math.max(pair.dueAt, dueAt);
+      setTimeout(deliver, dueAt - now);
+    };
+    from.on('data', (chunk) => pass(() => write(from, to, chunk)));
     to.on('drain', () => {
       if (this.#mode !== 'silent') from.resume();
     });
-    from.on('end', () => to.end());
+    from.on('end', () => pass(() => to.end()));
   }
 }
 
