--- a/packages/testing/src/lib/Relay.ts
+++ b/packages/testing/src/lib/Relay.ts
@@ -13,6 +13,9 @@
 /** Bytes that may wait on one side of a pair before its reader is paused. */
 const HIGH_WATER_BYTES = 64 * 1024;
 
+/** Time for delayed bytes to be written before their connection is closed, in milliseconds. */
+const LAST_BYTES_MS = 20;
+
 interface Pair {
   readonly near: Socket;
   readonly far: Socket;
@@ -127,8 +130,8 @@
         const passes = this.#pairs.delete(pair);
         // A cut network tells neither side that the other is gone.
         if (!passes || this.#mode === 'silent') return;
-        const leftMs = hadError ? 0 : pair.dueAt + 1 - performance.now();
-        if (leftMs > 0) setTimeout(() => this.#drop(pair), leftMs);
+        const leftMs = hadError ? 0 : pair.dueAt - performance.now();
+        if (leftMs > 0) setTimeout(() => this.#drop(pair), leftMs + LAST_BYTES_MS);
         else this.#drop(pair);
       });
     }
@@ -145,17 +148,20 @@
   }
 
   #join(from: Socket, to: Socket, pair: Pair): void {
-    // Bytes never overtake each other, also when the delay ends while some are on their way.
+    // Bytes never overtake each other, also when the delay ends while some are on their way: each
+    // timer lets the oldest go.
+    const waiting: (() => void)[] = [];
     let dueAt = 0;
     const pass = (deliver: () => void): void => {
-      const now = performance.now();
-      if (this.#delayMs === 0 && dueAt <= now) {
+      if (this.#delayMs === 0 && waiting.length === 0) {
         deliver();
         return;
       }
-      dueAt = Math.max(now + this.#delayMs, dueAt + 1);
+      const now = performance.now();
+      dueAt = Math.max(now + this.#delayMs, dueAt);
       pair.dueAt = Math.max(pair.dueAt, dueAt);
-      setTimeout(deliver, dueAt - now);
+      waiting.push(deliver);
+      setTimeout(() => waiting.shift()?.(), dueAt - now);
     };
     from.on('data', (chunk) => pass(() => write(from, to, chunk)));
     to.on('drain', () => {
