List the codes and events of all packages in the docs tables

Cause: scripts/tables.ts registered the tables by importing the command line. Since the command line loads the roles only when they run, so the 9000s of the gateway and the tables of entry and sidecar fell out of docs/events.md and docs/result-codes.md, and tables:check compared one short list with the same. OPERATIONS.md sends readers to these pages. Code 9004, which nothing sent, is taken out.

--- a/packages/gateway/src/lib/codes.ts
+++ b/packages/gateway/src/lib/codes.ts
@@ -30,13 +30,6 @@
     meaning: 'The body is larger than the limit of the configuration.',
     remedy: 'Send a smaller body.',
   },
-  requestInvalid: {
-    number: 9004,
-    status: 400,
-    notRun: true,
-    meaning: 'The request lacks a header that it needs.',
-    remedy: 'Correct the request.',
-  },
   noEndpoint: {
     number: 9005,
     status: 503,
--- a/scripts/tables.ts
+++ b/scripts/tables.ts
@@ -2,10 +2,13 @@
  * Writes docs/result-codes.md and docs/events.md from the tables in the code. With `--check` it
  * writes nothing and fails when a page differs from the code.
  */
-import { readFileSync, writeFileSync } from 'node:fs';
+import { readFileSync, readdirSync, writeFileSync } from 'node:fs';
 import { listCodes, listEvents } from '@berylwood/base';
 import '../apps/berylwood/src/lib/createProgram'; // eslint-disable-line import-x/no-relative-packages -- registers all tables
 
+// The command line loads the roles only when they run, so their tables are registered here.
+for (const name of readdirSync('packages')) await import(`@berylwood/${name}`);
+
 function cell(value: unknown): string {
   return String(value).replaceAll('|', '\\|');
 }
