Share what the gateway's HTTP servers and the soak's waits repeated

FrontServer, OperatorServer and ReadinessServer each had the same listen and close: HttpListener has them once. The soak waited at all instances in two copies of one loop; the stand-in of the platform listened and read bodies by code of its own instead of listenOn and node:stream/consumers. Endpoint.inFlight had no caller. No behaviour is meant to change and no test or check was touched. Left as it is: `until` of fleet.process.test, which fails at once on an error of its condition where the shared one tries again.

--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -92,10 +92,6 @@
     return this.#listed;
   }
 
-  get inFlight(): number {
-    return this.#inFlight;
-  }
-
   /** Whether requests may be sent there now. */
   get isUsable(): boolean {
     const now = this.#timer.now();
--- a/packages/gateway/src/lib/FrontServer.ts
+++ b/packages/gateway/src/lib/FrontServer.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from 'node:http';
-import { listenOn } from '@berylwood/link';
 import { Exchange } from './Exchange';
 import type { GatewayContext } from './GatewayContext';
+import { HttpListener } from './HttpListener';
 import type { CallerLimits } from './RoutingConfiguration';
 
 /** Headers are bounded here before the configuration is known, which may only ask for less. */
@@ -13,13 +13,14 @@
 const DEFAULT_LIMITS = { headerTimeoutMs: 10_000, idleTimeoutMs: 15_000 };
 
 /** Takes the requests of callers. @internal */
-export class FrontServer {
-  readonly #server: Server;
+export class FrontServer extends HttpListener {
+  protected readonly server: Server;
 
   #open = 0;
 
   constructor(context: GatewayContext) {
-    this.#server = createServer(
+    super();
+    this.server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
         connectionsCheckingInterval: CHECK_MS,
@@ -43,21 +44,12 @@
     return this.#open;
   }
 
-  listen(address: string): Promise<string> {
-    return listenOn(this.#server, address);
-  }
-
   limit({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
-    this.#server.headersTimeout = headerTimeoutMs;
-    this.#server.keepAliveTimeout = idleTimeoutMs;
+    this.server.headersTimeout = headerTimeoutMs;
+    this.server.keepAliveTimeout = idleTimeoutMs;
   }
 
   closeIdle(): void {
-    this.#server.closeIdleConnections();
-  }
-
-  close(): void {
-    this.#server.close();
-    this.#server.closeAllConnections();
+    this.server.closeIdleConnections();
   }
 }
--- a/packages/gateway/src/lib/OperatorServer.ts
+++ b/packages/gateway/src/lib/OperatorServer.ts
@@ -1,9 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import type { Failure, Journal } from '@berylwood/base';
-import { listenOn } from '@berylwood/link';
 import type { Mesh } from '@berylwood/registry';
 import { gatewayEvents } from './events';
+import { HttpListener } from './HttpListener';
 import { readBody } from './readBody';
 import { sendFailure } from './sendFailure';
 import type { Wire } from './Wire';
@@ -25,27 +25,19 @@
 }
 
 /** Takes configurations from operators and reads the newest one back. @internal */
-export class OperatorServer {
+export class OperatorServer extends HttpListener {
   readonly #parts: OperatorServerParts;
 
-  readonly #server: Server;
+  protected readonly server: Server;
 
   constructor(parts: OperatorServerParts) {
+    super();
     this.#parts = parts;
-    this.#server = createServer({ keepAliveTimeout: IDLE_MS }, (request, response) => {
+    this.server = createServer({ keepAliveTimeout: IDLE_MS }, (request, response) => {
       this.#serve(request, response);
     });
   }
 
-  listen(address: string): Promise<string> {
-    return listenOn(this.#server, address);
-  }
-
-  close(): void {
-    this.#server.close();
-    this.#server.closeAllConnections();
-  }
-
   #serve(request: IncomingMessage, response: ServerResponse): void {
     const { wire } = this.#parts;
     const path = (request.url ?? '').split('?', 1)[0];
