Find endpoints that have gone dark, and continue their streams elsewhere

Ruled out: a plain time-out, since in a burst first events take more than a second on engines that work. Change: SilenceWatch goes on after the first event; if nothing comes from the endpoint on any request for 0.75 of the objective (or three of the longest pauses, once it has begun), one new connection is tried. If none is made in 300 ms the endpoint is spared, and what may be repeated goes elsewhere, within attempts and budget. A silent request that has no budget left is no longer ended.

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -5,6 +5,7 @@
 import type { Endpoint } from './Endpoint';
 import { usableIdleMs } from './EndpointAgent';
 import type { AttemptId } from './ids';
+import { CONNECT_MS } from './ReachProbe';
 import type { AnswerFacts, Wire } from './Wire';
 
 /** A request as it is handed to an endpoint. @internal */
@@ -52,9 +53,6 @@
   onEnd(end: AttemptEnd): void;
 }
 
-/** Time for a connection to be made; both ends are milliseconds apart. */
-const CONNECT_MS = 300;
-
 /** One sending of a request to one endpoint. @internal */
 export class Attempt {
   readonly endpoint: Endpoint;
@@ -167,6 +165,7 @@
       answer.destroy();
       return;
     }
+    this.endpoint.heard();
     const { statusCode: status = 0, rawHeaders } = answer;
     const facts = this.#wire.readAnswer(status, rawHeaders);
     if (facts.attempt !== undefined && facts.attempt !== this.#outgoing.attempt) {
@@ -183,6 +182,7 @@
     this.#isRefusal = facts.isNotRun || facts.isMisdirected;
     if (!this.#isRefusal) this.#listener.onHead(head);
     answer.on('data', (chunk: Buffer) => {
+      this.endpoint.heard();
       if (this.#isRefusal || this.#isOver) return;
       if (!this.#listener.onData(chunk)) answer.pause();
     });
--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -1,6 +1,8 @@
 import type { Timer } from '@berylwood/base';
 import { CircuitBreaker, type EnginePlace, type Place } from '@berylwood/policy';
+import type { EndpointWork } from '@berylwood/registry';
 import { EndpointAgent } from './EndpointAgent';
+import { ReachProbe } from './ReachProbe';
 import type { ListedEndpoint, StatedLoad } from './Wire';
 
 /** Time an endpoint is spared after a connection to it failed; it is probed by one request then. */
@@ -55,6 +57,11 @@
 
   readonly #timer: Timer;
 
+  readonly #probe: ReachProbe;
+
+  /** Time at which anything last came from the endpoint. */
+  #heardAt = -Infinity;
+
   #inFlight = 0;
 
   /** Requests of other instances, as of the last stated load. */
@@ -67,7 +74,7 @@
   /** By rank, prompt tokens sent from here that are not known to be read yet. */
   readonly #unread: number[] = Array.from({ length: RANKS }, () => 0);
 
-  /** Unread tokens by rank and requests of all other instances, as the leader last told them. */
+  /** Work of all other instances, as the leader last told it. */
   #shared = { tokens: [] as readonly number[], requests: 0, at: -Infinity };
 
   /** By rank, the latest time at which a request was sent that has begun to run since. */
@@ -86,6 +93,7 @@
     this.#timer = timer;
     this.#onSpared = onSpared;
     this.agent = new EndpointAgent(maxConnections);
+    this.#probe = new ReachProbe(listed.address, timer);
   }
 
   get listed(): ListedEndpoint {
@@ -103,6 +111,11 @@
     return !this.#listed.isDraining && !this.#isLeaving;
   }
 
+  /** Whether requests of this instance are on their way. */
+  get isBusy(): boolean {
+    return this.#inFlight > 0;
+  }
+
   /** Whether a connection is free for one more request. */
   get hasRoom(): boolean {
     return this.#inFlight < this.agent.maxSockets;
@@ -124,18 +137,23 @@
     this.#isLeaving = true;
   }
 
-  /** Prompt tokens and requests on their way from this instance. */
-  get ownWork(): { readonly tokens: readonly number[]; readonly requests: number } {
+  /** Work on its way from this instance. */
+  get ownWork(): EndpointWork {
     const last = this.#unread.findLastIndex((tokens) => tokens > 0);
     const tokens = this.#unread.slice(0, last + 1).map(Math.round);
-    return { tokens, requests: this.#inFlight };
+    return [this.#listed.id, tokens, this.#inFlight];
   }
 
   /** Takes in the work that all other instances have on its way there. */
-  share(tokens: readonly number[], requests: number): void {
+  share([, tokens, requests]: EndpointWork): void {
     this.#shared = { tokens, requests, at: this.#timer.now() };
   }
 
+  /** Requests that run or wait there, from all instances. */
+  requests(instances: number): number {
+    return this.#isShareFresh ? this.#inFlight + this.#shared.requests : this.#inFlight * instances;
+  }
+
   /** Notes prompt tokens that were sent, or with a negative number, that have been read. */
   queue(rank: number, tokens: number): void {
     const at = Math.min(RANKS - 1, Math.max(0, rank));
@@ -149,14 +167,13 @@
     rank,
     slots,
   }: Viewer): EnginePlace & { readonly endpoint: Endpoint } {
-    const { tokens, requests, at } = this.#shared;
-    const isFresh = this.#timer.now() - at < SHARED_LIFE_MS;
+    const isFresh = this.#isShareFresh;
     // Without news of the others, they are taken to do as this instance does.
-    const factor = isFresh ? 1 : instances;
+    const own = sumTo(this.#unread, rank) * (isFresh ? 1 : instances);
     return {
       key: this.#listed.id,
-      queuedTokens: sumTo(this.#unread, rank) * factor + (isFresh ? sumTo(tokens, rank) : 0),
-      running: this.#inFlight * factor + (isFresh ? requests : 0),
+      queuedTokens: own + (isFresh ? sumTo(this.#shared.tokens, rank) : 0),
+      running: this.requests(instances),
       slots,
       isNear: this.#listed.dataCentre === dataCentre,
       endpoint: this,
@@ -217,6 +234,24 @@
     this.#fail(this.#answers, 'answers fail');
   }
 
+  /** Notes that something has come from the endpoint. */
+  heard(): void {
+    this.#heardAt = this.#timer.now();
+  }
+
+  /** Whether anything has come from the endpoint after a time. */
+  heardSince(time: number): boolean {
+    return this.#heardAt > time;
+  }
+
+  /** Tries a new connection; if none is made, spares the endpoint and calls back. */
+  probe(onUnreachable: () => void): void {
+    this.#probe.check(() => {
+      this.unreachable();
+      onUnreachable();
+    });
+  }
+
   /** Notes a connection that could not be made; the endpoint is spared from now on. */
   unreachable(): void {
     this.#answers.abandoned();
@@ -235,6 +270,10 @@
     this.#answers.abandoned();
   }
 
+  get #isShareFresh(): boolean {
+    return this.#timer.now() - this.#shared.at < SHARED_LIFE_MS;
+  }
+
   #fail(breaker: CircuitBreaker, reason: string): void {
     const before: string = breaker.state;
     breaker.failed(this.#timer.now());
--- a/packages/gateway/src/lib/EndpointDirectory.ts
+++ b/packages/gateway/src/lib/EndpointDirectory.ts
@@ -55,18 +55,16 @@
 
   /** Work that this instance has on its way to endpoints. */
   ownWork(): EndpointWork[] {
-    return [...this.#endpoints.values()].flatMap(({ listed, ownWork }): EndpointWork[] => {
-      const { tokens, requests } = ownWork;
-      return requests > 0 ? [[listed.id, tokens, requests]] : [];
-    });
+    return [...this.#endpoints.values()]
+      .filter(({ isBusy }) => isBusy)
+      .map(({ ownWork }) => ownWork);
   }
 
   /** Takes in the work of all other instances; endpoints that aren't named have none. */
   share(work: readonly EndpointWork[]): void {
     const byId = new Map(work.map((item) => [item[0], item]));
     for (const endpoint of this.#endpoints.values()) {
-      const [, tokens, requests] = byId.get(endpoint.listed.id) ?? ['', [], 0];
-      endpoint.share(tokens, requests);
+      endpoint.share(byId.get(endpoint.listed.id) ?? [endpoint.listed.id, [], 0]);
     }
   }
 
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -117,10 +117,12 @@
     const answer = this.#answer as Answer;
     const hadEvents = answer.hasEvents;
     const isWritable = answer.push(chunk);
-    if (answer.isStarted) this.#pace.mark(this.#context.timer.now());
+    if (answer.isStarted) {
+      this.#pace.mark(this.#context.timer.now());
+      this.#silence?.heard();
+    }
     if (answer.hasEvents && !hadEvents) {
       this.#countRun();
-      this.#silence?.[Symbol.dispose]();
       this.#attempt?.promptRead();
       this.#attempt?.endpoint.begun(this.#parts.resolved.rank, this.#attempt.startedAt);
     }
@@ -153,9 +155,11 @@
     }
   }
 
-  /** Takes the request away from an endpoint that has fallen silent, if it may be repeated. */
-  onSilence(reason: string): void {
-    if (!this.#answer?.isStarted && this.#mayRepeat(false)) this.#attempt?.reject(reason);
+  /** Takes the request away from an endpoint that has fallen silent, if it can be repeated. */
+  #onSilence(reason: string): void {
+    const { context, resolved } = this.#parts;
+    const hasBudget = context.budgets.has(resolved.target);
+    if (hasBudget && this.#mayRepeat(false)) this.#attempt?.reject(reason);
   }
 
   #onBody(body: Buffer | 'tooLarge' | 'gone'): void {
@@ -195,10 +199,9 @@
       resumeAfter: this.#answer?.lastEventId,
     });
     this.#attempt = new Attempt(endpoint, outgoing, this, context);
-    if (this.#answer?.isStarted) return;
-    const onSilence = (reason: string): void => this.onSilence(reason);
-    const { route, rank } = resolved;
-    this.#silence = new SilenceWatch(context.timer, this.#attempt, route, rank, onSilence);
+    const { timer } = context;
+    const onSilence = (reason: string): void => this.#onSilence(reason);
+    this.#silence = new SilenceWatch({ timer, attempt: this.#attempt, ...resolved, onSilence });
   }
 
   /**
--- /dev/null
+++ b/packages/gateway/src/lib/ReachProbe.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { test } from 'node:test';
+import { SystemTimer } from '@berylwood/base';
+import { CONNECT_MS, ReachProbe } from './ReachProbe';
+
+/** Connections that a listener with a backlog of one takes before it drops the next. */
+const BACKLOG_FILLERS = 4;
+
+/** Whether an endpoint is found out of reach in about the time of a connection. */
+async function isUnreachable(address: string): Promise<boolean> {
+  const probe = new ReachProbe(address, new SystemTimer());
+  return new Promise((resolve) => {
+    probe.check(() => resolve(true));
+    setTimeout(() => resolve(false), CONNECT_MS * 3);
+  });
+}
+
+test('an endpoint that takes connections or refuses them is in reach', async () => {
+  const server = createServer((socket) => socket.on('error', () => {}));
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  assert.equal(await isUnreachable(`127.0.0.1:${port}`), false);
+  server.close();
+  await once(server, 'close');
+  assert.equal(await isUnreachable(`127.0.0.1:${port}`), false);
+});
+
+test('an endpoint that answers no connection is out of reach', async () => {
+  const script = `const server = require('node:net').createServer();
+    server.listen({ port: 0, host: '127.0.0.1', backlog: 1 }, () => console.log(server.address().port));`;
+  const child = spawn(process.execPath, ['-e', script], { stdio: ['ignore', 'pipe', 'inherit'] });
+  const [line] = (await once(child.stdout, 'data')) as [Buffer];
+  child.kill('SIGSTOP');
+  const port = Number(line.toString());
+  const fillers = Array.from({ length: BACKLOG_FILLERS }, (): Socket => {
+    const socket = connect({ port, host: '127.0.0.1' });
+    return socket.on('error', () => {});
+  });
+  try {
+    await new Promise((resolve) => {
+      setTimeout(resolve, CONNECT_MS);
+    });
+    assert.equal(await isUnreachable(`127.0.0.1:${port}`), true);
+  } finally {
+    fillers.forEach((socket) => socket.destroy());
+    child.kill('SIGKILL');
+  }
+});
--- a/packages/gateway/src/lib/RepeatBudgets.ts
+++ b/packages/gateway/src/lib/RepeatBudgets.ts
@@ -41,6 +41,11 @@
     this.#of(pool).arrived();
   }
 
+  /** Whether a repeat is left. */
+  has(pool: PoolName): boolean {
+    return this.#of(pool).balance >= 1;
+  }
+
   /** Takes one repeat; the backoff before it in milliseconds, or undefined if none is left. */
   take(pool: PoolName, attempts: number, leftMs: number, random: Random): number | undefined {
     return this.#of(pool).take(attempts, leftMs, random);
