--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -1,5 +1,5 @@
 import type { Timer } from '@berylwood/base';
-import { CircuitBreaker, type EnginePlace, type Place } from '@berylwood/policy';
+import { CircuitBreaker, URGENCY_LEVELS, type EnginePlace, type Place } from '@berylwood/policy';
 import type { EndpointWork } from '@berylwood/registry';
 import { EndpointAgent } from './EndpointAgent';
 import { ReachProbe } from './ReachProbe';
@@ -15,9 +15,6 @@
 /** Share of a stated load of others that is still counted after this time, in milliseconds. */
 const LOAD_HALF_LIFE_MS = 600;
 
-/** Ranks that endpoints tell apart; 0 is the most urgent. */
-const RANKS = 10;
-
 function sumTo(tokens: readonly number[], rank: number): number {
   return tokens.slice(0, rank + 1).reduce((sum, count) => sum + count, 0);
 }
@@ -72,7 +69,7 @@
   #isLeaving = false;
 
   /** By rank, prompt tokens sent from here that are not known to be read yet. */
-  readonly #unread: number[] = Array.from({ length: RANKS }, () => 0);
+  readonly #unread: number[] = Array.from({ length: URGENCY_LEVELS }, () => 0);
 
   /** Work of all other instances, as the leader last told it. */
   #shared = { tokens: [] as readonly number[], requests: 0, at: -Infinity };
@@ -156,7 +153,7 @@
 
   /** Notes prompt tokens that were sent, or with a negative number, that have been read. */
   queue(rank: number, tokens: number): void {
-    const at = Math.min(RANKS - 1, Math.max(0, rank));
+    const at = Math.min(URGENCY_LEVELS - 1, Math.max(0, rank));
     this.#unread[at] = (this.#unread[at] ?? 0) + tokens;
   }
 
--- a/packages/gateway/src/lib/RoutingTable.test.ts
+++ b/packages/gateway/src/lib/RoutingTable.test.ts
@@ -59,3 +59,16 @@
   assert.equal(chooseTarget(targets, 0.5)?.pool, POOL);
   assert.equal(chooseTarget(targets, 0.95)?.pool, other);
 });
+
+test('a more urgent workspace goes first, and within it the more urgent route', () => {
+  const { configuration } = createTable();
+  const first = { name: asId<'workspace'>('v'), keys: ['l'], rank: 0 };
+  const [second] = configuration.workspaces ?? [];
+  assert.ok(second);
+  const table = new RoutingTable({ ...configuration, workspaces: [first, second] });
+  const levels = [first, second].flatMap((workspace) => [
+    table.urgencyOf(letter, workspace),
+    table.urgencyOf(report, workspace),
+  ]);
+  assert.deepEqual(levels, [0, 1, 2, 3]);
+});
--- a/packages/gateway/src/lib/RoutingTable.ts
+++ b/packages/gateway/src/lib/RoutingTable.ts
@@ -1,6 +1,20 @@
+import { UrgencyScale, type RankPair } from '@berylwood/policy';
 import type { PoolName } from './ids';
 import type { Pool, Route, RoutingConfiguration, Target, Workspace } from './RoutingConfiguration';
 
+function rankPairOf(route: Route, workspace: Workspace | undefined): RankPair {
+  return { rank: workspace?.rank ?? route.rank, routeRank: route.rank };
+}
+
+/** Ranks of all requests that the configuration allows. */
+function rankPairs({ routes, workspaces }: RoutingConfiguration): RankPair[] {
+  return routes.flatMap((route) => {
+    const pairs = (workspaces ?? []).map((workspace) => rankPairOf(route, workspace));
+    const needsNoKey = workspaces === undefined || route.isAnonymous;
+    return needsNoKey ? [...pairs, rankPairOf(route, undefined)] : pairs;
+  });
+}
+
 /** A routing configuration, indexed for look-ups by request. @public */
 export class RoutingTable {
   readonly configuration: RoutingConfiguration;
@@ -14,8 +28,11 @@
   /** By pool, the rank of its least urgent route. */
   readonly #lastRanks = new Map<PoolName, number>();
 
+  readonly #urgency: UrgencyScale;
+
   constructor(configuration: RoutingConfiguration) {
     this.configuration = configuration;
+    this.#urgency = new UrgencyScale(rankPairs(configuration));
     for (const route of configuration.routes) {
       const routes = this.#routes.get(route.host) ?? [];
       routes.push(route);
@@ -51,6 +68,11 @@
     return rank >= (this.#lastRanks.get(pool) ?? rank);
   }
 
+  /** Level of urgency of a request; 0 is the most urgent. */
+  urgencyOf(route: Route, workspace: Workspace | undefined): number {
+    return this.#urgency.levelOf(rankPairOf(route, workspace));
+  }
+
   findWorkspace(key: string): Workspace | undefined {
     return this.#workspaces.get(key);
   }
--- a/packages/gateway/src/lib/SilenceWatch.ts
+++ b/packages/gateway/src/lib/SilenceWatch.ts
@@ -20,8 +20,8 @@
 /** Interval at which a stream is looked at, as a multiple of the objective. */
 const WATCH_OBJECTIVES = 0.125;
 
-/** An attempt as a watch sees it. @internal */
-export interface WatchedAttempt {
+/** An attempt as a watch sees it. */
+interface WatchedAttempt {
   readonly startedAt: number;
   readonly endpoint: Pick<Endpoint, 'hasOvertaken' | 'heardSince' | 'probe'>;
 }
--- a/packages/gateway/src/lib/resolveRequest.ts
+++ b/packages/gateway/src/lib/resolveRequest.ts
@@ -14,7 +14,7 @@
   readonly table: RoutingTable;
   readonly route: Route;
   readonly workspace: Workspace | undefined;
-  /** Rank of the workspace, or else of the route; 0 is the most urgent. */
+  /** Level of urgency among all requests, by workspace and route; 0 is the most urgent. */
   readonly rank: number;
   /** Pool that the route's weights have drawn for it. */
   readonly target: PoolName;
@@ -38,6 +38,6 @@
   }
   const target = chooseTarget(route.targets, context.random.next());
   if (!target) return fail(gatewayCodes.noEndpoint, 'the route has no pool');
-  const rank = workspace?.rank ?? route.rank;
+  const rank = table.urgencyOf(route, workspace);
   return ok({ facts, table, route, workspace, rank, target: target.pool });
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -69,4 +69,5 @@
   type AdmissionInput,
   type AdmissionOptions,
 } from './lib/placement/admits';
+export { URGENCY_LEVELS, UrgencyScale, type RankPair } from './lib/placement/UrgencyScale';
 export { retryAfterMs } from './lib/placement/retryAfter';
