--- a/packages/testing/src/lib/checks/checkFences.ts
+++ b/packages/testing/src/lib/checks/checkFences.ts
@@ -28,7 +28,8 @@
     const isHeld = typeof headAt === 'number' && headAt < newerSince;
     const isRepeat = (taken.get(identify(record)) ?? -Infinity) > fence;
     if (fence < newest && !(isHeld && isRepeat)) {
-      const detail = `${receiver} got a ${kind} of fence ${fence} after ${newest} at ${at}`;
+      const order = `${receiver} got a ${kind} of fence ${fence} after ${newest} at ${at}`;
+      const detail = `${order} (${identify(record)}, held: ${isHeld}, repeat: ${isRepeat})`;
       violations.push({ check: 'fences', detail });
     }
     if (fence > newest) rises.push({ fence, at });
