Start a gateway from a bundle of its role alone

Cause: each restart costs 0.24 s of processor time before the first callers are accepted, which is 1 s on 0.243 of a core; the bundle held all roles, their settings and the command line.

Change: an entry point of its own that parses no commands, settings of the gateway role alone, unused modules left out of the bundle, built-in modules and library parts that a gateway does not use not loaded.

--- /dev/null
+++ b/apps/berylwood/src/lib/Reloadable.ts
@@ -0,0 +1,4 @@
+/** A role that can apply changed settings while it runs. @internal */
+export interface Reloadable<Settings> {
+  reload(settings: Settings): void;
+}
--- a/apps/berylwood/src/lib/readSettings.ts
+++ b/apps/berylwood/src/lib/readSettings.ts
@@ -1,14 +1,15 @@
-import { formatProblem, readToml, settingsSchema, type Settings } from '@berylwood/schema';
+import { formatProblem, readToml } from '@berylwood/schema';
+import type { z } from 'zod';
 import { ExitCode } from './ExitCode';
 import { CommandError } from './CommandError';
 
 /**
- * Reads and validates a settings file.
+ * Reads a settings file and validates it by a schema.
  * @throws CommandError that lists all problems of the file.
  * @internal
  */
-export function readSettings(file: string): Settings {
-  const settings = readToml(settingsSchema, file);
+export function readSettings<S extends z.ZodType>(schema: S, file: string): z.output<S> {
+  const settings = readToml(schema, file);
   if (settings.isOk()) return settings.value;
   throw new CommandError(ExitCode.InvalidFile, settings.error.map(formatProblem).join('\n'));
 }
--- a/apps/berylwood/src/lib/runCommand.ts
+++ b/apps/berylwood/src/lib/runCommand.ts
@@ -6,7 +6,10 @@
     .description('start the roles of a settings file')
     .requiredOption('--settings <file>', 'settings in TOML')
     .action(async ({ settings }: { settings: string }) => {
-      const { runProcess } = await import('./runProcess');
-      await runProcess(settings);
+      const [{ runProcess }, { allRoles }] = await Promise.all([
+        import('./runProcess'),
+        import('./allRoles'),
+      ]);
+      await runProcess(settings, allRoles);
     });
 }
--- a/apps/berylwood/src/lib/runProcess.ts
+++ b/apps/berylwood/src/lib/runProcess.ts
@@ -1,12 +1,34 @@
 import { statSync } from 'node:fs';
-import { Failure, Journal, Metrics, SystemTimer, baseEvents, type Timer } from '@berylwood/base';
-import { createIncarnationId, type Settings } from '@berylwood/schema';
+import {
+  Failure,
+  Journal,
+  Metrics,
+  Supervisor,
+  SystemTimer,
+  baseEvents,
+  type Timer,
+} from '@berylwood/base';
+import { createIncarnationId, type CommonSettings } from '@berylwood/schema';
 import pino from 'pino';
+import { AdminServer } from './AdminServer';
 import { CommandError } from './CommandError';
 import { ExitCode } from './ExitCode';
-import { createRoles, type Reloadable } from './createRoles';
+import type { ProcessContext } from './ProcessContext';
+import type { Reloadable } from './Reloadable';
 import { sighupHandler } from './sighupHandler';
-import { readSettings } from './readSettings';
+
+/** What a process runs. @internal */
+export interface ProcessPlan<Settings extends CommonSettings> {
+  /** Whether to collect the metrics of Node.js, whose event-loop sampling uses CPU time. */
+  readonly collectsProcessMetrics: (settings: Settings) => boolean;
+  /** @throws CommandError if the file is invalid. */
+  readonly readSettings: (file: string) => Settings;
+  readonly addRoles: (
+    tree: Supervisor,
+    settings: Settings,
+    context: ProcessContext,
+  ) => Promise<Reloadable<Settings>[]> | Reloadable<Settings>[];
+}
 
 const SIGNALS = ['SIGTERM', 'SIGINT'] as const;
 
@@ -52,7 +74,10 @@
 /** Interval at which the settings file is checked for changes. */
 const SETTINGS_POLL_MS = 1000;
 
-function createDestination(log: Settings['log'], timer: Timer): pino.DestinationStream | undefined {
+function createDestination(
+  log: CommonSettings['log'],
+  timer: Timer,
+): pino.DestinationStream | undefined {
   if (log.file) return pino.destination({ dest: log.file, sync: false, mkdir: true });
   if (!log.output) return undefined;
   const destination = pino.destination({
@@ -66,9 +91,10 @@
 }
 
 /** Reloads the settings when the file changes or the process receives SIGHUP. */
-function watchSettings(
+function watchSettings<Settings>(
   file: string,
-  reloadable: readonly Reloadable[],
+  readSettings: (file: string) => Settings,
+  reloadable: readonly Reloadable<Settings>[],
   { timer, journal }: { timer: Timer; journal: Journal },
 ): void {
   const readModifiedMs = (): number => statSync(file, { throwIfNoEntry: false })?.mtimeMs ?? 0;
@@ -93,7 +119,10 @@
  * @throws CommandError if the roles cannot start or fail permanently.
  * @internal
  */
-export async function runProcess(file: string): Promise<void> {
+export async function runProcess<Settings extends CommonSettings>(
+  file: string,
+  { readSettings, addRoles, collectsProcessMetrics }: ProcessPlan<Settings>,
+): Promise<void> {
   const settings = readSettings(file);
   const timer = new SystemTimer();
   const incarnation = createIncarnationId();
@@ -102,16 +131,20 @@
   const { level } = settings.log;
   const journal = new Journal({ process: name, incarnation, timer, level, destination });
   const metrics = new Metrics();
-  // The event-loop delay is sampled by a timer, which uses too much CPU on a small gateway instance.
-  if (!settings.gateway) metrics.collectProcess();
+  if (collectsProcessMetrics(settings)) metrics.collectProcess();
   const stopSignal = waitForStopSignal();
   const context = { timer, journal, metrics, incarnation };
-  const { tree, reloadable } = await createRoles(settings, context);
+  // A restarted task cannot take over the connections of its predecessor, so only the failed task is
+  // restarted (one-for-one).
+  const tree = new Supervisor({ name, timer, journal });
+  const reloadable = await addRoles(tree, settings, context);
+  const { admin } = settings;
+  if (admin) tree.add(() => new AdminServer(admin.listen, context));
   await tree.start().catch((error: unknown) => {
     throw toCommandError(error);
   });
   journal.record(baseEvents.processStarted, { name });
-  if (reloadable.length > 0) watchSettings(file, reloadable, context);
+  if (reloadable.length > 0) watchSettings(file, readSettings, reloadable, context);
   const failed = tree.run();
   await Promise.race([stopSignal, failed]).catch((error: unknown) => {
     throw toCommandError(error);
--- a/apps/berylwood/src/main.ts
+++ b/apps/berylwood/src/main.ts
@@ -1,7 +1,6 @@
 import './lib/sighupHandler';
-import { CommandError } from './lib/CommandError';
 import { createRunProgram } from './lib/createRunProgram';
-import { ExitCode } from './lib/ExitCode';
+import { exitOnFailure } from './lib/exitOnFailure';
 
 /** Parses the command line. `run` starts faster without loading the code of the other commands. */
 async function parse(): Promise<void> {
@@ -12,8 +11,4 @@
   await program.parseAsync(process.argv);
 }
 
-parse().catch((error: unknown) => {
-  const isExpected = error instanceof CommandError;
-  process.stderr.write(`${isExpected ? error.message : String(error)}\n`);
-  process.exit(isExpected ? error.exitCode : ExitCode.Fault);
-});
+exitOnFailure(parse());
--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -7,15 +7,13 @@
 const { join } = require('node:path');
 const { Script } = require('node:vm');
 
-const filename = join(__dirname, 'berylwood.cjs');
-const cache = join(__dirname, 'berylwood.cache');
+const filename = join(__dirname, 'gateway.cjs');
+const cache = join(__dirname, 'gateway.cache');
 const source = readFileSync(filename, 'latin1');
 const script = new Script(
   `(function (exports, require, module, __filename, __dirname) {${source}\n})`,
   { filename, cachedData: existsSync(cache) ? readFileSync(cache) : undefined },
 );
-const settings = process.env.BERYLWOOD_CONFIG;
-if (settings && !process.argv.includes('--settings')) process.argv.push('--settings', settings);
 const warmUpMs = Number(process.env.BERYLWOOD_WARM_UP_MS ?? 0);
 if (warmUpMs > 0) {
   setTimeout(() => {
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -9,7 +9,13 @@
 export * from './lib/Configuration';
 export { loadConfiguration } from './lib/loadConfiguration';
 export * from './lib/Settings';
-export { type GatewaySettings } from './lib/GatewaySettings';
+export { addressSchema, type CommonSettings } from './lib/commonSettings';
+export {
+  gatewayProcessSchema,
+  type GatewayProcessSettings,
+  type GatewaySettings,
+} from './lib/GatewaySettings';
+export { nameSchema } from './lib/nameSchema';
 export * from './lib/AttemptMessage';
 export * from './lib/ControlMessage';
 export * from './lib/Order';
--- a/packages/schema/src/lib/Configuration.ts
+++ b/packages/schema/src/lib/Configuration.ts
@@ -1,9 +1,5 @@
 import { z } from 'zod';
-
-/** Names of workspaces, classes, plans, models and services: short and safe in URLs and labels. */
-export const nameSchema = z
-  .string()
-  .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected lower-case letters, digits and hyphens');
+import { nameSchema } from './nameSchema';
 
 /** Highest tier number. Tier 1 is the most important; the planned deployment has 7 tiers. */
 const MAX_TIER = 9;
--- a/packages/schema/src/lib/GatewaySettings.ts
+++ b/packages/schema/src/lib/GatewaySettings.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { commonSettings } from './commonSettings';
 
 const addressSchema = z.string().regex(/^[0-9.]+:\d{1,5}$/, 'expected IP:PORT');
 
@@ -45,3 +46,12 @@
 
 /** @public */
 export type GatewaySettings = z.output<typeof gatewaySettingsSchema>;
+
+/** Settings of a process that runs only the gateway role. @public */
+export const gatewayProcessSchema = z.strictObject({
+  ...commonSettings,
+  gateway: gatewaySettingsSchema,
+});
+
+/** @public */
+export type GatewayProcessSettings = z.output<typeof gatewayProcessSchema>;
--- a/packages/schema/src/lib/Order.ts
+++ b/packages/schema/src/lib/Order.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { idSchema } from './AttemptMessage';
-import { nameSchema } from './Configuration';
+import { nameSchema } from './nameSchema';
 import type { DataCentreId, EndpointId, IncarnationId } from './ids';
 
 const endpoint = idSchema<EndpointId>();
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,7 +1,8 @@
 /**
- * Bundles the command line and all roles into one file, DIRECTORY/berylwood.cjs. With `--warm`, adds
- * the V8 code cache of a started gateway, and DIRECTORY/start.cjs, which loads both. The cache avoids
- * compilation at each restart, which is slow on half a core.
+ * Bundles the command line and all roles into one file, DIRECTORY/berylwood.cjs. With `--gateway`, writes
+ * DIRECTORY/gateway.cjs instead, which holds only the gateway role, its V8 code cache, and
+ * DIRECTORY/start.cjs, which loads both. A smaller bundle and the cache shorten each restart, which is
+ * slow on a fraction of a core.
  */
 import { execFileSync } from 'node:child_process';
 import { mkdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
@@ -25,13 +26,63 @@
   },
 };
 
-/** Writes the bundle and returns its path. */
-export async function bundle(directory) {
+/**
+ * Marks our modules as free of side effects, so that the bundle leaves out those that it does not use.
+ * The registries of codes and events are the only exception; they serve the command line.
+ */
+const unusedModules = {
+  name: 'without-unused-modules',
+  setup({ onResolve, resolve }) {
+    onResolve({ filter: /^(@berylwood\/|\.\.?\/)/ }, async ({ path, pluginData, ...from }) => {
+      if (pluginData === unusedModules || /node_modules/.test(from.importer)) return undefined;
+      const { importer, resolveDir, kind } = from;
+      const options = { importer, resolveDir, kind, pluginData: unusedModules };
+      const resolved = await resolve(path, options);
+      return { ...resolved, sideEffects: false };
+    });
+  },
+};
+
+/** Built-in modules that libraries import but a gateway does not use, and that are slow to load. */
+const UNUSED_BUILT_INS = ['https', 'tls'];
+
+/**
+ * Leaves out parts of libraries that a gateway does not use and that load further built-in modules: log
+ * transports in worker threads, and metrics of the Node.js process.
+ */
+const stubUnusedLibraries = {
+  name: 'without-unused-libraries',
+  setup({ onResolve, onLoad }) {
+    const filter = /^(thread-stream|\.\/lib\/defaultMetrics)$/;
+    onResolve({ filter }, ({ path }) => ({ path, namespace: 'unused' }));
+    onLoad({ filter: /.*/, namespace: 'unused' }, ({ path }) => ({
+      contents: `module.exports = () => { throw new Error('${path} is not part of this bundle'); };`,
+    }));
+  },
+};
+
+/** Loads the built-in modules that are listed above when one of their functions is first used. */
+const lazyBuiltIns = {
+  name: 'lazy-built-ins',
+  setup({ onResolve, onLoad }) {
+    const filter = new RegExp(`^(node:)?(${UNUSED_BUILT_INS.join('|')})$`);
+    onResolve({ filter }, ({ path, namespace }) =>
+      namespace === 'lazy' ? { path, external: true } : { path, namespace: 'lazy' },
+    );
+    onLoad({ filter: /.*/, namespace: 'lazy' }, ({ path }) => ({
+      contents: `module.exports = new Proxy({}, { get: (_, name) => require('${path}')[name] });`,
+    }));
+  },
+};
+
+/** Writes the bundle of an entry point and returns its path. */
+export async function bundle(directory, entry = 'berylwood') {
   const { version } = JSON.parse(readFileSync('package.json', 'utf8'));
   mkdirSync(directory, { recursive: true });
-  const outfile = join(directory, 'berylwood.cjs');
+  const outfile = join(directory, `${entry}.cjs`);
+  const isGateway = entry === 'gateway';
   await build({
-    entryPoints: ['apps/berylwood/src/main.ts'],
+    entryPoints: [`apps/berylwood/src/${isGateway ? 'gateway' : 'main'}.ts`],
     bundle: true,
     platform: 'node',
     target: 'node20',
@@ -41,7 +92,10 @@
     legalComments: 'none',
     define: { 'process.env.BERYLWOOD_VERSION': JSON.stringify(version) },
     logLevel: 'warning',
-    plugins: [stubOptionalModules],
+    plugins: [
+      stubOptionalModules,
+      ...(isGateway ? [unusedModules, lazyBuiltIns, stubUnusedLibraries] : []),
+    ],
   });
   return outfile;
 }
@@ -72,11 +126,11 @@
 function warm(directory, flags) {
   const settings = join(directory, 'warm.toml');
   const start = join(directory, 'start.cjs');
-  const cache = join(directory, 'berylwood.cache');
+  const cache = join(directory, 'gateway.cache');
   rmSync(cache, { force: true });
   writeFileSync(settings, WARM_SETTINGS);
   writeFileSync(start, readFileSync('deploy/start.cjs'));
-  execFileSync(process.execPath, [...flags, start, 'run', '--settings', settings], {
+  execFileSync(process.execPath, [...flags, start, '--settings', settings], {
     env: { ...process.env, BERYLWOOD_WARM_UP_MS: String(WARM_UP_MS) },
     stdio: ['ignore', 'ignore', 'inherit'],
   });
@@ -84,7 +138,9 @@
 
 const [, script, directory, ...options] = process.argv;
 if (script?.endsWith('bundle.mjs') && directory) {
-  await bundle(directory);
-  const [isWarm, ...flags] = options;
-  if (isWarm === '--warm') warm(directory, flags);
+  const [mode, ...flags] = options;
+  if (mode === '--gateway') {
+    await bundle(directory, 'gateway');
+    warm(directory, flags);
+  } else await bundle(directory);
 }
