--- a/apps/berylwood/src/gateway.ts
+++ b/apps/berylwood/src/gateway.ts
@@ -1,14 +1,18 @@
 /**
- * Entry point of an instance that runs only the gateway role; `deploy/start.cjs` loads it. Load pattern: all instances are restarted
- * at once on fractions of a core, and callers wait until the code is loaded. It therefore imports neither
- * the other roles nor the command line.
+ * Entry point of an instance that runs only the gateway role, with the settings file that the environment
+ * names. Load pattern: all instances are restarted at once on fractions of a core, and callers wait until
+ * the code is loaded. Therefore it imports neither the other roles nor the command line, and its modules
+ * are evaluated when the startup snapshot is built. None of them may use `node:http` before `main` runs,
+ * since a snapshot of Node.js 20 cannot hold it.
  */
-import { parseArgs } from 'node:util';
+import { startupSnapshot } from 'node:v8';
+import { compileDecoders } from '@berylwood/platform';
 import { gatewayProcessSchema, type GatewayProcessSettings } from '@berylwood/schema';
 import { addGateway } from './lib/addGateway';
 import { exitOnFailure } from './lib/exitOnFailure';
 import { readSettings } from './lib/readSettings';
 import { runProcess, type ProcessPlan } from './lib/runProcess';
+import { sighupHandler } from './lib/sighupHandler';
 
 const gatewayOnly: ProcessPlan<GatewayProcessSettings> = {
   readSettings: (file) => readSettings(gatewayProcessSchema, file),
@@ -19,7 +23,13 @@
   collectsProcessMetrics: () => false,
 };
 
-const { values } = parseArgs({
-  options: { settings: { type: 'string', default: process.env.BERYLWOOD_CONFIG ?? '' } },
-});
-exitOnFailure(runProcess(values.settings ?? '', gatewayOnly));
+function main(): void {
+  sighupHandler.install();
+  exitOnFailure(runProcess(process.env.BERYLWOOD_CONFIG ?? '', gatewayOnly));
+}
+
+if (startupSnapshot.isBuildingSnapshot()) {
+  compileDecoders();
+  gatewayProcessSchema.safeParse({ process: {}, gateway: {} });
+  startupSnapshot.setDeserializeMainFunction(main);
+} else main();
--- /dev/null
+++ b/apps/berylwood/src/lib/installSighupHandler.ts
@@ -0,0 +1,3 @@
+import { sighupHandler } from './sighupHandler';
+
+sighupHandler.install();
--- a/apps/berylwood/src/main.ts
+++ b/apps/berylwood/src/main.ts
@@ -1,4 +1,4 @@
-import './lib/sighupHandler';
+import './lib/installSighupHandler';
 import { createRunProgram } from './lib/createRunProgram';
 import { exitOnFailure } from './lib/exitOnFailure';
 
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -3,7 +3,7 @@
 import type { Timer } from '@berylwood/base';
 import { splitAddress } from '@berylwood/link';
 import type { Endpoint } from './Endpoint';
-import { usableIdleMs } from './EndpointAgent';
+import { usableIdleMs } from './createEndpointAgent';
 import type { AttemptId } from './ids';
 import { CONNECT_TIMEOUT_MS } from './ReachabilityProbe';
 import type { ResponseMetadata, Wire } from './Wire';
--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -1,3 +1,4 @@
+import type { Agent } from 'node:http';
 import type { Timer } from '@berylwood/base';
 import {
   CircuitBreaker,
@@ -6,7 +7,7 @@
   type EndpointView,
 } from '@berylwood/policy';
 import type { EndpointWork } from '@berylwood/registry';
-import { EndpointAgent } from './EndpointAgent';
+import { createEndpointAgent } from './createEndpointAgent';
 import { ReachabilityProbe } from './ReachabilityProbe';
 import type { ListedEndpoint, ReportedLoad } from './Wire';
 
@@ -47,7 +48,8 @@
 
 /** State of one endpoint as known to this instance: load, health and connections. @internal */
 export class Endpoint implements Disposable {
-  readonly agent: EndpointAgent;
+  /** Pool of connections to the endpoint. */
+  readonly agent: Agent;
 
   #listed: ListedEndpoint;
 
@@ -102,7 +104,7 @@
     this.#listed = listed;
     this.#timer = timer;
     this.#onEjected = onEjected;
-    this.agent = new EndpointAgent(maxConnections);
+    this.agent = createEndpointAgent(maxConnections);
     this.#probe = new ReachabilityProbe(listed.address, timer);
   }
 
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,11 +1,10 @@
 /**
  * Bundles the command line and all roles into one file, DIRECTORY/berylwood.cjs. With `--gateway`, writes
- * DIRECTORY/gateway.cjs instead, which holds only the gateway role, its V8 code cache, and
- * DIRECTORY/start.cjs, which loads both. A smaller bundle and the cache shorten each restart, which is
- * slow on a fraction of a core.
+ * DIRECTORY/gateway.cjs instead, which holds only the gateway role, and DIRECTORY/gateway.blob, a startup
+ * snapshot of Node.js with that bundle. It shortens each restart, which is slow on a fraction of a core.
  */
 import { execFileSync } from 'node:child_process';
-import { mkdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { build } from 'esbuild';
 
@@ -43,9 +42,6 @@
   },
 };
 
-/** Built-in modules that libraries import but a gateway does not use, and that are slow to load. */
-const UNUSED_BUILT_INS = ['https', 'tls'];
-
 /**
  * Leaves out parts of libraries that a gateway does not use and that load further built-in modules: log
  * transports in worker threads, and metrics of the Node.js process.
@@ -61,17 +57,23 @@
   },
 };
 
-/** Loads the built-in modules that are listed above when one of their functions is first used. */
+/** Built-in modules that a startup snapshot cannot hold, or that a gateway does not use. */
+const LAZY_BUILT_INS = ['http', 'https', 'tls', 'worker_threads', 'module'];
+
+/** Loads the built-in modules that are listed above when one of their members is first used. */
 const lazyBuiltIns = {
   name: 'lazy-built-ins',
   setup({ onResolve, onLoad }) {
-    const filter = new RegExp(`^(node:)?(${UNUSED_BUILT_INS.join('|')})$`);
+    const filter = new RegExp(`^(node:)?(${LAZY_BUILT_INS.join('|')})$`);
     onResolve({ filter }, ({ path, namespace }) =>
       namespace === 'lazy' ? { path, external: true } : { path, namespace: 'lazy' },
     );
-    onLoad({ filter: /.*/, namespace: 'lazy' }, ({ path }) => ({
-      contents: `module.exports = new Proxy({}, { get: (_, name) => require('${path}')[name] });`,
-    }));
+    onLoad({ filter: /.*/, namespace: 'lazy' }, ({ path }) => {
+      const members = Object.keys(process.getBuiltinModule(path)).map(
+        (name) => `get ${name}() { return require('${path}').${name}; }`,
+      );
+      return { contents: `module.exports = { ${members.join(', ')} };` };
+    });
   },
 };
 
@@ -100,47 +102,21 @@
   return outfile;
 }
 
-/** Settings of the gateway that is started to fill the code cache. The kernel chooses its ports. */
-const WARM_SETTINGS = `
-[process]
-name = "warm"
-[log]
-output = true
-[admin]
-listen = "127.0.0.1:0"
-[gateway]
-instance = "warm"
-ip = "127.0.0.1"
-data_centre = "warm"
-callers = "127.0.0.1:0"
-readiness = "127.0.0.1:0"
-operators = "127.0.0.1:0"
-mesh_port = 0
-platform = "127.0.0.1:1"
-`;
-
-/** Time for the gateway to start before its compiled code is saved. */
-const WARM_UP_MS = 1500;
-
-/** Starts the bundle once and saves the V8 code cache. */
-function warm(directory, flags) {
-  const settings = join(directory, 'warm.toml');
-  const start = join(directory, 'start.cjs');
-  const cache = join(directory, 'gateway.cache');
-  rmSync(cache, { force: true });
-  writeFileSync(settings, WARM_SETTINGS);
-  writeFileSync(start, readFileSync('deploy/start.cjs'));
-  execFileSync(process.execPath, [...flags, start, '--settings', settings], {
-    env: { ...process.env, BERYLWOOD_WARM_UP_MS: String(WARM_UP_MS) },
-    stdio: ['ignore', 'ignore', 'inherit'],
+/**
+ * Evaluates the bundle and saves the state of the process, which a start then restores instead of
+ * evaluating the bundle again. A start must have the same `flags` of V8.
+ */
+function buildSnapshot(directory, main, flags) {
+  const blob = join(directory, 'gateway.blob');
+  execFileSync(process.execPath, [...flags, '--snapshot-blob', blob, '--build-snapshot', main], {
+    // Hides warnings about modules that Node.js does not support in snapshots; errors are thrown.
+    stdio: ['ignore', 'ignore', 'pipe'],
   });
 }
 
 const [, script, directory, ...options] = process.argv;
 if (script?.endsWith('bundle.mjs') && directory) {
   const [mode, ...flags] = options;
-  if (mode === '--gateway') {
-    await bundle(directory, 'gateway');
-    warm(directory, flags);
-  } else await bundle(directory);
+  if (mode === '--gateway') buildSnapshot(directory, await bundle(directory, 'gateway'), flags);
+  else await bundle(directory);
 }
