Dial an instance again soon when a connection request is lost

Cause: after a loss of power all instances start at once; a connection request to a machine that is still off is lost and the dialer waited 500 ms. Ruled out: the fetch of the configuration (3 ms) and the list of endpoints (35 ms after the start). Change: a time-out of 120 ms for the TCP handshake alone; a busy instance still has 500 ms for the link.

--- a/packages/link/src/lib/Dialer.ts
+++ b/packages/link/src/lib/Dialer.ts
@@ -1,3 +1,4 @@
+import { connect, type NetConnectOpts, type Socket } from 'node:net';
 import { Random } from '@berylwood/base';
 import { WebSocket } from 'ws';
 import { Link } from './Link';
@@ -10,8 +11,13 @@
   /** URL path, which identifies the kind of link. */
   readonly path: string;
   readonly identity?: LinkIdentity;
-  /** Time-out for establishing a connection, in milliseconds; 2000 by default. */
+  /** Time-out for establishing a link, in milliseconds; 2000 by default. */
   readonly connectTimeoutMs?: number;
+  /**
+   * Time-out for the TCP handshake of a link without TLS, in milliseconds; `connectTimeoutMs` by default.
+   * A packet to a machine without power is lost, and the kernel repeats it only after a second.
+   */
+  readonly handshakeTimeoutMs?: number;
   readonly random?: Random;
 }
 
@@ -82,6 +88,7 @@
       handshakeTimeout: connectTimeoutMs,
       maxPayload: MAX_FRAME_BYTES,
       perMessageDeflate: false,
+      ...(!identity && { createConnection: this.#connectTcp as typeof connect }),
       ...(identity && {
         cert: identity.certificate,
         key: identity.key,
@@ -102,6 +109,18 @@
     });
   }
 
+  readonly #connectTcp = (options: NetConnectOpts): Socket => {
+    const socket = connect(options);
+    const { handshakeTimeoutMs, timer } = this.#options;
+    if (handshakeTimeoutMs === undefined) return socket;
+    const timeout = timer.after(handshakeTimeoutMs, () => {
+      socket.destroy(new Error(`no connection within ${handshakeTimeoutMs} ms`));
+    });
+    socket.once('connect', () => timeout[Symbol.dispose]());
+    socket.once('close', () => timeout[Symbol.dispose]());
+    return socket;
+  };
+
   #handleOpen(socket: WebSocket, address: string): void {
     this.#backoffMs = MIN_BACKOFF_MS;
     const link = new Link<Out, In>(socket, address, this.#options);
--- a/packages/registry/src/lib/Peers.ts
+++ b/packages/registry/src/lib/Peers.ts
@@ -16,9 +16,12 @@
 /** @internal */
 export const SILENCE_TIMEOUT_MS = 1200;
 
-/** A machine without power does not reply; it is dialled again, as it may be starting. */
+/** Time-out for establishing a link to an instance that may be busy, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 500;
 
+/** A machine without power does not reply; it is dialled again soon, as it may be starting. */
+const HANDSHAKE_TIMEOUT_MS = 120;
+
 /** Path of the links between instances. @internal */
 export const MESH_PATH = '/mesh';
 
@@ -83,6 +86,7 @@
       addresses: [address],
       path: MESH_PATH,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      handshakeTimeoutMs: HANDSHAKE_TIMEOUT_MS,
       timer: this.#timer,
       journal: this.#journal,
       schema: acceptorMessageSchema,
