Bound what an endpoint may send, and act on a rejection at its head

Cause: what an endpoint sends was trusted. Blank lines or interim heads without end were read until the route's timeout; the incomplete event of a stream was copied with each chunk (quadratic); a rejection waited for the end of its body; a byte on an idle connection was read as the start of the next response, and bytes after a complete response turned it into a broken one. Ruled out for now: a connection idle for some time, or a fresh one, for requests that may run once: an instance of a large fleet uses a connection again after seconds, and new connections are dear.

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -6,6 +6,7 @@
 import { usableIdleMs } from './createEndpointAgent';
 import type { AttemptId } from './ids';
 import { CONNECT_TIMEOUT_MS } from './ReachabilityProbe';
+import { RESPONSE_LIMITS } from './responseLimits';
 import type { ResponseMetadata, Wire } from './Wire';
 
 /** A request as it is sent to an endpoint. @internal */
@@ -76,8 +77,6 @@
   /** Whether bytes may have been sent to the endpoint. */
   #isSent = false;
 
-  #isRejection = false;
-
   /** Prompt tokens whose prefill has not finished as far as is known. */
   #pendingPrefillTokens: number;
 
@@ -145,6 +144,7 @@
   }
 
   #onSocket(socket: Socket): void {
+    this.#limitHead(socket);
     if (!socket.connecting) {
       this.#isSent = true;
       return;
@@ -160,6 +160,20 @@
     });
   }
 
+  /** Ends the attempt if the endpoint sends bytes without end before the head of the response. */
+  #limitHead(socket: Socket): void {
+    let bytes = 0;
+    const onData = (chunk: Buffer): void => {
+      bytes += chunk.length;
+      if (bytes <= RESPONSE_LIMITS.maxHeadBytes) return;
+      socket.off('data', onData);
+      if (!this.#response) this.abort(`no head within ${bytes} bytes`);
+    };
+    socket.on('data', onData);
+    this.#request.once('response', () => socket.off('data', onData));
+    this.#request.once('close', () => socket.off('data', onData));
+  }
+
   #onResponse(answer: IncomingMessage): void {
     if (this.#isFinished) {
       answer.destroy();
@@ -179,29 +193,45 @@
     const isEventStream = type.startsWith('text/event-stream');
     const hasLength = 'content-length' in answer.headers || 'transfer-encoding' in answer.headers;
     const head: ResponseHead = { status, rawHeaders, metadata, isEventStream, hasLength };
-    this.#isRejection = metadata.isNotRun || metadata.isMisdirected;
-    if (!this.#isRejection) this.#listener.onHead(head);
+    if (metadata.isNotRun || metadata.isMisdirected) {
+      this.#discardBody(answer);
+      this.#end({ type: 'refused', head });
+      return;
+    }
+    this.#listener.onHead(head);
     answer.on('data', (chunk: Buffer) => {
       this.endpoint.seen();
-      if (this.#isRejection || this.#isFinished) return;
+      if (this.#isFinished) return;
       if (!this.#listener.onData(chunk)) answer.pause();
     });
     const { socket } = answer;
     answer.on('end', () => {
       // The parser also treats a connection reset as the end of a response without a length.
-      this.#onResponseEnd(head, answer.complete && (hasLength || socket.readableEnded));
+      const isComplete = answer.complete && (hasLength || socket.readableEnded);
+      this.#end(isComplete ? { type: 'complete' } : { type: 'broken', reason: 'answer cut off' });
     });
     answer.on('error', (error) => this.#end({ type: 'broken', reason: String(error) }));
     answer.on('close', () => this.#end({ type: 'broken', reason: 'answer cut off' }));
   }
 
-  #onResponseEnd(head: ResponseHead, isComplete: boolean): void {
-    if (this.#isRejection) this.#end({ type: 'refused', head });
-    else if (isComplete) this.#end({ type: 'complete' });
-    else this.#end({ type: 'broken', reason: 'answer cut off' });
+  /** Reads the body of a rejection to its end, so that the connection can be reused, but not for long. */
+  #discardBody(answer: IncomingMessage): void {
+    let bytes = 0;
+    const timeout = this.#timer.after(RESPONSE_LIMITS.maxDiscardMs, () => this.#request.destroy());
+    answer.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > RESPONSE_LIMITS.maxDiscardedBytes) this.#request.destroy();
+    });
+    answer.on('error', (error) => {
+      // The head has settled the attempt; only the connection is lost.
+      this.#request.destroy(error);
+    });
+    answer.once('close', () => timeout[Symbol.dispose]());
   }
 
   #onError(error: Error): void {
+    // Bytes after a complete response break the connection, but its end is still to be reported.
+    if (this.#response?.complete) return;
     const reason = (error as NodeJS.ErrnoException).code ?? error.message;
     this.#end({ type: this.#isSent ? 'broken' : 'unsent', reason });
   }
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -117,6 +117,10 @@
     const answer = this.#relay as ResponseRelay;
     const hadSentEvents = answer.hasSentEvents;
     const isWritable = answer.push(chunk);
+    if (answer.exceededLimit) {
+      this.#attempt?.abort(`the response exceeds ${answer.exceededLimit}`);
+      return false;
+    }
     if (answer.isHeadSent) {
       this.#timing.mark(this.#context.timer.now());
       this.#detector?.eventReceived();
@@ -222,7 +226,7 @@
 
   #onComplete(): void {
     const answer = this.#relay as ResponseRelay;
-    if (answer.isEventStream && answer.hasPartialEvent) {
+    if (answer.isEventStream && answer.partialEventBytes > 0) {
       this.onEnd({ type: 'broken', reason: 'stream ended within an event' });
       return;
     }
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import type { ResponseHead } from './Attempt';
 import { EventScanner } from './EventScanner';
+import { RESPONSE_LIMITS, type ResponseLimits } from './responseLimits';
 import type { Wire } from './Wire';
 
 /** Bytes of a plain response that are buffered; until they are sent, another endpoint can serve it. */
@@ -27,6 +28,9 @@
 
   #bufferedBytes = 0;
 
+  /** Bytes of a plain response received so far. */
+  #bodyBytes = 0;
+
   #isHeadSent = false;
 
   #closesConnection = false;
@@ -58,9 +62,16 @@
     return this.#isHeadSent && this.isEventStream;
   }
 
-  /** Whether bytes of an incomplete event are pending. */
-  get hasPartialEvent(): boolean {
-    return this.#scanner?.hasPartialEvent ?? false;
+  /** Size of the incomplete event that is pending, in bytes. */
+  get partialEventBytes(): number {
+    return this.#scanner?.partialEventBytes ?? 0;
+  }
+
+  /** Limit that the response exceeds, if any. */
+  get exceededLimit(): keyof ResponseLimits | undefined {
+    if (this.partialEventBytes > RESPONSE_LIMITS.maxEventBytes) return 'maxEventBytes';
+    if (this.#bodyBytes > RESPONSE_LIMITS.maxBodyBytes) return 'maxBodyBytes';
+    return undefined;
   }
 
   /** Id of the last event that was forwarded to the caller. */
@@ -82,6 +93,7 @@
       const { bytes } = this.#scanner.push(chunk);
       return bytes.length === 0 || this.#write(bytes);
     }
+    this.#bodyBytes += chunk.length;
     if (this.#isHeadSent) return this.#write(chunk);
     this.#buffered.push(chunk);
     this.#bufferedBytes += chunk.length;
@@ -93,6 +105,7 @@
   /** Discards buffered data, which another endpoint will send again. */
   reset(): void {
     this.#takeBuffered();
+    this.#bodyBytes = 0;
     this.#scanner?.dropPartialEvent();
     if (!this.#isHeadSent) this.#scanner = undefined;
   }
--- a/packages/gateway/src/lib/createEndpointAgent.ts
+++ b/packages/gateway/src/lib/createEndpointAgent.ts
@@ -17,6 +17,11 @@
 /** The agent's only reference to the last request on a connection. */
 type PooledSocket = Socket & { readonly _httpMessage?: ClientRequest & { idleMs?: number } };
 
+/** Closes an idle connection on which bytes arrive, as they would be read as the next response. */
+function destroyIdleSocket(this: Socket): void {
+  this.destroy();
+}
+
 /** Keeps a connection open until shortly before the endpoint closes it. */
 function keepSocketAlive(stream: Duplex): boolean {
   const socket = stream as PooledSocket;
@@ -26,6 +31,7 @@
   socket.setKeepAlive(true, PROBE_DELAY_MS);
   socket.unref();
   socket.setTimeout(idleMs);
+  socket.on('data', destroyIdleSocket);
   return true;
 }
 
@@ -50,7 +56,7 @@
     keepSocketAlive,
     reuseSocket: (stream: Duplex, request: ClientRequest) => {
       reuseSocket(stream, request);
-      (stream as Socket).setTimeout(0);
+      (stream as Socket).off('data', destroyIdleSocket).setTimeout(0);
     },
   });
 }
--- /dev/null
+++ b/packages/gateway/src/lib/endpointInTrouble.test.ts
@@ -0,0 +1,169 @@
+import assert from 'node:assert/strict';
+import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { test, type TestContext } from 'node:test';
+import { SystemTimer, asId } from '@berylwood/base';
+import { Attempt, type AttemptEnd, type AttemptListener } from './Attempt';
+import { Endpoint } from './Endpoint';
+import { RESPONSE_LIMITS } from './responseLimits';
+import { Wire, type RawHeaders, type ResponseMetadata } from './Wire';
+
+/** Wire format that knows a header for requests that were not run. */
+class PlainWire extends Wire {
+  readonly paths = { readiness: '/ready', configuration: '/configuration' };
+
+  override readRequest(): never {
+    throw new Error('not used');
+  }
+
+  override endpointHeaders(): string[] {
+    return [];
+  }
+
+  override readResponse(_status: number, headers: RawHeaders): ResponseMetadata {
+    return {
+      attempt: undefined,
+      isNotRun: headers.includes('Not-Run'),
+      isMisdirected: false,
+      load: undefined,
+      keepAliveMs: undefined,
+      closesConnection: false,
+    };
+  }
+
+  override responseHeaders(): string[] {
+    return [];
+  }
+
+  override decodeConfiguration(): never {
+    throw new Error('not used');
+  }
+}
+
+/** Creates an endpoint that calls a function for each request. */
+async function createEndpoint(
+  t: TestContext,
+  answer: (socket: Socket, count: number) => void,
+): Promise<{ endpoint: Endpoint; connections: () => number }> {
+  let count = 0;
+  let connections = 0;
+  const server = createServer((socket) => {
+    connections += 1;
+    socket.on('error', () => {});
+    socket.on('data', () => {
+      count += 1;
+      answer(socket, count);
+    });
+    t.after(() => socket.destroy());
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const listed = {
+    id: asId<'endpoint'>('e-1'),
+    pool: asId<'pool'>('pool'),
+    address: `127.0.0.1:${port}`,
+    dataCentre: 'a',
+    slots: 4,
+    isDraining: false,
+  };
+  const endpoint = new Endpoint(listed, 4, new SystemTimer());
+  t.after(() => {
+    endpoint[Symbol.dispose]();
+    server.close();
+  });
+  return { endpoint, connections: () => connections };
+}
+
+function send(endpoint: Endpoint): Promise<AttemptEnd> {
+  return new Promise((resolve) => {
+    const outgoing = {
+      method: 'GET',
+      target: '/',
+      headers: ['Host', 'x'],
+      body: Buffer.alloc(0),
+      attempt: asId<'attempt'>('a-1'),
+      promptTokens: 0,
+      rank: 0,
+    };
+    const listener: AttemptListener = { onHead: () => {}, onData: () => true, onEnd: resolve };
+    // eslint-disable-next-line no-new -- the listener receives the result
+    new Attempt(endpoint, outgoing, listener, { wire: new PlainWire(), timer: new SystemTimer() });
+  });
+}
+
+/** Writes a text again and again until the connection is closed; returns the bytes written so far. */
+function writeWithoutEnd(socket: Socket, text: string): () => number {
+  let bytes = 0;
+  const block = Buffer.from(text.repeat(Math.ceil(1024 / text.length)));
+  const write = (): void => {
+    if (socket.destroyed) return;
+    bytes += block.length;
+    socket.write(block, () => setImmediate(write));
+  };
+  write();
+  return () => bytes;
+}
+
+const OK = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
+
+const endlessHeads = {
+  'blank lines': '\r\n',
+  'interim heads': 'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n',
+};
+
+for (const [name, text] of Object.entries(endlessHeads)) {
+  test(`${name} without end before a head break the attempt at the limit`, async (t) => {
+    let written = (): number => 0;
+    const { endpoint } = await createEndpoint(t, (socket) => {
+      written = writeWithoutEnd(socket, text);
+    });
+    const end = await send(endpoint);
+    assert.equal(end.type, 'broken');
+    // The sockets' buffers hold some of what was written.
+    assert.ok(written() < RESPONSE_LIMITS.maxHeadBytes + 8 * 1024 * 1024);
+  });
+}
+
+test('a rejection is acted on at its head, though its body never ends', async (t) => {
+  const { endpoint } = await createEndpoint(t, (socket) => {
+    socket.write('HTTP/1.1 503 Full\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n');
+    writeWithoutEnd(socket, '2\r\nxx\r\n');
+  });
+  const startedAt = performance.now();
+  const end = await send(endpoint);
+  assert.equal(end.type, 'refused');
+  assert.ok(performance.now() - startedAt < 200);
+});
+
+test('the connection of a rejection with a short body is reused', async (t) => {
+  const { endpoint, connections } = await createEndpoint(t, (socket, count) => {
+    const rejection = 'HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull';
+    socket.write(count === 1 ? rejection : OK);
+  });
+  assert.equal((await send(endpoint)).type, 'refused');
+  await new SystemTimer().sleep(30);
+  assert.equal((await send(endpoint)).type, 'complete');
+  assert.equal(connections(), 1);
+});
+
+test('bytes on an idle connection are not read as the next response', async (t) => {
+  const { endpoint } = await createEndpoint(t, (socket) => {
+    socket.write(OK);
+    setTimeout(() => socket.write('x'), 5);
+  });
+  const timer = new SystemTimer();
+  for (let request = 0; request < 10; request += 1) {
+    const end = await send(endpoint);
+    assert.equal(end.type, 'complete', `request ${request}`);
+    await timer.sleep(20);
+  }
+});
+
+test('bytes right after a complete response do not spoil it', async (t) => {
+  const { endpoint } = await createEndpoint(t, (socket) => socket.write(`${OK}\u0001 no response`));
+  for (let request = 0; request < 10; request += 1) {
+    const end = await send(endpoint);
+    assert.equal(end.type, 'complete', `request ${request}`);
+  }
+});
