Count the wait for a slot by the slots of the engine

Change: the mean time for which a request holds a slot (1.6 s) divided by the engine's slots; equal for 64 slots. Test: with 16 slots a queue of 120 drives a prompt away, with 64 it does not.

--- a/packages/policy/src/lib/placement/chooseEngine.test.ts
+++ b/packages/policy/src/lib/placement/chooseEngine.test.ts
@@ -40,6 +40,20 @@
   assert.notEqual(chooseEngine(withQueue(2 * recomputeCost), PROMPT, 0)?.view.key, preferred);
 });
 
+test('a full batch of few slots drives a prompt away earlier than one of many slots', () => {
+  const isDrivenAway = (slots: number, waiting: number): boolean => {
+    const idle = engines([0, 0, 0, 0]).map((view) => ({ ...view, running: 0, slots }));
+    const preferred = chooseEngine(idle, PROMPT, 0)?.view.key;
+    const views = idle.map((view) =>
+      view.key === preferred ? { ...view, running: slots + waiting } : view,
+    );
+    return chooseEngine(views, PROMPT, 0)?.view.key !== preferred;
+  };
+  // The expected wait is 12 s behind 120 waiting requests with 16 slots, and 3 s with 64.
+  assert.equal(isDrivenAway(16, 120), true);
+  assert.equal(isDrivenAway(64, 120), false);
+});
+
 /** Tokens of shared parts that an engine can cache in addition to those of its running requests. */
 const CACHE_TOKENS = 150_000;
 const PARTS = 261;
--- a/packages/policy/src/lib/placement/chooseEngine.ts
+++ b/packages/policy/src/lib/placement/chooseEngine.ts
@@ -46,8 +46,8 @@
   readonly recomputeWeight: number;
   /** Weight of the time by which the batch delays the response; 0 ignores batches. */
   readonly batchWeight: number;
-  /** Time until a request of a full batch ends and releases its slot, in milliseconds. */
-  readonly slotReleaseMs: number;
+  /** Mean time for which a request holds a slot, in milliseconds. */
+  readonly slotHoldMs: number;
   /** Cost of traffic to an engine in another data centre, in milliseconds. */
   readonly remoteCostMs: number;
 }
@@ -60,8 +60,7 @@
   cacheHitProbabilities: [1, 0.5, 0.25],
   recomputeWeight: 150,
   batchWeight: 1,
-  // A request occupies one of 64 slots for 1.5 s on average, so a slot is released about this often.
-  slotReleaseMs: 25,
+  slotHoldMs: 1600,
   remoteCostMs: 0,
 };
 
@@ -84,7 +83,9 @@
   options: EngineOptions,
 ): number {
   const slowerMs = answerTokens * options.stepMsPerRequest * Math.min(view.running, view.slots);
-  const waitMs = Math.max(0, view.running + 1 - view.slots) * options.slotReleaseMs;
+  // A full batch of few slots releases them less often than one of many.
+  const slotReleaseMs = options.slotHoldMs / view.slots;
+  const waitMs = Math.max(0, view.running + 1 - view.slots) * slotReleaseMs;
   return slowerMs + waitMs;
 }
 
