--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -7,9 +7,9 @@
 import { composeAttempt } from './composeAttempt';
 import { canRetry } from './canRetry';
 import { describeRequest } from './describeRequest';
-import { gatewayEvents } from './events';
 import { exchangeTable, type ExchangeEvent } from './exchangeMachine';
 import type { GatewayContext } from './GatewayContext';
+import { logAttemptFailure } from './logAttemptFailure';
 import { ResponseTiming } from './ResponseTiming';
 import { placeRequest } from './placeRequest';
 import { readBody } from './readBody';
@@ -319,15 +319,8 @@
   }
 
   #logAttemptFailure(type: string, reason: string): void {
-    const { context, resolved } = this.#parts;
-    context.journal.record(gatewayEvents.attemptFailed, {
-      request: resolved.metadata.attempt,
-      endpoint: this.#attempt?.endpoint.listed.id,
-      type,
-      reason,
-      sends: this.#sends,
-      leftMs: Math.round(this.#leftMs),
-    });
+    const tries = { attempt: this.#attempt, sends: this.#sends, leftMs: this.#leftMs };
+    logAttemptFailure(this.#context, this.#parts.resolved, tries, { type, reason });
   }
 
   #finish(status: number, code: number | undefined, reason: string | undefined): void {
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -17,6 +17,7 @@
 import type { Registry } from './Registry';
 import { KEEP_ALIVE_INTERVAL_MS, MESH_PATH, Peers, SILENCE_TIMEOUT_MS, type Peer } from './Peers';
 import { ReportTimes } from './ReportTimes';
+import { RotatingBatch } from './RotatingBatch';
 import type { ConfigureOutcome, StoredConfiguration } from './RegistryMachine';
 import type { UsageLedger } from './UsageLedger';
 import { InFlightWork } from './InFlightWork';
@@ -40,6 +41,12 @@
 /** Interval of status messages and reports, which have a few hundred bytes each. */
 const STATUS_INTERVAL_MS = 400;
 
+/**
+ * Messages with the work of other instances that the leader sends at a time. With a thousand instances each
+ * still receives one within the second for which it is used.
+ */
+const MAX_WORK_MESSAGES = 100;
+
 /** Windows kept while no leader closes them: ten minutes of five-second windows. */
 const MAX_OPEN_WINDOWS = 120;
 
@@ -62,6 +69,8 @@
 
   readonly #inFlightWork = new InFlightWork<Link<AcceptorMessage, DialerMessage> | 'own'>();
 
+  readonly #workBatch = new RotatingBatch(MAX_WORK_MESSAGES);
+
   readonly #store = new DisposableStore();
 
   readonly #peers: Peers;
@@ -144,8 +153,8 @@
   }
 
   /**
-   * Sends the work in flight from this instance to the leader. The leader sends each instance the
-   * sum over all other instances.
+   * Sends the work in flight from this instance to the leader. The leader sends the sum over all other
+   * instances to each instance, or to a part of them if there are many.
    */
   publishWork(endpoints: readonly EndpointWork[]): void {
     if (!this.isLeader) {
@@ -154,9 +163,9 @@
     }
     this.#inFlightWork.set('own', endpoints);
     this.onWork(this.#inFlightWork.sumExcluding('own'));
-    for (const [link, instance] of this.#incoming) {
-      if (instance !== '')
-        link.send({ type: 'work', endpoints: this.#inFlightWork.sumExcluding(link) });
+    const links = [...this.#incoming].filter(([, instance]) => instance !== '');
+    for (const [link] of this.#workBatch.take(links)) {
+      link.send({ type: 'work', endpoints: this.#inFlightWork.sumExcluding(link) });
     }
   }
 
