Tell a lost stream by its own events

Cause: any byte of an endpoint counted as a sign of life of every stream there, and any byte of a stream, a trickle within one event too, as its progress. Ruled out: a probe by connection; the endpoint accepts it. Change: only complete events are progress; a running stream without one for twice the objective, four times the pause and a second, whichever is longest, ends as broken, and continues on another endpoint where its kind, its attempts and the budget allow it. Other streams are left as they are until their caller leaves.

--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -115,13 +115,14 @@
 
   onData(chunk: Buffer): boolean {
     const answer = this.#relay as ResponseRelay;
-    const hadSentEvents = answer.hasSentEvents;
+    const { hasSentEvents: hadSentEvents, forwardedBytes } = answer;
     const isWritable = answer.push(chunk);
     if (answer.exceededLimit) {
       this.#attempt?.abort(`the response exceeds ${answer.exceededLimit}`);
       return false;
     }
-    if (answer.isHeadSent) {
+    // Bytes of an incomplete event are no progress.
+    if (answer.forwardedBytes > forwardedBytes) {
       this.#timing.mark(this.#context.timer.now());
       this.#detector?.eventReceived();
     }
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -40,6 +40,9 @@
     this.#wire = wire;
   }
 
+  /** Bytes of the body that were forwarded to the caller; bytes of an incomplete event are not. */
+  forwardedBytes = 0;
+
   /** Whether the head was sent to the caller. */
   get isHeadSent(): boolean {
     return this.#isHeadSent;
@@ -126,6 +129,7 @@
 
   #write(bytes: Buffer): boolean {
     if (!this.#isHeadSent) this.#sendHead(undefined);
+    this.forwardedBytes += bytes.length;
     return this.#response.write(bytes);
   }
 
--- a/packages/gateway/src/lib/StallDetector.ts
+++ b/packages/gateway/src/lib/StallDetector.ts
@@ -17,6 +17,16 @@
 /** Minimum time without an event before a running stream's endpoint is probed, in milliseconds. */
 const MIN_PAUSE_MS = 400;
 
+/**
+ * Time without an event after which a running stream counts as lost although its endpoint lives: multiples
+ * of the objective and of the route's `pauseMs`, whichever is longer, and a minimum in milliseconds. A sound
+ * stream that shares its engine with long prompts pauses for a small part of it; callers wait about twice
+ * as long.
+ */
+const LOST_OBJECTIVES = 2;
+const LOST_PAUSES = 4;
+const MIN_LOST_MS = 1000;
+
 /** Interval between checks of a stream, as a multiple of the objective. */
 const CHECK_INTERVAL_OBJECTIVES = 0.125;
 
@@ -41,6 +51,8 @@
  * - An endpoint runs a request and its response is lost, while the endpoint serves other requests. A
  *   stream counts as lost only once later streams have started on the endpoint, since in a burst all
  *   streams are slow.
+ * - An endpoint ends a running stream without closing its connection, or sends bytes but no more events,
+ *   while it serves other requests. Only the events of the stream itself show that it is alive.
  * - An endpoint becomes unreachable with all its streams, started or not. No data is received from it,
  *   which can be chance on an instance with few requests, so a connection probe decides.
  * @internal
@@ -89,6 +101,11 @@
     return Math.max(MIN_PAUSE_MS, pauseMs * PROBE_PAUSES);
   }
 
+  get #lostAfterMs(): number {
+    const { objectiveMs, pauseMs } = this.#options.route;
+    return Math.max(MIN_LOST_MS, objectiveMs * LOST_OBJECTIVES, pauseMs * LOST_PAUSES);
+  }
+
   #check(): void {
     const { timer, attempt, rank, onStall } = this.#options;
     this.#nextCheck = timer.after(this.#intervalMs, () => this.#check());
@@ -97,7 +114,12 @@
       onStall('overtaken without an answer');
       return;
     }
-    const isSilent = timer.now() - this.#lastEventAt >= this.#probeAfterMs;
+    const silenceMs = timer.now() - this.#lastEventAt;
+    if (this.#hasStarted && silenceMs >= this.#lostAfterMs) {
+      onStall('no event while its endpoint serves others');
+      return;
+    }
+    const isSilent = silenceMs >= this.#probeAfterMs;
     if (!isSilent || endpoint.seenSince(this.#lastEventAt)) return;
     endpoint.probe(() => {
       if (this.#nextCheck && !endpoint.seenSince(this.#lastEventAt))
