Keep half of a short grace period for requests that were taken

Cause: a stopping instance took requests for up to 2.6 s and cut the rest half a second before the grace period ended; with a grace period of 1 s both moments were the same, so requests taken just before were cut. Ruled out: requests on kept connections (they get 503 before anything is sent to an endpoint). Change: it takes requests for at most half of the time; nothing changes from a grace period of 5.7 s on.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -45,6 +45,12 @@
 /** Time within which the load balancer detects that the instance is not ready, in milliseconds. */
 const BALANCER_NOTICE_MS = 2600;
 
+/**
+ * Largest fraction of the grace period for which a stopping instance still takes requests. The rest is for
+ * those it has taken, however short the grace period is.
+ */
+const NOTICE_SHARE = 0.5;
+
 /** Time before the end of the grace period at which open requests are cut, in milliseconds. */
 const CUT_MARGIN_MS = 500;
 
@@ -167,7 +173,7 @@
     });
     const startedAt = timer.now();
     const endsAt = startedAt + settings.graceS * 1000 - CUT_MARGIN_MS;
-    await timer.sleep(Math.min(BALANCER_NOTICE_MS, endsAt - startedAt));
+    await timer.sleep(Math.min(BALANCER_NOTICE_MS, (endsAt - startedAt) * NOTICE_SHARE));
     this.#isRejecting = true;
     this.#callerServer.closeIdleConnections();
     while (this.#callerServer.openRequests > 0 && timer.now() < endsAt) {
