--- a/apps/berylwood/src/gateway.ts
+++ b/apps/berylwood/src/gateway.ts
@@ -30,6 +30,7 @@
 
 if (startupSnapshot.isBuildingSnapshot()) {
   compileDecoders();
+  // Generates the validator of the settings.
   gatewayProcessSchema.safeParse({ process: {}, gateway: {} });
   startupSnapshot.setDeserializeMainFunction(main);
 } else main();
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -31,6 +31,8 @@
   /** Bytes of a plain response received so far. */
   #bodyBytes = 0;
 
+  #forwardedBytes = 0;
+
   #isHeadSent = false;
 
   #closesConnection = false;
@@ -41,7 +43,9 @@
   }
 
   /** Bytes of the body that were forwarded to the caller; bytes of an incomplete event are not. */
-  forwardedBytes = 0;
+  get forwardedBytes(): number {
+    return this.#forwardedBytes;
+  }
 
   /** Whether the head was sent to the caller. */
   get isHeadSent(): boolean {
@@ -129,7 +133,7 @@
 
   #write(bytes: Buffer): boolean {
     if (!this.#isHeadSent) this.#sendHead(undefined);
-    this.forwardedBytes += bytes.length;
+    this.#forwardedBytes += bytes.length;
     return this.#response.write(bytes);
   }
 
