--- a/packages/gateway/src/lib/endpointInTrouble.test.ts
+++ b/packages/gateway/src/lib/endpointInTrouble.test.ts
@@ -1,94 +1,35 @@
 import assert from 'node:assert/strict';
-import { createServer, type AddressInfo, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
-import { SystemTimer, asId } from '@berylwood/base';
+import { SystemTimer } from '@berylwood/base';
+import {
+  PlainWire,
+  createOutgoingRequest,
+  createRawEndpoint,
+  type RawEndpoint,
+} from '../fixtures/rawEndpoint';
 import { Attempt, type AttemptEnd, type AttemptListener } from './Attempt';
-import { Endpoint } from './Endpoint';
+import type { Endpoint } from './Endpoint';
 import { RESPONSE_LIMITS } from './responseLimits';
-import { Wire, type RawHeaders, type ResponseMetadata } from './Wire';
 
-/** Wire format that knows a header for requests that were not run. */
-class PlainWire extends Wire {
-  readonly paths = { readiness: '/ready', configuration: '/configuration' };
-
-  override readRequest(): never {
-    throw new Error('not used');
-  }
-
-  override endpointHeaders(): string[] {
-    return [];
-  }
-
-  override readResponse(_status: number, headers: RawHeaders): ResponseMetadata {
-    return {
-      attempt: undefined,
-      isNotRun: headers.includes('Not-Run'),
-      isMisdirected: false,
-      load: undefined,
-      keepAliveMs: undefined,
-      closesConnection: false,
-    };
-  }
-
-  override responseHeaders(): string[] {
-    return [];
-  }
-
-  override decodeConfiguration(): never {
-    throw new Error('not used');
-  }
-}
-
-/** Creates an endpoint that calls a function for each request. */
+/** Creates an endpoint that is closed at the end of the test. */
 async function createEndpoint(
   t: TestContext,
   answer: (socket: Socket, count: number) => void,
-): Promise<{ endpoint: Endpoint; connections: () => number }> {
-  let count = 0;
-  let connections = 0;
-  const server = createServer((socket) => {
-    connections += 1;
-    socket.on('error', () => {});
-    socket.on('data', () => {
-      count += 1;
-      answer(socket, count);
-    });
-    t.after(() => socket.destroy());
-  });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  const listed = {
-    id: asId<'endpoint'>('e-1'),
-    pool: asId<'pool'>('pool'),
-    address: `127.0.0.1:${port}`,
-    dataCentre: 'a',
-    slots: 4,
-    isDraining: false,
-  };
-  const endpoint = new Endpoint(listed, 4, new SystemTimer());
-  t.after(() => {
-    endpoint[Symbol.dispose]();
-    server.close();
-  });
-  return { endpoint, connections: () => connections };
+): Promise<RawEndpoint> {
+  const raw = await createRawEndpoint(answer);
+  t.after(raw.close);
+  return raw;
 }
 
 function send(endpoint: Endpoint): Promise<AttemptEnd> {
   return new Promise((resolve) => {
-    const outgoing = {
-      method: 'GET',
-      target: '/',
-      headers: ['Host', 'x'],
-      body: Buffer.alloc(0),
-      attempt: asId<'attempt'>('a-1'),
-      promptTokens: 0,
-      rank: 0,
-    };
     const listener: AttemptListener = { onHead: () => {}, onData: () => true, onEnd: resolve };
     // eslint-disable-next-line no-new -- the listener receives the result
-    new Attempt(endpoint, outgoing, listener, { wire: new PlainWire(), timer: new SystemTimer() });
+    new Attempt(endpoint, createOutgoingRequest(), listener, {
+      wire: new PlainWire(),
+      timer: new SystemTimer(),
+    });
   });
 }
 
