Keep the name of the platform's settings variable in platform/

Cause: the entry point of a gateway and its test wrote the name of the environment variable that the platform sets. Ruled out: passing the file as an argument; the platform's command has none. Change: the name is a constant of platform/. No behaviour changes.

--- a/apps/berylwood/src/gateway.ts
+++ b/apps/berylwood/src/gateway.ts
@@ -6,7 +6,7 @@
  * since a snapshot of Node.js 20 cannot hold it.
  */
 import { startupSnapshot } from 'node:v8';
-import { compileDecoders } from '@berylwood/platform';
+import { SETTINGS_VARIABLE, compileDecoders } from '@berylwood/platform';
 import { gatewayProcessSchema, type GatewayProcessSettings } from '@berylwood/schema';
 import { addGateway } from './lib/addGateway';
 import { exitOnFailure } from './lib/exitOnFailure';
@@ -25,7 +25,7 @@
 
 function main(): void {
   sighupHandler.install();
-  exitOnFailure(runProcess(process.env.BERYLWOOD_CONFIG ?? '', gatewayOnly));
+  exitOnFailure(runProcess(process.env[SETTINGS_VARIABLE] ?? '', gatewayOnly));
 }
 
 if (startupSnapshot.isBuildingSnapshot()) {
--- a/apps/berylwood/src/lib/startupSnapshot.process.test.ts
+++ b/apps/berylwood/src/lib/startupSnapshot.process.test.ts
@@ -5,6 +5,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { after, before, test, type TestContext } from 'node:test';
+import { SETTINGS_VARIABLE } from '@berylwood/platform';
 
 const directory = mkdtempSync(join(tmpdir(), 'berylwood-snapshot-'));
 const settings = join(directory, 'settings.toml');
@@ -51,7 +52,7 @@
 async function startGateway(t: TestContext) {
   const blob = join(directory, 'gateway.blob');
   const child = spawn(process.execPath, ['--snapshot-blob', blob, ...flagsOf('run')], {
-    env: { ...process.env, BERYLWOOD_CONFIG: settings },
+    env: { ...process.env, [SETTINGS_VARIABLE]: settings },
     stdio: ['ignore', 'pipe', 'inherit'],
   });
   t.after(() => child.kill('SIGKILL'));
