Log a replica that waits for its admission to a group

It now logs every ten requests (five seconds) whom it asks and which of them have replied that they belong to a group (joinPending, 1213). No decision changes.

--- a/packages/consensus/src/lib/Joiner.ts
+++ b/packages/consensus/src/lib/Joiner.ts
@@ -8,6 +8,9 @@
 /** Interval of join requests from a replica without a group to its seeds. */
 const JOIN_INTERVAL_MS = 500;
 
+/** Join requests between two log lines of a replica that is not admitted. */
+const REQUESTS_PER_WARNING = 10;
+
 /** Brings a replica with an empty disk into a group, or founds one. @internal */
 export class Joiner {
   readonly #core: Core;
@@ -15,8 +18,13 @@
   /** Seeds that have replied that they belong to no group. */
   readonly #seedsWithoutGroup = new Set<ReplicaName>();
 
+  /** Seeds that have replied that they belong to a group. */
+  readonly #seedsWithGroup = new Set<ReplicaName>();
+
   #lastJoinAt = -Infinity;
 
+  #requests = 0;
+
   constructor(core: Core) {
     this.#core = core;
   }
@@ -30,6 +38,8 @@
     this.#foundGroupIfNone();
     const body: Join = { type: 'join', address: settings.address };
     settings.seeds.forEach((seed) => this.#core.sendByName(seed, body));
+    this.#requests += 1;
+    if (this.#requests % REQUESTS_PER_WARNING === 0) this.#warnPending();
   }
 
   /** Replies to a joining replica whether this one belongs to a group. */
@@ -38,8 +48,11 @@
   }
 
   onJoinReply({ from, body }: Message<JoinReply>): void {
-    if (body.hasGroup) this.#seedsWithoutGroup.delete(from.replica);
-    else this.#seedsWithoutGroup.add(from.replica);
+    const [current, former] = body.hasGroup
+      ? [this.#seedsWithGroup, this.#seedsWithoutGroup]
+      : [this.#seedsWithoutGroup, this.#seedsWithGroup];
+    current.add(from.replica);
+    former.delete(from.replica);
     this.#foundGroupIfNone();
   }
 
@@ -47,6 +60,16 @@
     return this.#core.membership.latest.members.length > 0;
   }
 
+  #warnPending(): void {
+    const { settings } = this.#core;
+    settings.journal.record(consensusEvents.joinPending, {
+      requests: this.#requests,
+      contacted: settings.seeds,
+      withGroup: [...this.#seedsWithGroup],
+      withoutGroup: [...this.#seedsWithoutGroup],
+    });
+  }
+
   #foundGroupIfNone(): void {
     const { settings, store } = this.#core;
     if (!settings.founder || this.#hasGroup || store.lastIndex > 0) return;
--- a/packages/consensus/src/lib/events.ts
+++ b/packages/consensus/src/lib/events.ts
@@ -81,4 +81,12 @@
     meaning: 'The leader has started to transfer its leadership.',
     action: 'none',
   },
+  joinPending: {
+    number: 1213,
+    level: 'warn',
+    meaning:
+      'A replica with an empty disk is still not a member of a group and keeps requesting it.',
+    action:
+      'Check that one of the contacted replicas reaches the leader, and that the group may admit this replica.',
+  },
 });
