--- a/packages/consensus/src/lib/Joiner.test.ts
+++ b/packages/consensus/src/lib/Joiner.test.ts
@@ -146,3 +146,17 @@
   assert.equal(leader.replica?.holdsLease, false);
   assert.equal(cluster.committedVoters.length, 3);
 });
+
+test('a replica that lost its disk is a member again although no seed leads', async () => {
+  for (let seed = 1; seed <= 10; seed += 1) {
+    const group = await createGroup({ seed, count: 5 });
+    const { cluster, leader, others } = group;
+    const [lost, follower] = others;
+    assert.ok(lost && follower);
+    await write(group, leader, 1);
+    lost.seeds = [follower.name];
+    await loseDisk(group, lost);
+    assert.ok(await cluster.runUntil(() => isRepaired(group, lost), REPAIR_MS));
+    assert.equal(lost.machine.value, 1);
+  }
+});
--- a/packages/consensus/src/simulation/SimulatedCluster.ts
+++ b/packages/consensus/src/simulation/SimulatedCluster.ts
@@ -28,6 +28,9 @@
 
   readonly disk: SimulatedDisk;
 
+  /** Replicas that it contacts with an empty disk; all founders by default. */
+  seeds: readonly ReplicaName[] | undefined;
+
   replica: Replica | undefined;
 
   machine = new RegisterMachine();
@@ -143,7 +146,7 @@
       timer,
       random: this.random,
       journal: this.#journal,
-      seeds: names.filter((item) => item !== name).map(createReplicaName),
+      seeds: node.seeds ?? names.filter((item) => item !== name).map(createReplicaName),
       founder: name === names[0],
       unsafe,
     });
