Ask the members that a seed names for admission to a group

Cause: a replica with an empty disk sent its join request to its seeds only, and only the leader admits. Once the seeds have changed and none of them leads, the replica is never admitted, on any instance. The group makes up for no further loss and in the end has no quorum.

Change: whoever belongs to a group replies to a join request with its members, and the joining replica asks these too. So it reaches the leader from any one member that answers. Replies of earlier versions have no members and are taken as an empty list.

--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -14,6 +14,7 @@
 export type {
   Append,
   AppendReply,
+  Contact,
   Join,
   JoinReply,
   LeaseStamp,
--- a/packages/consensus/src/lib/Core.ts
+++ b/packages/consensus/src/lib/Core.ts
@@ -6,7 +6,7 @@
 import type { LogStore } from './LogStore';
 import { decodeMembership, voterSets, voters, type Membership } from './Membership';
 import type { MembershipHistory } from './MembershipHistory';
-import type { MessageBody, Message } from './Message';
+import type { Contact, MessageBody, Message } from './Message';
 import type { HardState } from './records';
 import type { ReplicaSettings } from './ReplicaOptions';
 import type { Role, RoleEvent } from './roleMachine';
@@ -212,21 +212,26 @@
     else action();
   }
 
-  send(to: Identity, body: MessageBody): void {
-    this.#sendWhenSaved(to.replica, to.incarnation, body);
+  send({ replica, incarnation }: Identity, body: MessageBody): void {
+    const member = this.membership.latest.members.find((item) => item.incarnation === incarnation);
+    this.#sendWhenSaved(replica, incarnation, body, member?.address ?? '');
   }
 
-  /** Sends to a replica whose incarnation is unknown. */
-  sendByName(replica: ReplicaName, body: MessageBody): void {
-    this.#sendWhenSaved(replica, '', body);
+  /** Sends to a replica whose incarnation is unknown; the address may be empty. */
+  sendByName({ replica, address }: Contact, body: MessageBody): void {
+    this.#sendWhenSaved(replica, '', body, address);
   }
 
-  #sendWhenSaved(replica: ReplicaName, incarnation: Incarnation | '', body: MessageBody): void {
+  #sendWhenSaved(
+    replica: ReplicaName,
+    incarnation: Incarnation | '',
+    body: MessageBody,
+    address: string,
+  ): void {
     if (this.#pendingActions.length >= MAX_PENDING_ACTIONS) return;
     const { term, group, identity } = this;
     const message: Message = { group, from: identity, to: { replica, incarnation }, term, body };
-    const member = this.membership.latest.members.find((item) => item.incarnation === incarnation);
-    this.whenSaved(() => this.settings.transport.send(replica, message, member?.address ?? ''));
+    this.whenSaved(() => this.settings.transport.send(replica, message, address));
   }
 
   #save(state: HardState): void {
--- a/packages/consensus/src/lib/Joiner.ts
+++ b/packages/consensus/src/lib/Joiner.ts
@@ -3,9 +3,9 @@
 import { consensusEvents } from './events';
 import { createGroupId, type ReplicaName } from './ids';
 import { encodeMembership } from './Membership';
-import type { Join, JoinReply, Message } from './Message';
+import type { Contact, Join, JoinReply, Message } from './Message';
 
-/** Interval of join requests from a replica without a group to its seeds. */
+/** Interval of join requests from a replica without a group to the replicas that it knows. */
 const JOIN_INTERVAL_MS = 500;
 
 /** Join requests between two log lines of a replica that is not admitted. */
@@ -15,11 +15,8 @@
 export class Joiner {
   readonly #core: Core;
 
-  /** Seeds that have replied that they belong to no group. */
-  readonly #seedsWithoutGroup = new Set<ReplicaName>();
-
-  /** Seeds that have replied that they belong to a group. */
-  readonly #seedsWithGroup = new Set<ReplicaName>();
+  /** Latest reply of each replica that was contacted. */
+  readonly #replies = new Map<ReplicaName, JoinReply>();
 
   #lastJoinAt = -Infinity;
 
@@ -29,30 +26,37 @@
     this.#core = core;
   }
 
-  /** Sends join requests to the seeds at intervals until this replica is in a membership. */
+  /**
+   * Sends join requests at intervals until this replica is in a membership. They go to the seeds and
+   * to the members that the replies name, because only the leader admits and no seed needs to lead.
+   */
   tick(): void {
     const { now, settings, store, identity, membership } = this.#core;
-    if (store.state.wasMember || membership.find(identity.incarnation)) return;
+    if (store.state.wasMember || membership.find(identity.incarnation)) {
+      this.#replies.clear();
+      return;
+    }
     if (now - this.#lastJoinAt < JOIN_INTERVAL_MS) return;
     this.#lastJoinAt = now;
     this.#foundGroupIfNone();
     const body: Join = { type: 'join', address: settings.address };
-    settings.seeds.forEach((seed) => this.#core.sendByName(seed, body));
+    this.#contacts.forEach((contact) => this.#core.sendByName(contact, body));
     this.#requests += 1;
     if (this.#requests % REQUESTS_PER_WARNING === 0) this.#warnPending();
   }
 
-  /** Replies to a joining replica whether this one belongs to a group. */
+  /** Replies to a joining replica whether this one belongs to a group, and who its members are. */
   onJoin({ from }: Message<Join>): void {
-    this.#core.send(from, { type: 'joinReply', hasGroup: this.#hasGroup });
+    const members = this.#core.membership.latest.members.map(({ replica, address }): Contact => ({
+      replica,
+      address,
+    }));
+    this.#core.send(from, { type: 'joinReply', hasGroup: this.#hasGroup, members });
   }
 
   onJoinReply({ from, body }: Message<JoinReply>): void {
-    const [current, former] = body.hasGroup
-      ? [this.#seedsWithGroup, this.#seedsWithoutGroup]
-      : [this.#seedsWithoutGroup, this.#seedsWithGroup];
-    current.add(from.replica);
-    former.delete(from.replica);
+    // Earlier versions reply without members.
+    this.#replies.set(from.replica, { ...body, members: body.members ?? [] });
     this.#foundGroupIfNone();
   }
 
@@ -60,20 +64,35 @@
     return this.#core.membership.latest.members.length > 0;
   }
 
+  /** The seeds and the members that were named in replies, without this replica. */
+  get #contacts(): Contact[] {
+    const { settings, identity } = this.#core;
+    const addresses = new Map(settings.seeds.map((seed) => [seed, '']));
+    for (const { members } of this.#replies.values()) {
+      for (const { replica, address } of members) addresses.set(replica, address);
+    }
+    addresses.delete(identity.replica);
+    return [...addresses].map(([replica, address]) => ({ replica, address }));
+  }
+
   #warnPending(): void {
-    const { settings } = this.#core;
-    settings.journal.record(consensusEvents.joinPending, {
+    const replies = [...this.#replies];
+    const repliedWith = (hasGroup: boolean): ReplicaName[] =>
+      replies.filter(([, reply]) => reply.hasGroup === hasGroup).map(([replica]) => replica);
+    this.#core.settings.journal.record(consensusEvents.joinPending, {
       requests: this.#requests,
-      contacted: settings.seeds,
-      withGroup: [...this.#seedsWithGroup],
-      withoutGroup: [...this.#seedsWithoutGroup],
+      contacted: this.#contacts.map(({ replica }) => replica),
+      withGroup: repliedWith(true),
+      withoutGroup: repliedWith(false),
     });
   }
 
   #foundGroupIfNone(): void {
     const { settings, store } = this.#core;
     if (!settings.founder || this.#hasGroup || store.lastIndex > 0) return;
-    if (settings.seeds.every((seed) => this.#seedsWithoutGroup.has(seed))) this.#foundGroup();
+    const isWithoutGroup = (seed: ReplicaName): boolean =>
+      this.#replies.get(seed)?.hasGroup === false;
+    if (settings.seeds.every(isWithoutGroup)) this.#foundGroup();
   }
 
   /** Starts a log whose first entry makes this replica the only voter. */
--- a/packages/consensus/src/lib/Message.ts
+++ b/packages/consensus/src/lib/Message.ts
@@ -1,5 +1,5 @@
 import type { Entry } from './Entry';
-import type { GroupId, Identity } from './ids';
+import type { GroupId, Identity, ReplicaName } from './ids';
 
 /**
  * Both clocks of a leader, in milliseconds, read just before it sends a message. The reply echoes
@@ -105,10 +105,18 @@
   readonly address: string;
 }
 
-/** Reports to a joining replica whether the sender belongs to a group. @public */
+/** A replica to contact, with its address as in the membership. @public */
+export interface Contact {
+  readonly replica: ReplicaName;
+  readonly address: string;
+}
+
+/** Reports to a joining replica whether the sender belongs to a group, and to which one. @public */
 export interface JoinReply {
   readonly type: 'joinReply';
   readonly hasGroup: boolean;
+  /** The members of the group as known to the sender; empty without a group. */
+  readonly members: readonly Contact[];
 }
 
 /** @public */
--- a/packages/consensus/src/lib/isMessage.ts
+++ b/packages/consensus/src/lib/isMessage.ts
@@ -26,6 +26,8 @@
 const isKind: Predicate = (value) => typeof value === 'number' && EntryKind[value] !== undefined;
 const isEntry = hasShape({ index: isCount, term: isCount, kind: isKind, data: isBytes });
 const isEntries: Predicate = (value) => Array.isArray(value) && value.every(isEntry);
+const isContact = hasShape({ replica: isString, address: isString });
+const isContacts: Predicate = (value) => Array.isArray(value) && value.every(isContact);
 
 /** Fields of each message type, apart from `type` itself. */
 const BODY_SHAPES: Readonly<Record<MessageBody['type'], Shape>> = {
@@ -52,7 +54,7 @@
   snapshotReply: { index: isCount, nextOffset: isCount, stamp: isStamp },
   timeoutNow: {},
   join: { address: isString },
-  joinReply: { hasGroup: isBoolean },
+  joinReply: { hasGroup: isBoolean, members: isContacts },
 };
 
 const isBody: Predicate = (value) => {
