Replace a voter although a joining member has fallen silent

A promotion that is under way has a member that replies, so nothing changes for it.

The test "a member that falls silent while it joins does not block the replacement of a voter" failed before (no step was planned).

--- a/packages/registry/src/lib/planMembership.test.ts
+++ b/packages/registry/src/lib/planMembership.test.ts
@@ -19,6 +19,21 @@
   assert.equal(planMembership(members, 3, LIMITS), undefined);
 });
 
+test('a member that falls silent while it joins does not block the replacement of a voter', () => {
+  const members = [
+    member('a'),
+    member('b'),
+    member('c', 'voter', 9000),
+    member('d', 'joining', 9000),
+    member('e', 'learner'),
+  ];
+  assert.deepEqual(planMembership(members, 3, LIMITS), { replica: 'd', change: 'demote' });
+  const after = members.map((item) =>
+    item.kind === 'joining' ? member('d', 'learner', 9000) : item,
+  );
+  assert.deepEqual(planMembership(after, 3, LIMITS), { replica: 'e', change: 'promote' });
+});
+
 test('a silent voter keeps its vote while no learner can replace it', () => {
   const members = [member('a'), member('b'), member('c', 'voter', 9000)];
   assert.equal(planMembership(members, 3, LIMITS), undefined);
--- a/packages/registry/src/lib/planMembership.ts
+++ b/packages/registry/src/lib/planMembership.ts
@@ -25,7 +25,8 @@
 /**
  * Returns the next change that brings the number of voters to the target and moves votes from
  * silent members to responsive ones. A silent voter keeps its vote while no learner can replace it,
- * as it may return and fewer voters tolerate fewer losses.
+ * as it may return and fewer voters tolerate fewer losses. A member that falls silent before it has
+ * its vote becomes a learner again, so that another one can be promoted.
  * @public
  */
 export function planMembership(
@@ -34,7 +35,11 @@
   limits: MembershipLimits,
 ): MembershipStep | undefined {
   const isSilent = ({ silenceMs }: MemberHealth, limitMs: number): boolean => silenceMs > limitMs;
-  if (members.some(({ kind }) => kind === 'joining')) return undefined;
+  const joining = members.find(({ kind }) => kind === 'joining');
+  if (joining) {
+    const { replica } = joining;
+    return isSilent(joining, limits.replaceAfterMs) ? { replica, change: 'demote' } : undefined;
+  }
   const voters = members.filter(({ kind }) => kind === 'voter');
   const learners = members.filter(({ kind }) => kind === 'learner');
   const silent = voters.find((member) => isSilent(member, limits.replaceAfterMs));
