--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -5,7 +5,7 @@
 import type { Endpoint } from './Endpoint';
 import { usableIdleMs } from './createEndpointAgent';
 import type { AttemptId } from './ids';
-import { CONNECT_TIMEOUT_MS } from './ReachabilityProbe';
+import { CONNECT_TIMEOUT_MS } from './probeConnection';
 import { RESPONSE_LIMITS } from './responseLimits';
 import type { ResponseMetadata, Wire } from './Wire';
 
--- a/packages/gateway/src/lib/ReachabilityProbe.test.ts
+++ b/packages/gateway/src/lib/ReachabilityProbe.test.ts
@@ -4,7 +4,8 @@
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'node:test';
 import { SystemTimer } from '@berylwood/base';
-import { CONNECT_TIMEOUT_MS, ReachabilityProbe } from './ReachabilityProbe';
+import { CONNECT_TIMEOUT_MS } from './probeConnection';
+import { ReachabilityProbe } from './ReachabilityProbe';
 
 /** Number of connections that fill the queue of a listener with a backlog of one. */
 const BACKLOG_FILLERS = 4;
--- a/packages/gateway/src/lib/ReachabilityProbe.ts
+++ b/packages/gateway/src/lib/ReachabilityProbe.ts
@@ -1,9 +1,5 @@
-import { connect, type Socket } from 'node:net';
 import type { Timer } from '@berylwood/base';
-import { splitAddress } from '@berylwood/link';
-
-/** Connect timeout, in milliseconds; the network latency is a few milliseconds. */
-export const CONNECT_TIMEOUT_MS = 300;
+import { probeConnection } from './probeConnection';
 
 /** Time for which a reachable endpoint is not probed again, in milliseconds; limits the cost of probes. */
 const REACHABLE_TTL_MS = 2000;
@@ -35,23 +31,12 @@
     if (this.#pendingCallbacks.length === 1) this.#probe();
   }
 
-  #probe(): void {
-    const socket = connect({ ...splitAddress(this.#address) });
-    const timeout = this.#timer.after(CONNECT_TIMEOUT_MS, () => this.#end(socket, false));
-    const onReachable = (): void => {
-      timeout[Symbol.dispose]();
-      this.#end(socket, true);
-    };
-    socket.once('connect', onReachable);
-    // A refused connection shows that the machine runs; it resets open connections by itself.
-    socket.once('error', onReachable);
-  }
-
-  #end(socket: Socket, isReached: boolean): void {
-    socket.destroy();
+  async #probe(): Promise<void> {
+    const result = await probeConnection(this.#address, this.#timer);
     const waiting = this.#pendingCallbacks;
     this.#pendingCallbacks = [];
-    if (isReached) this.#lastReachableAt = this.#timer.now();
+    // An error such as a refused connection shows that the machine runs; it resets open connections by itself.
+    if (result !== 'silent') this.#lastReachableAt = this.#timer.now();
     else waiting.forEach((onUnreachable) => onUnreachable());
   }
 }
