Hold back requests whose content crashes endpoints

Cause: the gateway knew failures by endpoint alone. Requests that share a part of their prompt, no two alike, go to a new engine each time that one is ejected; a resumable stream is retried at once on a second one. The fingerprint of whole requests in entry cannot find a shared part.

The logs show each crash as connections lost before the answer began, then refused connections for 3 s. Ruled out: retries alone (656 attempts broken, most with sends 1), and requests that wait in engines alone (they count only within contactMs).

Change: ContentQuarantine suspects the parts of a prompt and the whole request of each attempt that a crash ended before its answer began, and clears what begins to be answered. Three crashes in a row, by two different requests, quarantine a content on all instances: 503, code 9015. Instances exchange suspicions over the mesh as optional fields of existing messages, so earlier versions ignore them. An attempt that lost its connection before its answer began waits for the probe before it is retried. It works since deadly content never begins to be answered and everything else soon does, and since crashes at the same time count as one.

Moved without a change, to keep files at one concern: WorkDistributor and handleMeshCall out of Mesh, startsTooLate and retryAfterOf out of Exchange.

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -42,7 +42,12 @@
   | { readonly type: 'complete' }
   | { readonly type: 'unsent'; readonly reason: string }
   | { readonly type: 'refused'; readonly head: ResponseHead }
-  | { readonly type: 'broken'; readonly reason: string };
+  | {
+      readonly type: 'broken';
+      readonly reason: string;
+      /** Whether the endpoint or the network ended the connection, not this instance. */
+      readonly isConnectionLost: boolean;
+    };
 
 /** Receives the response of one attempt. @internal */
 export interface AttemptListener {
@@ -135,7 +140,7 @@
 
   /** Ends the attempt as `broken` because of a fault of its endpoint, and closes its connection. */
   abort(reason: string): void {
-    this.#end({ type: 'broken', reason });
+    this.#end({ type: 'broken', reason, isConnectionLost: false });
     this.#request.destroy();
   }
 
@@ -208,10 +213,11 @@
     answer.on('end', () => {
       // The parser also treats a connection reset as the end of a response without a length.
       const isComplete = answer.complete && (hasLength || socket.readableEnded);
-      this.#end(isComplete ? { type: 'complete' } : { type: 'broken', reason: 'answer cut off' });
+      if (isComplete) this.#end({ type: 'complete' });
+      else this.#endLost('answer cut off');
     });
-    answer.on('error', (error) => this.#end({ type: 'broken', reason: String(error) }));
-    answer.on('close', () => this.#end({ type: 'broken', reason: 'answer cut off' }));
+    answer.on('error', (error) => this.#endLost(String(error)));
+    answer.on('close', () => this.#endLost('answer cut off'));
   }
 
   /** Reads the body of a rejection to its end, so that the connection can be reused, but not for long. */
@@ -233,7 +239,12 @@
     // Bytes after a complete response break the connection, but its end is still to be reported.
     if (this.#response?.complete) return;
     const reason = (error as NodeJS.ErrnoException).code ?? error.message;
-    this.#end({ type: this.#isSent ? 'broken' : 'unsent', reason });
+    if (this.#isSent) this.#endLost(reason);
+    else this.#end({ type: 'unsent', reason });
+  }
+
+  #endLost(reason: string): void {
+    this.#end({ type: 'broken', reason, isConnectionLost: true });
   }
 
   #end(end: AttemptEnd): void {
--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -7,6 +7,7 @@
   type EndpointView,
 } from '@berylwood/policy';
 import type { EndpointWork } from '@berylwood/registry';
+import { CrashProbe } from './CrashProbe';
 import { createEndpointAgent } from './createEndpointAgent';
 import { ReachabilityProbe } from './ReachabilityProbe';
 import type { ListedEndpoint, ReportedLoad } from './Wire';
@@ -71,6 +72,8 @@
 
   readonly #probe: ReachabilityProbe;
 
+  readonly #crashProbe: CrashProbe;
+
   /** Time at which data was last received from the endpoint. */
   #lastSeenAt = -Infinity;
 
@@ -106,6 +109,7 @@
     this.#onEjected = onEjected;
     this.agent = createEndpointAgent(maxConnections);
     this.#probe = new ReachabilityProbe(listed.address, timer);
+    this.#crashProbe = new CrashProbe(listed.address, timer);
   }
 
   get listed(): ListedEndpoint {
@@ -272,6 +276,11 @@
     });
   }
 
+  /** Resolves to whether the endpoint, which has just broken a connection, has crashed. */
+  hasCrashed(): Promise<boolean> {
+    return this.#crashProbe.hasCrashed();
+  }
+
   /** Records a failed connection, which ejects the endpoint. */
   unreachable(): void {
     this.#responseBreaker.abandoned();
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Failure, Lifecycle, type Code } from '@berylwood/base';
-import { admits, retryAfterMs } from '@berylwood/policy';
 import { ResponseRelay } from './ResponseRelay';
 import { Attempt, type ResponseHead, type AttemptEnd, type AttemptListener } from './Attempt';
 import { gatewayCodes } from './codes';
 import { composeAttempt } from './composeAttempt';
+import { ContentGuard } from './ContentGuard';
 import { canRetry } from './canRetry';
 import { describeRequest } from './describeRequest';
 import { exchangeTable, type ExchangeEvent } from './exchangeMachine';
@@ -13,13 +13,12 @@
 import { ResponseTiming } from './ResponseTiming';
 import { placeRequest } from './placeRequest';
 import { readBody } from './readBody';
+import { retryAfterOf } from './retryAfterOf';
 import { resolveRequest, type ResolvedRequest } from './resolveRequest';
 import type { RequestRecord } from './RequestLog';
 import { sendFailure } from './sendFailure';
 import { StallDetector } from './StallDetector';
-
-/** Expected time until capacity is free again, in milliseconds: about one response of an engine. */
-const RETRY_AFTER_BASE_MS = 600;
+import { startsTooLate } from './startsTooLate';
 
 /** One attempt of a caller, from its arrival to the end of its response. @internal */
 export class Exchange implements AttemptListener {
@@ -43,6 +42,8 @@
 
   #detector: StallDetector | undefined;
 
+  #guard: ContentGuard | undefined;
+
   #attempt: Attempt | undefined;
 
   #relay: ResponseRelay | undefined;
@@ -110,7 +111,7 @@
       return;
     }
     this.#relay.setHead(head, this.#context.isStopping());
-    if (!head.isEventStream) this.#countStartedRequest();
+    if (!head.isEventStream) this.#answerBegan();
   }
 
   onData(chunk: Buffer): boolean {
@@ -127,7 +128,7 @@
       this.#detector?.eventReceived();
     }
     if (answer.hasSentEvents && !hadSentEvents) {
-      this.#countStartedRequest();
+      this.#answerBegan();
       this.#attempt?.prefillFinished();
       this.#attempt?.endpoint.executionStarted(this.#parts.resolved.rank, this.#attempt.startedAt);
     }
@@ -156,10 +157,16 @@
         this.#mayHaveRun = true;
         this.#attempt?.endpoint.failed();
         this.#logAttemptFailure(end.type, end.reason);
-        this.#retryOrAbort(gatewayCodes.outcomeUnknown, end.reason);
+        if (end.isConnectionLost) this.#onConnectionLost(end.reason);
+        else this.#retryOrAbort(gatewayCodes.outcomeUnknown, end.reason);
     }
   }
 
+  async #onConnectionLost(reason: string): Promise<void> {
+    if (this.#attempt) await this.#guard?.lost(this.#attempt.endpoint);
+    this.#retryOrAbort(gatewayCodes.outcomeUnknown, reason);
+  }
+
   /** Aborts a stalled attempt if the request can be retried on another endpoint. */
   #onStall(reason: string): void {
     const { context, resolved } = this.#parts;
@@ -168,6 +175,7 @@
   }
 
   #onBody(body: Buffer | 'tooLarge' | 'gone'): void {
+    const { context, resolved } = this.#parts;
     if (this.#lifecycle.isFinal) return;
     if (body === 'gone') {
       this.#onCallerClosed();
@@ -175,6 +183,7 @@
       this.#respondWithFailure(new Failure(gatewayCodes.bodyTooLarge, 'the body is too large'));
     } else {
       this.#body = body;
+      this.#guard = new ContentGuard(context, resolved, this.#request, body);
       this.#transition('read');
       this.#placeAndSend();
     }
@@ -182,17 +191,22 @@
 
   #placeAndSend(): void {
     const { context, resolved } = this.#parts;
+    const quarantined = this.#guard?.findQuarantined();
+    if (quarantined !== undefined) {
+      this.#abort(gatewayCodes.quarantined, `quarantined content ${quarantined}`);
+      return;
+    }
     const placement = placeRequest(context, resolved, this.#triedEndpoints);
     if (placement === undefined) {
       this.#abort(gatewayCodes.noEndpoint, 'no endpoint available');
       return;
     }
-    this.#expectedPrefillMs = placement.prefillMs;
-    if (this.#shouldReject(placement.prefillMs)) {
+    const { endpoint, tokens, prefillMs } = placement;
+    this.#expectedPrefillMs = prefillMs;
+    if (this.#sends === 0 && startsTooLate(resolved, prefillMs, this.#leftMs)) {
       this.#abort(gatewayCodes.overloaded, 'expected to start too late');
       return;
     }
-    const { endpoint, tokens } = placement;
     this.#triedEndpoints.add(endpoint.listed.id);
     this.#sends += 1;
     this.#transition('send');
@@ -203,24 +217,13 @@
       tokens,
       resumeAfter: this.#relay?.lastEventId,
     });
+    this.#guard?.sent();
     this.#attempt = new Attempt(endpoint, outgoing, this, context);
     const { timer } = context;
     const onStall = (reason: string): void => this.#onStall(reason);
     this.#detector = new StallDetector({ timer, attempt: this.#attempt, ...resolved, onStall });
   }
 
-  /**
-   * Whether a request that has not been sent to any endpoint should be rejected. Only the least urgent
-   * route of a pool is, since the queue of one engine tells little about the capacity of the others.
-   */
-  #shouldReject(prefillMs: number): boolean {
-    const { route, metadata, table, target } = this.#parts.resolved;
-    if (this.#sends > 0 || !table.isLeastUrgent(route, target)) return false;
-    const { objectiveMs, timeoutMs } = route;
-    const leftMs = this.#leftMs;
-    return !admits({ prefillMs, objectiveMs, timeoutMs, leftMs, budgetMs: metadata.deadlineMs });
-  }
-
   get #parts(): { context: GatewayContext; resolved: ResolvedRequest } {
     return { context: this.#context, resolved: this.#resolved as ResolvedRequest };
   }
@@ -228,7 +231,8 @@
   #onComplete(): void {
     const answer = this.#relay as ResponseRelay;
     if (answer.isEventStream && answer.partialEventBytes > 0) {
-      this.onEnd({ type: 'broken', reason: 'stream ended within an event' });
+      const reason = 'stream ended within an event';
+      this.onEnd({ type: 'broken', reason, isConnectionLost: true });
       return;
     }
     const { isFailure } = answer;
@@ -301,12 +305,9 @@
 
   #respondWithFailure(failure: Failure): void {
     this.#transition('fail');
-    const { context } = this.#parts;
-    const isRetryable = failure.code.status === 503;
-    const retryMs = isRetryable
-      ? retryAfterMs(RETRY_AFTER_BASE_MS, Math.max(0, this.#leftMs), context.random)
-      : undefined;
-    sendFailure(this.#response, failure, retryMs, context.isStopping() || !this.#request.complete);
+    const { random, isStopping } = this.#context;
+    const retryMs = retryAfterOf(failure, this.#leftMs, random);
+    sendFailure(this.#response, failure, retryMs, isStopping() || !this.#request.complete);
     this.#finish(failure.code.status, failure.code.number, failure.message);
   }
 
@@ -314,9 +315,10 @@
     return this.#lifecycle.send(event);
   }
 
-  #countStartedRequest(): void {
+  #answerBegan(): void {
     const { context, resolved } = this.#parts;
     context.countStartedRequest(resolved.workspace?.name);
+    this.#guard?.answered();
   }
 
   #logAttemptFailure(type: string, reason: string): void {
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -1,6 +1,7 @@
 import { inflateRawSync } from 'node:zlib';
 import { Random, Task, type Journal, type Metrics, type Timer } from '@berylwood/base';
 import { LinkServer } from '@berylwood/link';
+import { ContentQuarantine } from '@berylwood/policy';
 import {
   FleetClock,
   Mesh,
@@ -22,6 +23,7 @@
 import { RequestLog } from './RequestLog';
 import { RoutingTable } from './RoutingTable';
 import { StartGate } from './StartGate';
+import { SuspicionSharing } from './SuspicionSharing';
 import { UsageReporter } from './UsageReporter';
 import type { PlatformCalls, Wire } from './Wire';
 
@@ -97,6 +99,8 @@
 
   readonly #transport: PeerTransport;
 
+  readonly #quarantine = new ContentQuarantine();
+
   #table: RoutingTable | undefined;
 
   #isStopping = false;
@@ -127,6 +131,8 @@
       journal,
     });
     this.#mesh.onConfiguration = (configuration) => this.#applyConfiguration(configuration);
+    const quarantine = this.#quarantine;
+    this.store.add(new SuspicionSharing({ quarantine, mesh: this.#mesh, timer, journal }));
     this.#startGate = this.store.add(new StartGate(timer));
     this.#directory = new EndpointDirectory(timer, journal);
     this.#directory.onLoaded = () => this.#updateReadiness();
@@ -235,6 +241,7 @@
       directory: this.#directory,
       startGate: this.#startGate,
       budgets: new RetryBudgets(bounds, () => this.#instances),
+      quarantine: this.#quarantine,
       dataCentre: settings.dataCentre,
       table: () => this.#table,
       isStopping: () => this.#isStopping,
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -1,4 +1,5 @@
 import type { Journal, Metrics, Random, Timer } from '@berylwood/base';
+import type { ContentQuarantine } from '@berylwood/policy';
 import type { EndpointDirectory } from './EndpointDirectory';
 import type { RequestLog } from './RequestLog';
 import type { RetryBudgets } from './RetryBudgets';
@@ -17,6 +18,7 @@
   readonly log: RequestLog;
   readonly directory: EndpointDirectory;
   readonly budgets: RetryBudgets;
+  readonly quarantine: ContentQuarantine;
   readonly dataCentre: string;
   readonly startGate: StartGate;
   /** The routing table in force, if any. */
--- a/packages/gateway/src/lib/codes.ts
+++ b/packages/gateway/src/lib/codes.ts
@@ -100,4 +100,11 @@
     meaning: 'The request could not be served within its time at the present load.',
     remedy: 'Retry after the stated time.',
   },
+  quarantined: {
+    number: 9015,
+    status: 503,
+    notRun: true,
+    meaning: 'Requests that share content with this one crash endpoints and are held back.',
+    remedy: 'Retry later, or tell the operator: the content may be cleared or must change.',
+  },
 });
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -58,6 +58,31 @@
     meaning: 'A committed configuration cannot be decoded; the previous one stays in force.',
     action: 'Report it: replicas run different versions of the software.',
   },
+  endpointCrashed: {
+    number: 9015,
+    level: 'warn',
+    meaning:
+      'An endpoint crashed before it began to answer this attempt; the contents of the request are suspect.',
+    action: 'Check the endpoint; see the suspicions of the contents that follow.',
+  },
+  contentQuarantined: {
+    number: 9016,
+    level: 'warn',
+    meaning: 'Requests with this content crashed endpoints one after the other; they are rejected.',
+    action: 'Find the requests by `endpointCrashed` lines with the content, and correct them.',
+  },
+  contentCleared: {
+    number: 9017,
+    level: 'info',
+    meaning: 'A suspect or quarantined content was answered and may run again.',
+    action: 'none',
+  },
+  suspicionsInvalid: {
+    number: 9018,
+    level: 'warn',
+    meaning: 'Suspicions of another instance cannot be read and are ignored.',
+    action: 'Check that all instances run versions that fit together.',
+  },
   operatorAnswered: {
     number: 9020,
     level: 'info',
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -26,6 +26,13 @@
 export { FifoLocalQueue } from './lib/local/FifoLocalQueue';
 export { OutlierDetector, type OutlierOptions } from './lib/health/OutlierDetector';
 export { CircuitBreaker, type BreakerOptions } from './lib/health/CircuitBreaker';
+export {
+  ContentQuarantine,
+  type ContentQuarantineOptions,
+  type ContentState,
+  type SentContent,
+  type Suspicion,
+} from './lib/health/ContentQuarantine';
 export { Quarantine, type QuarantineOptions, type QuarantineState } from './lib/health/Quarantine';
 export {
   GRANT_TERM_MS,
--- /dev/null
+++ b/packages/policy/src/lib/health/ContentQuarantine.ts
@@ -0,0 +1,177 @@
+/** Options of a quarantine of content. @public */
+export interface ContentQuarantineOptions {
+  /** Consecutive crashes after which content is quarantined. Default 3. */
+  readonly crashes?: number;
+  /** Number of different witnesses that these crashes need. Default 2. */
+  readonly witnesses?: number;
+  /** Duration of a quarantine, in milliseconds. Default 600000. */
+  readonly holdMs?: number;
+  /** Time after which a suspicion without another crash expires, in milliseconds. Default 600000. */
+  readonly suspectMs?: number;
+  /** Maximum number of contents in the table. Default 4096. */
+  readonly capacity?: number;
+}
+
+/**
+ * Evidence against one piece of content: its key, how often it has been cleared, and the witness of each
+ * crash since then. Of two suspicions of the same content, the one that was cleared more often holds,
+ * then the one with more crashes. So the order in which instances receive them does not matter.
+ * @public
+ */
+export type Suspicion = readonly [
+  content: string,
+  clearances: number,
+  witnesses: readonly string[],
+];
+
+/** A content of an attempt, with what was known of it when the attempt was sent. @public */
+export interface SentContent {
+  readonly suspicion: Suspicion;
+  /**
+   * Identifies the crash as evidence. For a part of a prompt it is the request, since a repeat of the same
+   * request tells nothing new about which of its parts is to blame; for a whole request it is the attempt.
+   */
+  readonly witness: string;
+}
+
+/** State of content after a change. @public */
+export type ContentState = 'suspect' | 'quarantined' | 'cleared';
+
+const defaults: Required<ContentQuarantineOptions> = {
+  crashes: 3,
+  witnesses: 2,
+  holdMs: 600_000,
+  suspectMs: 600_000,
+  capacity: 4096,
+};
+
+/** Crashes kept of one content; more change nothing. */
+const MAX_CRASHES_KEPT = 8;
+
+interface ContentRecord {
+  readonly clearances: number;
+  readonly witnesses: readonly string[];
+  /** End of the suspicion or quarantine, in milliseconds. */
+  readonly until: number;
+}
+
+/**
+ * Finds the content that crashes endpoints, such as a part that many different prompts share, and holds
+ * back what contains it. Load pattern: requests that are no two alike crash each endpoint that begins to
+ * answer them, beside sound requests that share all but one of their contents.
+ *
+ * Whatever was waiting for an answer in an endpoint that crashed becomes suspect, and content is cleared as
+ * soon as any request with it begins to be answered. Crashes count only one after the other: an attempt adds
+ * crash to those that were known when it was sent. So endpoints that crash together, as after a power loss,
+ * count as one, and content that many sound requests share is cleared in between.
+ * @public
+ */
+export class ContentQuarantine {
+  /** Called when a suspicion changes, by this process or by a merge. */
+  onChange: (suspicion: Suspicion, state: ContentState) => void = () => {};
+
+  readonly #options: Required<ContentQuarantineOptions>;
+
+  /** By content, the least recently changed one first. */
+  readonly #records = new Map<string, ContentRecord>();
+
+  constructor(options: ContentQuarantineOptions = {}) {
+    this.#options = { ...defaults, ...options };
+  }
+
+  /** Number of contents in the table; 0 means that nothing is suspect. */
+  get size(): number {
+    return this.#records.size;
+  }
+
+  /** All suspicions that are not cleared, for an instance that has none yet. */
+  get suspicions(): Suspicion[] {
+    return [...this.#records]
+      .filter(([, { witnesses }]) => witnesses.length > 0)
+      .map(([content, { clearances, witnesses }]) => [content, clearances, witnesses]);
+  }
+
+  /** The first of the contents that is quarantined, if any. */
+  findQuarantined(contents: readonly string[], now: number): string | undefined {
+    if (this.size === 0) return undefined;
+    return contents.find((content) => this.#isQuarantined(this.#current(content, now)));
+  }
+
+  /** What is known of the contents when an attempt is sent, to be passed to `crashed`. */
+  suspicionsOf(contents: readonly string[], now: number): Suspicion[] {
+    return contents.map((content) => {
+      const { clearances, witnesses } = this.#current(content, now);
+      return [content, clearances, witnesses];
+    });
+  }
+
+  /** Records a crash of an endpoint that had not begun to answer an attempt with these contents. */
+  crashed(sent: readonly SentContent[], now: number): void {
+    const suspicions = sent.map(({ suspicion, witness }): Suspicion => {
+      const [content, clearances, witnesses] = suspicion;
+      return [content, clearances, [...witnesses, witness]];
+    });
+    this.merge(suspicions, now);
+  }
+
+  /** Records that an endpoint began to answer a request with these contents. */
+  answered(contents: readonly string[], now: number): void {
+    if (this.size === 0) return;
+    for (const content of contents) {
+      const { clearances, witnesses } = this.#current(content, now);
+      if (witnesses.length > 0) this.#set([content, clearances + 1, []], now);
+    }
+  }
+
+  /** Merges suspicions of another instance. */
+  merge(suspicions: readonly Suspicion[], now: number): void {
+    for (const suspicion of suspicions) {
+      const [content, clearances, witnesses] = suspicion;
+      const known = this.#current(content, now);
+      const isNewer =
+        clearances > known.clearances ||
+        (clearances === known.clearances && witnesses.length > known.witnesses.length);
+      if (isNewer) this.#set(suspicion, now);
+    }
+  }
+
+  #isQuarantined({ witnesses }: Pick<ContentRecord, 'witnesses'>): boolean {
+    const { crashes, witnesses: required } = this.#options;
+    return witnesses.length >= crashes && new Set(witnesses).size >= required;
+  }
+
+  /** The record of a content; after a quarantine has ended, one more crash starts it again. */
+  #current(content: string, now: number): ContentRecord {
+    const known = this.#records.get(content);
+    if (!known) return { clearances: 0, witnesses: [], until: Infinity };
+    if (now < known.until) return known;
+    const { crashes, suspectMs } = this.#options;
+    const kept = this.#isQuarantined(known) ? crashes - 1 : 0;
+    const witnesses = known.witnesses.slice(0, kept);
+    const current = { clearances: known.clearances, witnesses, until: now + suspectMs };
+    this.#records.set(content, current);
+    return current;
+  }
+
+  #set([content, clearances, witnesses]: Suspicion, now: number): void {
+    const { holdMs, suspectMs, capacity } = this.#options;
+    const kept = witnesses.slice(-MAX_CRASHES_KEPT);
+    const isQuarantined = this.#isQuarantined({ witnesses: kept });
+    this.#records.delete(content);
+    if (this.#records.size >= capacity && !this.#evict()) return;
+    const until = now + (isQuarantined ? holdMs : suspectMs);
+    this.#records.set(content, { clearances, witnesses: kept, until });
+    const state = witnesses.length === 0 ? 'cleared' : 'suspect';
+    this.onChange([content, clearances, kept], isQuarantined ? 'quarantined' : state);
+  }
+
+  /** Removes the least recently changed content that is not quarantined; false if there is none. */
+  #evict(): boolean {
+    for (const [content, record] of this.#records) {
+      if (this.#isQuarantined(record)) continue;
+      this.#records.delete(content);
+      return true;
+    }
+    return false;
+  }
+}
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -1,8 +1,9 @@
 import { DisposableStore, fail, type Failure, type Journal, type Timer } from '@berylwood/base';
 import type { Link, LinkServer } from '@berylwood/link';
-import { ok, type Result } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import { registryCodes } from './codes';
 import { registryEvents } from './events';
+import { handleMeshCall } from './handleMeshCall';
 import { AddressBook } from './AddressBook';
 import { CALL_TIMEOUT_MS, ConfigurationFetcher } from './ConfigurationFetcher';
 import type { FleetClock } from './FleetClock';
@@ -17,10 +18,9 @@
 import type { Registry } from './Registry';
 import { KEEP_ALIVE_INTERVAL_MS, MESH_PATH, Peers, SILENCE_TIMEOUT_MS, type Peer } from './Peers';
 import { ReportTimes } from './ReportTimes';
-import { RotatingBatch } from './RotatingBatch';
 import type { ConfigureOutcome, StoredConfiguration } from './RegistryMachine';
 import type { UsageLedger } from './UsageLedger';
-import { InFlightWork } from './InFlightWork';
+import { WorkDistributor } from './WorkDistributor';
 
 /** Options of the mesh of one instance. @public */
 export interface MeshOptions {
@@ -41,12 +41,6 @@
 /** Interval of status messages and reports, which have a few hundred bytes each. */
 const STATUS_INTERVAL_MS = 400;
 
-/**
- * Messages with the work of other instances that the leader sends at a time. With a thousand instances each
- * still receives one within the second for which it is used.
- */
-const MAX_WORK_MESSAGES = 100;
-
 /** Windows kept while no leader closes them: ten minutes of five-second windows. */
 const MAX_OPEN_WINDOWS = 120;
 
@@ -65,11 +59,15 @@
   /** Called with each value that the leader broadcasts; the receiver validates it. */
   onNotice: (value: unknown) => void = () => {};
 
-  readonly #options: MeshOptions;
+  /** Called with suspicions that another instance sends; the receiver validates them. */
+  onSuspicions: (value: unknown) => void = () => {};
 
-  readonly #inFlightWork = new InFlightWork<Link<AcceptorMessage, DialerMessage> | 'own'>();
+  /** Returns all suspicions, for a new link. */
+  suspicions: () => readonly unknown[] = () => [];
 
-  readonly #workBatch = new RotatingBatch(MAX_WORK_MESSAGES);
+  readonly #options: MeshOptions;
+
+  readonly #work = new WorkDistributor();
 
   readonly #store = new DisposableStore();
 
@@ -161,12 +159,13 @@
       this.#peers.leader?.dialer.link?.send({ type: 'work', endpoints });
       return;
     }
-    this.#inFlightWork.set('own', endpoints);
-    this.onWork(this.#inFlightWork.sumExcluding('own'));
     const links = [...this.#incoming].filter(([, instance]) => instance !== '');
-    for (const [link] of this.#workBatch.take(links)) {
-      link.send({ type: 'work', endpoints: this.#inFlightWork.sumExcluding(link) });
-    }
+    this.onWork(
+      this.#work.distribute(
+        endpoints,
+        links.map(([link]) => link),
+      ),
+    );
   }
 
   /** Whether this instance leads the registry, and so reads shared data for all instances. */
@@ -180,6 +179,21 @@
     for (const link of this.#incoming.keys()) link.send({ type: 'notice', value });
   }
 
+  /** Sends suspicions of this instance to all connected instances. */
+  sendSuspicions(suspicions: readonly unknown[]): void {
+    for (const link of this.#peers.links) this.#sendHello(link, suspicions);
+    this.forwardSuspicions(suspicions);
+  }
+
+  /**
+   * Forwards received suspicions to the instances that have dialled this one. All instances dial all
+   * replicas, so each suspicion reaches all of them.
+   */
+  forwardSuspicions(suspicions: readonly unknown[]): void {
+    const status = { ...this.#createStatus(), suspicions };
+    for (const link of this.#incoming.keys()) link.send(status);
+  }
+
   [Symbol.dispose](): void {
     this.#store[Symbol.dispose]();
     this.#peers[Symbol.dispose]();
@@ -196,15 +210,18 @@
     this.#incoming.set(link, '');
     link.onClose = () => {
       this.#incoming.delete(link);
-      this.#inFlightWork.delete(link);
+      this.#work.delete(link);
     };
     link.onMessage = (message) => {
       if (message.type === 'report') this.#handleReport(link, message);
-      else if (message.type === 'work') this.#inFlightWork.set(link, message.endpoints);
-      else if (message.type === 'hello') this.#addMembers(message.members);
+      else if (message.type === 'work') this.#work.set(link, message.endpoints);
+      else if (message.type === 'hello') {
+        this.#addMembers(message.members);
+        if (message.suspicions) this.onSuspicions(message.suspicions);
+      }
     };
-    link.onCall = (message) => this.#handleCall(message);
-    link.send(this.#createStatus());
+    link.onCall = (message) => handleMeshCall(this.#options.registry, this.#configuration, message);
+    link.send({ ...this.#createStatus(), suspicions: this.suspicions() });
   }
 
   #handleReport(
@@ -221,22 +238,6 @@
     }
   }
 
-  async #handleCall(message: DialerMessage): Promise<Result<unknown, Failure>> {
-    const { registry } = this.#options;
-    switch (message.type) {
-      case 'fetch':
-        return ok(this.#configuration ?? null);
-      case 'configure':
-        if (!registry) break;
-        return registry.configure(message.version, message.body);
-      case 'readNewest':
-        if (!registry) break;
-        return (await registry.readNewest()).map((configuration) => configuration ?? null);
-      default:
-    }
-    return fail(registryCodes.replicaClosed, 'this instance has no replica');
-  }
-
   #applyConfiguration(configuration: StoredConfiguration): void {
     if (this.#configuration && this.#configuration.version >= configuration.version) return;
     this.#configuration = configuration;
@@ -306,7 +307,7 @@
   }
 
   #handleOpen(peer: Peer, link: Link<DialerMessage, AcceptorMessage>): void {
-    this.#sendHello(link);
+    this.#sendHello(link, this.suspicions());
     link.onMessage = (message) => {
       if (message.type === 'status') this.#handleStatus(peer, link, message);
       else if (peer === this.#peers.leader) this.#handleLeaderMessage(message);
@@ -328,13 +329,14 @@
     this.#peers.setTargets(this.#addressBook.dialTargets);
   }
 
-  #sendHello(link: Link<DialerMessage, AcceptorMessage>): void {
-    link.send({ type: 'hello', members: this.#addressBook.members });
+  #sendHello(link: Link<DialerMessage, AcceptorMessage>, suspicions?: readonly unknown[]): void {
+    link.send({ type: 'hello', members: this.#addressBook.members, suspicions });
   }
 
   #handleStatus(peer: Peer, link: Link<DialerMessage, AcceptorMessage>, status: Status): void {
     peer.status = status;
     this.#addMembers(status.members);
+    if (status.suspicions) this.onSuspicions(status.suspicions);
     if (status.isLeader && peer === this.#peers.leader && !this.isLeader) {
       this.#instanceCount = Math.max(1, status.instances);
       this.#options.clock.syncToLeader(status.timeMs);
--- a/packages/registry/src/lib/MeshMessage.ts
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -44,8 +44,13 @@
   readonly endpoints: readonly EndpointWork[];
 }
 
+/** Suspicions of content, opaque to the mesh; missing if there are none, or from earlier versions. */
+interface SuspicionCarrier {
+  readonly suspicions?: readonly unknown[];
+}
+
 /** Sends known replica addresses to the dialled instance, which may know none. */
-interface Hello {
+interface Hello extends SuspicionCarrier {
   readonly type: 'hello';
   readonly members: readonly string[];
 }
@@ -63,7 +68,7 @@
 export type AcceptorMessage = Status | Work | Notice;
 
 /** Status that an instance sends to all instances that have dialled it. @internal */
-export interface Status {
+export interface Status extends SuspicionCarrier {
   readonly type: 'status';
   /** Version of the sender's configuration; -1 without one. */
   readonly version: number;
--- /dev/null
+++ b/packages/registry/src/lib/handleMeshCall.ts
@@ -0,0 +1,26 @@
+import { fail, type Failure } from '@berylwood/base';
+import { ok, type Result } from 'neverthrow';
+import { registryCodes } from './codes';
+import type { DialerMessage } from './MeshMessage';
+import type { Registry } from './Registry';
+import type { StoredConfiguration } from './RegistryMachine';
+
+/** Replies to a call of another instance; fails if it needs a replica that this instance lacks. @internal */
+export async function handleMeshCall(
+  registry: Registry | undefined,
+  applied: StoredConfiguration | undefined,
+  message: DialerMessage,
+): Promise<Result<unknown, Failure>> {
+  switch (message.type) {
+    case 'fetch':
+      return ok(applied ?? null);
+    case 'configure':
+      if (!registry) break;
+      return registry.configure(message.version, message.body);
+    case 'readNewest':
+      if (!registry) break;
+      return (await registry.readNewest()).map((configuration) => configuration ?? null);
+    default:
+  }
+  return fail(registryCodes.replicaClosed, 'this instance has no replica');
+}
