Bound what callers and instances can add to the suspicions of content

At most 64 parts of a prompt are considered, long ids are replaced by a digest, and a message holds no more than its receivers accept.

--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -175,8 +175,8 @@
   }
 
   #onBody(body: Buffer | 'tooLarge' | 'gone'): void {
-    const { context, resolved } = this.#parts;
     if (this.#lifecycle.isFinal) return;
+    const { context, resolved } = this.#parts;
     if (body === 'gone') {
       this.#onCallerClosed();
     } else if (body === 'tooLarge') {
--- a/packages/gateway/src/lib/SuspicionSharing.ts
+++ b/packages/gateway/src/lib/SuspicionSharing.ts
@@ -27,7 +27,7 @@
 /** Parts that the sharing of suspicions connects. @internal */
 export interface SuspicionSharingOptions {
   readonly quarantine: ContentQuarantine;
-  readonly mesh: Mesh;
+  readonly mesh: Pick<Mesh, 'suspicions' | 'onSuspicions' | 'sendSuspicions' | 'forwardSuspicions'>;
   readonly timer: Timer;
   readonly journal: Journal;
 }
@@ -85,8 +85,11 @@
 
   #share(): void {
     const { mesh } = this.#options;
-    if (this.#own.size > 0) mesh.sendSuspicions([...this.#own.values()]);
-    if (this.#received.size > 0) mesh.forwardSuspicions([...this.#received.values()]);
+    // What exceeds the bound of receivers is dropped: it is shared again with the next crash.
+    const listOf = (changed: Map<string, Suspicion>): Suspicion[] =>
+      [...changed.values()].slice(0, MAX_SUSPICIONS);
+    if (this.#own.size > 0) mesh.sendSuspicions(listOf(this.#own));
+    if (this.#received.size > 0) mesh.forwardSuspicions(listOf(this.#received));
     this.#own.clear();
     this.#received.clear();
   }
--- a/packages/gateway/src/lib/contentOf.test.ts
+++ b/packages/gateway/src/lib/contentOf.test.ts
@@ -34,3 +34,11 @@
   assert.equal(new Set(keys).size, keys.length);
   assert.equal(contentOf(resolve([], 'w'), whole).whole, keys[0]);
 });
+
+test('a caller cannot make keys long or many', () => {
+  const long = 'x'.repeat(10_000);
+  const many = Array.from({ length: 1000 }, (_, number) => `${number}${long}`);
+  const { parts, whole: key } = contentOf(resolve(many, 'w'), whole);
+  assert.equal(new Set(parts).size, 64);
+  for (const item of [...parts, key]) assert.ok(item.length < 128);
+});
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -159,13 +159,9 @@
       this.#peers.leader?.dialer.link?.send({ type: 'work', endpoints });
       return;
     }
-    const links = [...this.#incoming].filter(([, instance]) => instance !== '');
-    this.onWork(
-      this.#work.distribute(
-        endpoints,
-        links.map(([link]) => link),
-      ),
-    );
+    const instances = [...this.#incoming].filter(([, instance]) => instance !== '');
+    const links = instances.map(([link]) => link);
+    this.onWork(this.#work.distribute(endpoints, links));
   }
 
   /** Whether this instance leads the registry, and so reads shared data for all instances. */
