Contact the replicas that the mesh knows for admission to a group

Cause: an instance without a disk serves control but holds no replica, so it does not reply to a join request and names no member. The mesh of the same process knows the replicas from its status messages, but the joining replica did not ask it.

Ruled out: a cut (the mesh of both was connected and served traffic).

Change: a replica with an empty disk also contacts the replicas that its embedder knows at the moment; the gateway passes the addresses of the mesh, which change with reloaded seeds too.

--- a/packages/consensus/src/lib/Joiner.ts
+++ b/packages/consensus/src/lib/Joiner.ts
@@ -27,8 +27,9 @@
   }
 
   /**
-   * Sends join requests at intervals until this replica is in a membership. They go to the seeds and
-   * to the members that the replies name, because only the leader admits and no seed needs to lead.
+   * Sends join requests at intervals until this replica is in a membership. They go to the seeds, to the
+   * replicas that the embedder knows and to the members that the replies name, because only the leader
+   * admits, and no seed needs to lead or even to hold a replica.
    */
   tick(): void {
     const { now, settings, store, identity, membership } = this.#core;
@@ -64,10 +65,11 @@
     return this.#core.membership.latest.members.length > 0;
   }
 
-  /** The seeds and the members that were named in replies, without this replica. */
+  /** The seeds, the embedder's contacts and the members named in replies, without this replica. */
   get #contacts(): Contact[] {
     const { settings, identity } = this.#core;
-    const addresses = new Map(settings.seeds.map((seed) => [seed, '']));
+    const names = [...settings.seeds, ...settings.contacts()];
+    const addresses = new Map(names.map((name) => [name, '']));
     for (const { members } of this.#replies.values()) {
       for (const { replica, address } of members) addresses.set(replica, address);
     }
--- a/packages/consensus/src/lib/ReplicaOptions.ts
+++ b/packages/consensus/src/lib/ReplicaOptions.ts
@@ -42,6 +42,11 @@
    * the new group as voters.
    */
   readonly seeds?: readonly ReplicaName[];
+  /**
+   * Returns the names of further replicas that a replica with an empty disk contacts, as far as the embedder
+   * knows them at the moment; none by default. The seeds may be out of date or hold no replica.
+   */
+  readonly contacts?: () => readonly ReplicaName[];
   /**
    * Whether a replica with an empty disk founds a group once every seed has replied that it
    * belongs to none. Exactly one replica of a new group must be its founder.
@@ -93,6 +98,7 @@
 const DEFAULTS = {
   address: '',
   seeds: [],
+  contacts: () => [],
   founder: false,
   admission: new ClosedAdmission(),
   heartbeatMs: 100,
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -221,6 +221,7 @@
       directory: settings.data,
       bootstrapReplicas: settings.bootstrap ? [...this.#seeds].sort() : [],
       seeds: () => this.#seeds,
+      contacts: () => this.#mesh.replicaAddresses,
       tolerance: settings.tolerance,
       transport: this.#transport,
       timer,
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -107,6 +107,11 @@
     return this.#instanceCount;
   }
 
+  /** Addresses of the seeds and of the replicas known to this instance. */
+  get replicaAddresses(): readonly string[] {
+    return [...this.#addressBook.dialTargets];
+  }
+
   /** Accepts links of other instances on the server's port; call before it listens. */
   serve(server: LinkServer): void {
     const { timer, journal } = this.#options;
--- a/packages/registry/src/lib/Registry.ts
+++ b/packages/registry/src/lib/Registry.ts
@@ -30,8 +30,10 @@
   readonly directory: string;
   /** Replicas that bootstrap the first group; empty when a group exists already. */
   readonly bootstrapReplicas: readonly string[];
-  /** Addresses to contact for an existing group. */
+  /** Addresses to contact first for an existing group. */
   readonly seeds: () => readonly string[];
+  /** Addresses of instances known at the moment, to contact for an existing group as well. */
+  readonly contacts: () => readonly string[];
   /** Number of members that may be lost at the same time. */
   readonly tolerance: number;
   readonly transport: Transport;
@@ -102,7 +104,7 @@
 
   /** Opens the replica; a disk failure is logged and opening is retried later. */
   async open(): Promise<void> {
-    const { address, directory, bootstrapReplicas, transport, timer, journal, seeds } =
+    const { address, directory, bootstrapReplicas, transport, timer, journal, seeds, contacts } =
       this.#options;
     try {
       mkdirSync(directory, { recursive: true });
@@ -119,6 +121,7 @@
         random: new Random(Math.floor(Math.random() * 2 ** 31)),
         address,
         seeds: otherReplicas.map(createReplicaName),
+        contacts: () => contacts().map(createReplicaName),
         founder: bootstrapReplicas[0] === address,
         admission: new AdmitAsLearner(),
         heartbeatMs: HEARTBEAT_INTERVAL_MS,
