--- a/packages/gateway/src/lib/SuspicionSharing.ts
+++ b/packages/gateway/src/lib/SuspicionSharing.ts
@@ -1,5 +1,5 @@
 import { DisposableStore, type Journal, type Timer } from '@berylwood/base';
-import type { ContentQuarantine, ContentState, Suspicion } from '@berylwood/policy';
+import type { ContentQuarantine, Suspicion, SuspicionChange } from '@berylwood/policy';
 import type { Mesh } from '@berylwood/registry';
 import { gatewayEvents } from './events';
 
@@ -44,14 +44,12 @@
   /** Suspicions received from other instances since the last message. */
   readonly #received = new Map<string, Suspicion>();
 
-  readonly #quarantined = new Set<string>();
-
   #isReceiving = false;
 
   constructor(options: SuspicionSharingOptions) {
     this.#options = options;
     const { quarantine, mesh, timer } = options;
-    quarantine.onChange = (suspicion, state) => this.#handleChange(suspicion, state);
+    quarantine.onChange = (change) => this.#handleChange(change);
     mesh.suspicions = () => quarantine.suspicions;
     mesh.onSuspicions = (value) => this.#receive(value);
     this.#store.add(timer.every(SHARE_INTERVAL_MS, () => this.#share()));
@@ -72,13 +70,11 @@
     this.#isReceiving = false;
   }
 
-  #handleChange(suspicion: Suspicion, state: ContentState): void {
+  #handleChange({ suspicion, before, after }: SuspicionChange): void {
     const [content, clearances, witnesses] = suspicion;
     (this.#isReceiving ? this.#received : this.#own).set(content, suspicion);
-    const wasQuarantined = this.#quarantined.has(content);
-    if ((state === 'quarantined') === wasQuarantined) return;
-    if (wasQuarantined) this.#quarantined.delete(content);
-    else this.#quarantined.add(content);
+    const wasQuarantined = before === 'quarantined';
+    if (wasQuarantined === (after === 'quarantined')) return;
     const event = wasQuarantined ? gatewayEvents.contentCleared : gatewayEvents.contentQuarantined;
     this.#options.journal.record(event, { content, clearances, witnesses });
   }
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -74,7 +74,7 @@
   contentCleared: {
     number: 9017,
     level: 'info',
-    meaning: 'A suspect or quarantined content was answered and may run again.',
+    meaning: 'A quarantined content was answered by an endpoint and may run again.',
     action: 'none',
   },
   suspicionsInvalid: {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -32,6 +32,7 @@
   type ContentState,
   type SentContent,
   type Suspicion,
+  type SuspicionChange,
 } from './lib/health/ContentQuarantine';
 export { Quarantine, type QuarantineOptions, type QuarantineState } from './lib/health/Quarantine';
 export {
--- a/packages/policy/src/lib/health/ContentQuarantine.ts
+++ b/packages/policy/src/lib/health/ContentQuarantine.ts
@@ -34,9 +34,16 @@
   readonly witness: string;
 }
 
-/** State of content after a change. @public */
+/** State of content; unknown content is cleared. @public */
 export type ContentState = 'suspect' | 'quarantined' | 'cleared';
 
+/** Change of a suspicion, with the states before and after it. @public */
+export interface SuspicionChange {
+  readonly suspicion: Suspicion;
+  readonly before: ContentState;
+  readonly after: ContentState;
+}
+
 const defaults: Required<ContentQuarantineOptions> = {
   crashes: 3,
   witnesses: 2,
@@ -62,13 +69,13 @@
  *
  * Whatever was waiting for an answer in an endpoint that crashed becomes suspect, and content is cleared as
  * soon as any request with it begins to be answered. Crashes count only one after the other: an attempt adds
- * crash to those that were known when it was sent. So endpoints that crash together, as after a power loss,
+ * one to those that were known when it was sent. So endpoints that crash together, as after a power loss,
  * count as one, and content that many sound requests share is cleared in between.
  * @public
  */
 export class ContentQuarantine {
   /** Called when a suspicion changes, by this process or by a merge. */
-  onChange: (suspicion: Suspicion, state: ContentState) => void = () => {};
+  onChange: (change: SuspicionChange) => void = () => {};
 
   readonly #options: Required<ContentQuarantineOptions>;
 
@@ -135,6 +142,11 @@
     }
   }
 
+  #stateOf(record: Pick<ContentRecord, 'witnesses'>): ContentState {
+    if (this.#isQuarantined(record)) return 'quarantined';
+    return record.witnesses.length > 0 ? 'suspect' : 'cleared';
+  }
+
   #isQuarantined({ witnesses }: Pick<ContentRecord, 'witnesses'>): boolean {
     const { crashes, witnesses: required } = this.#options;
     return witnesses.length >= crashes && new Set(witnesses).size >= required;
@@ -155,14 +167,14 @@
 
   #set([content, clearances, witnesses]: Suspicion, now: number): void {
     const { holdMs, suspectMs, capacity } = this.#options;
+    const before = this.#stateOf(this.#current(content, now));
     const kept = witnesses.slice(-MAX_CRASHES_KEPT);
-    const isQuarantined = this.#isQuarantined({ witnesses: kept });
+    const after = this.#stateOf({ witnesses: kept });
     this.#records.delete(content);
     if (this.#records.size >= capacity && !this.#evict()) return;
-    const until = now + (isQuarantined ? holdMs : suspectMs);
+    const until = now + (after === 'quarantined' ? holdMs : suspectMs);
     this.#records.set(content, { clearances, witnesses: kept, until });
-    const state = witnesses.length === 0 ? 'cleared' : 'suspect';
-    this.onChange([content, clearances, kept], isQuarantined ? 'quarantined' : state);
+    this.onChange({ suspicion: [content, clearances, kept], before, after });
   }
 
   /** Removes the least recently changed content that is not quarantined; false if there is none. */
