--- a/packages/gateway/src/lib/ContentGuard.ts
+++ b/packages/gateway/src/lib/ContentGuard.ts
@@ -14,7 +14,7 @@
   readonly journal: Journal;
 }
 
-/** Tells the quarantine what becomes of one request's contents at endpoints. @internal */
+/** Reports the outcomes of one request's attempts to the quarantine of its contents. @internal */
 export class ContentGuard {
   readonly #context: ContentGuardContext;
 
