Log the limit that an endpoint states in its responses

The wire decodes the limit (fractions, zero; unusable values are reported once for each endpoint and ignored; of several the lowest), and an instance merges the statements by the times between which they were made, since responses arrive out of order. Lines: endpointLimited, endpointLimitEnded, statementInvalid; requestServed and requestFailed have limitPerS, the limit known when the request was placed. So the log can tell a limit that is ignored (limitPerS set, rate unchanged) from one kept by each instance alone, and from requests that were placed before it was known.

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -65,6 +65,9 @@
 
   readonly startedAt: number;
 
+  /** Limit that the endpoint was known to state, in requests per second; undefined without one. */
+  readonly limitPerS: number | undefined;
+
   readonly #wire: Wire;
 
   readonly #outgoing: OutgoingRequest;
@@ -99,6 +102,8 @@
     this.#wire = parts.wire;
     this.#timer = parts.timer;
     this.startedAt = parts.timer.now();
+    const { requestsPerS } = endpoint.statements;
+    this.limitPerS = requestsPerS < Infinity ? requestsPerS : undefined;
     this.#pendingPrefillTokens = outgoing.promptTokens;
     endpoint.attemptStarted();
     endpoint.queue(outgoing.rank, this.#pendingPrefillTokens);
@@ -194,6 +199,8 @@
     this.#response = answer;
     this.#request.idleMs = metadata.closesConnection ? 0 : usableIdleMs(metadata.keepAliveMs);
     if (metadata.load) this.endpoint.observeLoad(metadata.load);
+    const source = { request: this.#outgoing.attempt, sentAt: this.startedAt };
+    this.endpoint.statements.observe(metadata.conditions, source);
     const type = answer.headers['content-type'] ?? '';
     const isEventStream = type.startsWith('text/event-stream');
     const hasLength = 'content-length' in answer.headers || 'transfer-encoding' in answer.headers;
--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -1,5 +1,5 @@
 import type { Agent } from 'node:http';
-import type { Timer } from '@berylwood/base';
+import type { Journal, Timer } from '@berylwood/base';
 import {
   CircuitBreaker,
   URGENCY_LEVELS,
@@ -9,6 +9,8 @@
 import type { EndpointWork } from '@berylwood/registry';
 import { CrashProbe } from './CrashProbe';
 import { createEndpointAgent } from './createEndpointAgent';
+import { EndpointStatements } from './EndpointStatements';
+import { gatewayEvents } from './events';
 import { ReachabilityProbe } from './ReachabilityProbe';
 import type { ListedEndpoint, ReportedLoad } from './Wire';
 
@@ -52,6 +54,8 @@
   /** Pool of connections to the endpoint. */
   readonly agent: Agent;
 
+  readonly statements: EndpointStatements;
+
   #listed: ListedEndpoint;
 
   /** Opens on the first failed connection. */
@@ -95,18 +99,13 @@
   /** By rank, the latest send time of the requests that have started to run. */
   readonly #latestStartedSentAt = new Map<number, number>();
 
-  /** Called when the endpoint is ejected after failures. */
-  readonly #onEjected: (reason: string) => void;
+  readonly #journal: Journal;
 
-  constructor(
-    listed: ListedEndpoint,
-    maxConnections: number,
-    timer: Timer,
-    onEjected: (reason: string) => void = () => {},
-  ) {
+  constructor(listed: ListedEndpoint, maxConnections: number, timer: Timer, journal: Journal) {
     this.#listed = listed;
     this.#timer = timer;
-    this.#onEjected = onEjected;
+    this.#journal = journal;
+    this.statements = new EndpointStatements(listed.id, timer, journal);
     this.agent = createEndpointAgent(maxConnections);
     this.#probe = new ReachabilityProbe(listed.address, timer);
     this.#crashProbe = new CrashProbe(listed.address, timer);
@@ -306,7 +305,9 @@
   #recordFailure(breaker: CircuitBreaker, reason: string): void {
     const before: string = breaker.state;
     breaker.failed(this.#timer.now());
-    if (before !== 'open' && breaker.state === 'open') this.#onEjected(reason);
+    if (before === 'open' || breaker.state !== 'open') return;
+    const { id, pool } = this.#listed;
+    this.#journal.record(gatewayEvents.endpointSpared, { endpoint: id, pool, reason });
   }
 
   [Symbol.dispose](): void {
--- a/packages/gateway/src/lib/EndpointDirectory.ts
+++ b/packages/gateway/src/lib/EndpointDirectory.ts
@@ -79,7 +79,7 @@
       if (known && known.listed.isDraining !== item.isDraining) changes.push(`${item.id} leaving`);
       if (!known) changes.push(`${item.id} new`);
       const limit = this.#connectionLimit(item.pool);
-      const endpoint = known ?? this.#create(item, limit);
+      const endpoint = known ?? new Endpoint(item, limit, this.#timer, this.#journal);
       endpoint.update(item);
       endpoint.setMaxConnections(limit);
       after.set(key, endpoint);
@@ -103,13 +103,6 @@
     for (const endpoint of this.#endpoints.values()) endpoint[Symbol.dispose]();
   }
 
-  #create(listed: ListedEndpoint, limit: number): Endpoint {
-    const { id, pool } = listed;
-    return new Endpoint(listed, limit, this.#timer, (reason) => {
-      this.#journal.record(gatewayEvents.endpointSpared, { endpoint: id, pool, reason });
-    });
-  }
-
   #rebuildPools(): void {
     this.#pools = new Map();
     for (const endpoint of this.#endpoints.values()) {
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -338,6 +338,7 @@
       code,
       reason,
       sends: this.#sends,
+      limitPerS: this.#attempt?.limitPerS,
       firstMs: this.#timing.firstAt && this.#timing.firstAt - this.#arrivedAt,
       expectedMs: this.#expectedPrefillMs,
       pauseMs: this.#timing.longestPauseMs,
--- a/packages/gateway/src/lib/RequestLog.ts
+++ b/packages/gateway/src/lib/RequestLog.ts
@@ -21,6 +21,8 @@
   readonly reason: string | undefined;
   /** Number of endpoints that may have received bytes of the request. */
   readonly sends: number;
+  /** Limit of the endpoint when the request was placed, in requests per second; undefined without one. */
+  readonly limitPerS: number | undefined;
   readonly firstMs: number | undefined;
   /** Expected time until the end of the prefill at the placement, in milliseconds; 0 for calls. */
   readonly expectedMs: number;
--- a/packages/gateway/src/lib/Wire.ts
+++ b/packages/gateway/src/lib/Wire.ts
@@ -47,6 +47,14 @@
   readonly slots: number;
 }
 
+/** Conditions under which an endpoint accepts requests, as stated in a response. @public */
+export interface StatedConditions {
+  /** Requests per second that it accepts from all instances together; undefined without a limit. */
+  readonly requestsPerS: number | undefined;
+  /** Stated values that cannot be used, as `name: value`. */
+  readonly invalid: readonly string[];
+}
+
 /** Fields that an endpoint's response states about itself. @public */
 export interface ResponseMetadata {
   readonly attempt: AttemptId | undefined;
@@ -55,6 +63,7 @@
   /** Whether the response comes from an incarnation other than the expected one. */
   readonly isMisdirected: boolean;
   readonly load: ReportedLoad | undefined;
+  readonly conditions: StatedConditions;
   /** Time for which the endpoint keeps an idle connection open, in milliseconds. */
   readonly keepAliveMs: number | undefined;
   /** Whether the endpoint closes the connection after this response. */
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -119,4 +119,23 @@
     meaning: 'Leadership of the registry could not be transferred before the stop.',
     action: 'None: the replicas elect a new leader.',
   },
+  endpointLimited: {
+    number: 9040,
+    level: 'warn',
+    meaning: 'An endpoint limits the requests per second that it accepts, or changed that limit.',
+    action: 'Check the endpoint or add capacity if this persists.',
+  },
+  endpointLimitEnded: {
+    number: 9041,
+    level: 'info',
+    meaning: 'An endpoint no longer limits the requests per second that it accepts.',
+    action: 'none',
+  },
+  statementInvalid: {
+    number: 9042,
+    level: 'warn',
+    meaning:
+      'An endpoint stated a condition with an unusable value, which is ignored; logged once for each endpoint.',
+    action: 'Check the version of the endpoint.',
+  },
 });
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -41,6 +41,7 @@
   type LimitGrants,
   type LimitUse,
 } from './lib/limits/LimitGrant';
+export { StatedLimit, type LimitStatement } from './lib/limits/StatedLimit';
 export { WorkspaceLimiter } from './lib/limits/WorkspaceLimiter';
 export { LimitDivider } from './lib/limits/LimitDivider';
 export { RetryBudget, type RetryBudgetOptions } from './lib/limits/RetryBudget';
