Divide the limit that an endpoint states among all instances

Callers saw nothing yet; the endpoint did: with a limit of 2.9 a second it got 28 requests in 4 s from instances that had passed on such an answer (22 allowed), as many as before it named the limit.

Cause: no part read what an endpoint says of itself, so placement treated an endpoint in need like any other. Ruled out: a division by each instance alone (the rate would fall), and requests placed before the limit was known (the excess would end).

Change: a limited endpoint takes a request only with a permit. Instances report their demand to the leader with the work that they exchange each 100 ms, and it allocates permits for single requests, urgent ranks first; unused ones expire after a second and return. Without a leader an instance takes its turn as one of all, at a random time of the period. Any instance's response makes the limit known to all; statements are merged by the times between which they were made. Below 0.25 a second a request still goes out now and then, so that the end of a limit is noticed. What no endpoint accepts waits in order of urgency and fairly between workspaces, or is rejected at once with the time until it may be placed (code 9016). Trying ejected endpoints when all are ejected does not pass a limit.

Why it works: permits exist only as fast as the limit allows, whoever holds them, so neither the number of instances nor where callers come in adds to the rate. Weighed: equal shares (70 full buckets are a burst of 70, and a share without callers is wasted) and owners by hash (unused when callers come through others).

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -199,8 +199,8 @@
     this.#response = answer;
     this.#request.idleMs = metadata.closesConnection ? 0 : usableIdleMs(metadata.keepAliveMs);
     if (metadata.load) this.endpoint.observeLoad(metadata.load);
-    const source = { request: this.#outgoing.attempt, sentAt: this.startedAt };
-    this.endpoint.statements.observe(metadata.conditions, source);
+    const { conditions } = metadata;
+    this.endpoint.statements.observe(conditions, this.#outgoing.attempt, this.startedAt);
     const type = answer.headers['content-type'] ?? '';
     const isEventStream = type.startsWith('text/event-stream');
     const hasLength = 'content-length' in answer.headers || 'transfer-encoding' in answer.headers;
--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -9,7 +9,7 @@
 import type { EndpointWork } from '@berylwood/registry';
 import { CrashProbe } from './CrashProbe';
 import { createEndpointAgent } from './createEndpointAgent';
-import { EndpointStatements } from './EndpointStatements';
+import { EndpointStatements, type EndpointParts } from './EndpointStatements';
 import { gatewayEvents } from './events';
 import { ReachabilityProbe } from './ReachabilityProbe';
 import type { ListedEndpoint, ReportedLoad } from './Wire';
@@ -49,6 +49,11 @@
   readonly slots: number;
 }
 
+/** Identifies an endpoint among all instances. @internal */
+export function endpointKey({ id, address }: Pick<ListedEndpoint, 'id' | 'address'>): string {
+  return `${id} ${address}`;
+}
+
 /** State of one endpoint as known to this instance: load, health and connections. @internal */
 export class Endpoint implements Disposable {
   /** Pool of connections to the endpoint. */
@@ -101,11 +106,12 @@
 
   readonly #journal: Journal;
 
-  constructor(listed: ListedEndpoint, maxConnections: number, timer: Timer, journal: Journal) {
+  constructor(listed: ListedEndpoint, maxConnections: number, parts: EndpointParts) {
     this.#listed = listed;
+    const { timer, journal } = parts;
     this.#timer = timer;
     this.#journal = journal;
-    this.statements = new EndpointStatements(listed.id, timer, journal);
+    this.statements = new EndpointStatements(listed.id, parts);
     this.agent = createEndpointAgent(maxConnections);
     this.#probe = new ReachabilityProbe(listed.address, timer);
     this.#crashProbe = new CrashProbe(listed.address, timer);
@@ -115,6 +121,11 @@
     return this.#listed;
   }
 
+  /** Identifies the endpoint among all instances: its id at its address. */
+  get key(): string {
+    return endpointKey(this.#listed);
+  }
+
   /** Whether requests may be sent to the endpoint now: in service and not ejected. */
   get isUsable(): boolean {
     const now = this.#timer.now();
@@ -128,6 +139,11 @@
     return !this.#listed.isDraining && !this.#isLeaving;
   }
 
+  /** Whether the endpoint has a connection for one more request, and accepts it by its conditions. */
+  get acceptsRequest(): boolean {
+    return this.hasFreeConnection && this.statements.acceptsRequest;
+  }
+
   /** Whether requests of this instance are in flight. */
   get isBusy(): boolean {
     return this.#inFlight > 0;
--- a/packages/gateway/src/lib/EndpointDirectory.ts
+++ b/packages/gateway/src/lib/EndpointDirectory.ts
@@ -1,6 +1,7 @@
-import type { Journal, Timer } from '@berylwood/base';
+import type { Journal, Random, Timer } from '@berylwood/base';
 import type { EndpointWork } from '@berylwood/registry';
-import { Endpoint } from './Endpoint';
+import { Endpoint, endpointKey } from './Endpoint';
+import type { EndpointParts } from './EndpointStatements';
 import { gatewayEvents } from './events';
 import type { PoolName } from './ids';
 import type { ListedEndpoint } from './Wire';
@@ -20,6 +21,8 @@
 
   readonly #journal: Journal;
 
+  readonly #parts: EndpointParts;
+
   #endpoints = new Map<string, Endpoint>();
 
   #pools = new Map<PoolName, Endpoint[]>();
@@ -35,9 +38,27 @@
   /** Number of instances that share the endpoints. */
   instances: () => number = () => 1;
 
-  constructor(timer: Timer, journal: Journal) {
+  /** Whether a leader allocates the permits of endpoints with a limit. */
+  hasPermitLeader: () => boolean = () => false;
+
+  constructor(timer: Timer, journal: Journal, random: Random) {
     this.#timer = timer;
     this.#journal = journal;
+    const fleet = {
+      instances: () => this.instances(),
+      hasPermitLeader: () => this.hasPermitLeader(),
+    };
+    this.#parts = { timer, journal, random, fleet };
+  }
+
+  /** All listed endpoints. */
+  get endpoints(): Endpoint[] {
+    return [...this.#endpoints.values()];
+  }
+
+  /** The listed endpoint with a key, if any. */
+  find(key: string): Endpoint | undefined {
+    return this.#endpoints.get(key);
   }
 
   get isLoaded(): boolean {
@@ -74,12 +95,12 @@
     const after = new Map<string, Endpoint>();
     const changes: string[] = [];
     for (const item of listed) {
-      const key = `${item.id} ${item.address}`;
+      const key = endpointKey(item);
       const known = before.get(key);
       if (known && known.listed.isDraining !== item.isDraining) changes.push(`${item.id} leaving`);
       if (!known) changes.push(`${item.id} new`);
       const limit = this.#connectionLimit(item.pool);
-      const endpoint = known ?? new Endpoint(item, limit, this.#timer, this.#journal);
+      const endpoint = known ?? new Endpoint(item, limit, this.#parts);
       endpoint.update(item);
       endpoint.setMaxConnections(limit);
       after.set(key, endpoint);
--- a/packages/gateway/src/lib/EndpointListReader.test.ts
+++ b/packages/gateway/src/lib/EndpointListReader.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { VirtualTimer, asId, createSilentJournal } from '@berylwood/base';
+import { Random, VirtualTimer, asId, createSilentJournal } from '@berylwood/base';
 import { ok } from 'neverthrow';
 import { EndpointDirectory } from './EndpointDirectory';
 import { EndpointListReader } from './EndpointListReader';
@@ -33,7 +33,7 @@
 function createReader(isReader: boolean) {
   const timer = new VirtualTimer();
   const journal = createSilentJournal(timer);
-  const directory = new EndpointDirectory(timer, journal);
+  const directory = new EndpointDirectory(timer, journal, new Random(1));
   const platform = new CountingPlatform();
   const published: (readonly ListedEndpoint[])[] = [];
   const reader = new EndpointListReader({
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -2,10 +2,10 @@
 import { Failure, Lifecycle, type Code } from '@berylwood/base';
 import { ResponseRelay } from './ResponseRelay';
 import { Attempt, type ResponseHead, type AttemptEnd, type AttemptListener } from './Attempt';
+import { AttemptHistory } from './AttemptHistory';
 import { gatewayCodes } from './codes';
 import { composeAttempt } from './composeAttempt';
 import { ContentGuard } from './ContentGuard';
-import { canRetry } from './canRetry';
 import { describeRequest } from './describeRequest';
 import { exchangeTable, type ExchangeEvent } from './exchangeMachine';
 import type { GatewayContext } from './GatewayContext';
@@ -48,17 +48,10 @@
 
   #relay: ResponseRelay | undefined;
 
-  /** Hold on a request that arrived while the instance was starting. */
+  /** Hold on a request that waits for the start of the instance or for an endpoint. */
   #hold: Disposable | undefined;
 
-  readonly #triedEndpoints = new Set<string>();
-
-  #sends = 0;
-
-  #connectErrors = 0;
-
-  /** Whether an endpoint may have run the request. */
-  #mayHaveRun = false;
+  readonly #history = new AttemptHistory();
 
   readonly #timing = new ResponseTiming();
 
@@ -132,7 +125,7 @@
       this.#attempt?.prefillFinished();
       this.#attempt?.endpoint.executionStarted(this.#parts.resolved.rank, this.#attempt.startedAt);
     }
-    if (answer.isHeadSent && this.#lifecycle.can('answer')) this.#transition('answer');
+    if (answer.isHeadSent && this.#lifecycle.can('answer')) this.#lifecycle.send('answer');
     return isWritable;
   }
 
@@ -143,8 +136,7 @@
         this.#onComplete();
         break;
       case 'unsent':
-        this.#connectErrors += 1;
-        this.#sends -= 1;
+        this.#history.unsent();
         this.#logAttemptFailure(end.type, end.reason);
         this.#retryOrAbort(gatewayCodes.noEndpoint, end.reason);
         break;
@@ -154,7 +146,7 @@
         this.#retryOrAbort(gatewayCodes.overloaded, `refused by the endpoint (${end.head.status})`);
         break;
       default:
-        this.#mayHaveRun = true;
+        this.#history.mayHaveRun = true;
         this.#attempt?.endpoint.failed();
         this.#logAttemptFailure(end.type, end.reason);
         if (end.isConnectionLost) this.#onConnectionLost(end.reason);
@@ -184,7 +176,7 @@
     } else {
       this.#body = body;
       this.#guard = new ContentGuard(context, resolved, this.#request, body);
-      this.#transition('read');
+      this.#lifecycle.send('read');
       this.#placeAndSend();
     }
   }
@@ -196,20 +188,20 @@
       this.#abort(gatewayCodes.quarantined, `quarantined content ${quarantined}`);
       return;
     }
-    const placement = placeRequest(context, resolved, this.#triedEndpoints);
+    const placement = placeRequest(context, resolved, this.#history.triedEndpoints);
     if (placement === undefined) {
-      this.#abort(gatewayCodes.noEndpoint, 'no endpoint available');
+      this.#holdBack();
       return;
     }
     const { endpoint, tokens, prefillMs } = placement;
     this.#expectedPrefillMs = prefillMs;
-    if (this.#sends === 0 && startsTooLate(resolved, prefillMs, this.#leftMs)) {
+    if (this.#history.sends === 0 && startsTooLate(resolved, prefillMs, this.#leftMs)) {
       this.#abort(gatewayCodes.overloaded, 'expected to start too late');
       return;
     }
-    this.#triedEndpoints.add(endpoint.listed.id);
-    this.#sends += 1;
-    this.#transition('send');
+    if (endpoint.statements.takePermit()) context.held.recordTaken(resolved.target);
+    this.#history.sent(endpoint.listed.id);
+    this.#lifecycle.send('send');
     const outgoing = composeAttempt(context, resolved, this.#request, {
       endpoint: endpoint.listed.id,
       leftMs: this.#leftMs,
@@ -224,6 +216,17 @@
     this.#detector = new StallDetector({ timer, attempt: this.#attempt, ...resolved, onStall });
   }
 
+  /** Waits until an endpoint accepts the request, or ends it. */
+  #holdBack(): void {
+    this.#hold = this.#context.held.hold({
+      resolved: this.#parts.resolved,
+      leftMs: this.#leftMs,
+      triedEndpoints: this.#history.triedEndpoints,
+      onTurn: () => this.#placeAndSend(),
+      onRejected: ({ code, message, retryAfterMs }) => this.#abort(code, message, retryAfterMs),
+    });
+  }
+
   get #parts(): { context: GatewayContext; resolved: ResolvedRequest } {
     return { context: this.#context, resolved: this.#resolved as ResolvedRequest };
   }
@@ -237,36 +240,36 @@
     }
     const { isFailure } = answer;
     if (isFailure) {
-      this.#mayHaveRun = true;
+      this.#history.mayHaveRun = true;
       this.#attempt?.endpoint.failed();
       this.#logAttemptFailure('answer', `status ${answer.status}`);
       if (this.#canRetry(false) && this.#tryRetry()) return;
     } else this.#attempt?.endpoint.answered();
     answer.finish();
-    this.#transition('finish');
+    this.#lifecycle.send('finish');
     this.#finish(answer.status, undefined, isFailure ? 'endpoint returned 5xx' : undefined);
   }
 
   #canRetry(isNotRun: boolean): boolean {
-    const { kind, isResumable, maxAttempts } = this.#parts.resolved.route;
-    const tries = { sends: this.#sends, connectErrors: this.#connectErrors, leftMs: this.#leftMs };
-    return canRetry({ kind, isResumable, maxAttempts, isNotRun, ...tries });
+    return this.#history.canRetry(this.#parts.resolved.route, this.#leftMs, isNotRun);
   }
 
   /** Retries the request on another endpoint, or ends it with a code if that is not possible. */
   #retryOrAbort(code: Code, reason: string): void {
     if (this.#lifecycle.isFinal) return;
-    if (this.#canRetry(!this.#mayHaveRun) && this.#tryRetry()) return;
+    if (this.#canRetry(!this.#history.mayHaveRun) && this.#tryRetry()) return;
     this.#abort(code, reason);
   }
 
   /** Places the request again if the budget allows; free if no attempt has reached an endpoint. */
   #tryRetry(): boolean {
     const { context, resolved } = this.#parts;
-    const isFree = this.#sends === 0;
+    const isFree = this.#history.sends === 0;
     const { budgets, random, timer } = context;
-    const delayMs = isFree ? 0 : budgets.take(resolved.target, this.#sends, this.#leftMs, random);
-    if (delayMs === undefined || !this.#transition('retry')) return false;
+    const delayMs = isFree
+      ? 0
+      : budgets.take(resolved.target, this.#history.sends, this.#leftMs, random);
+    if (delayMs === undefined || !this.#lifecycle.send('retry')) return false;
     this.#relay?.reset();
     timer.after(delayMs, () => {
       if (!this.#lifecycle.isFinal) this.#placeAndSend();
@@ -275,46 +278,43 @@
   }
 
   /** Ends the request without a complete response; a response whose head was sent is cut. */
-  #abort(code: Code, reason: string): void {
+  #abort(code: Code, reason: string, retryAfterMs?: number): void {
     if (this.#lifecycle.isFinal) return;
+    const codeIfRun = code.notRun === true ? gatewayCodes.outcomeUnknown : code;
     if (this.#relay?.isHeadSent) {
-      this.#transition('fail');
+      this.#lifecycle.send('fail');
       this.#response.destroy();
-      const known = code.notRun === true ? gatewayCodes.outcomeUnknown : code;
-      this.#finish(this.#relay.status, known.number, reason);
+      this.#finish(this.#relay.status, codeIfRun.number, reason);
       return;
     }
-    const isUnknown = code.notRun === true && this.#mayHaveRun;
-    this.#respondWithFailure(new Failure(isUnknown ? gatewayCodes.outcomeUnknown : code, reason));
+    const stated = this.#history.mayHaveRun ? codeIfRun : code;
+    this.#respondWithFailure(new Failure(stated, reason, { retryAfterMs }));
   }
 
   #onTimeout(): void {
     if (this.#lifecycle.isFinal) return;
     const isSent = this.#attempt?.isSent ?? false;
     this.#attempt?.cancel();
-    const code = isSent || this.#mayHaveRun ? gatewayCodes.answerLate : gatewayCodes.notRunInTime;
+    const code =
+      isSent || this.#history.mayHaveRun ? gatewayCodes.answerLate : gatewayCodes.notRunInTime;
     this.#abort(code, 'the deadline of the request has passed');
   }
 
   #onCallerClosed(): void {
     if (this.#lifecycle.isFinal) return;
-    this.#transition('leave');
+    this.#lifecycle.send('leave');
     this.#attempt?.cancel();
     this.#finish(gatewayCodes.callerGone.status, gatewayCodes.callerGone.number, 'caller gone');
   }
 
   #respondWithFailure(failure: Failure): void {
-    this.#transition('fail');
+    this.#lifecycle.send('fail');
     const { random, isStopping } = this.#context;
     const retryMs = retryAfterOf(failure, this.#leftMs, random);
     sendFailure(this.#response, failure, retryMs, isStopping() || !this.#request.complete);
     this.#finish(failure.code.status, failure.code.number, failure.message);
   }
 
-  #transition(event: ExchangeEvent): boolean {
-    return this.#lifecycle.send(event);
-  }
-
   #answerBegan(): void {
     const { context, resolved } = this.#parts;
     context.countStartedRequest(resolved.workspace?.name);
@@ -322,7 +322,7 @@
   }
 
   #logAttemptFailure(type: string, reason: string): void {
-    const tries = { attempt: this.#attempt, sends: this.#sends, leftMs: this.#leftMs };
+    const tries = { attempt: this.#attempt, sends: this.#history.sends, leftMs: this.#leftMs };
     logAttemptFailure(this.#context, this.#parts.resolved, tries, { type, reason });
   }
 
@@ -337,7 +337,7 @@
       status,
       code,
       reason,
-      sends: this.#sends,
+      sends: this.#history.sends,
       limitPerS: this.#attempt?.limitPerS,
       firstMs: this.#timing.firstAt && this.#timing.firstAt - this.#arrivedAt,
       expectedMs: this.#expectedPrefillMs,
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -17,7 +17,9 @@
 import type { GatewayContext } from './GatewayContext';
 import type { WorkspaceName } from './ids';
 import { EndpointListReader } from './EndpointListReader';
+import { HeldRequests } from './HeldRequests';
 import { OperatorServer } from './OperatorServer';
+import { PermitSharing } from './PermitSharing';
 import { ReadinessServer } from './ReadinessServer';
 import { RetryBudgets } from './RetryBudgets';
 import { RequestLog } from './RequestLog';
@@ -101,6 +103,12 @@
 
   readonly #quarantine = new ContentQuarantine();
 
+  readonly #random = new Random(Math.floor(Math.random() * 2 ** 31));
+
+  readonly #held: HeldRequests;
+
+  readonly #permits: PermitSharing;
+
   #table: RoutingTable | undefined;
 
   #isStopping = false;
@@ -112,7 +120,7 @@
 
   constructor(options: GatewayOptions) {
     super();
-    const { settings, wire, platform, timer, journal, incarnation } = options;
+    const { settings, wire, platform, timer, journal, metrics, incarnation } = options;
     this.#options = options;
     this.#settings = settings;
     this.#address = `${settings.ip}:${settings.meshPort}`;
@@ -134,10 +142,23 @@
     const quarantine = this.#quarantine;
     this.store.add(new SuspicionSharing({ quarantine, mesh: this.#mesh, timer, journal }));
     this.#startGate = this.store.add(new StartGate(timer));
-    this.#directory = new EndpointDirectory(timer, journal);
+    const random = this.#random;
+    this.#directory = new EndpointDirectory(timer, journal, random);
     this.#directory.onLoaded = () => this.#updateReadiness();
     this.#directory.instances = () => this.#instances;
     this.#directory.maxConnections = (pool) => this.#table?.findPool(pool)?.maxConnections;
+    const directory = this.#directory;
+    this.#held = this.store.add(new HeldRequests({ directory, timer, journal, metrics }));
+    const held = this.#held;
+    this.#permits = new PermitSharing({
+      directory,
+      held,
+      mesh: this.#mesh,
+      timer,
+      journal,
+      random,
+    });
+    this.#directory.hasPermitLeader = () => this.#permits.hasLeader;
     this.#callerServer = new CallerServer(this.#createContext());
     this.#readinessServer = new ReadinessServer(wire.paths.readiness, () => this.#isReady());
     this.#operatorServer = new OperatorServer({ wire, mesh: this.#mesh, journal });
@@ -155,8 +176,7 @@
     this.#listReader?.open();
     this.#mesh.onNotice = (value) => this.#listReader?.receive(value);
     this.#mesh.onWork = (work) => this.#directory.share(work);
-    const share = (): void => this.#mesh.publishWork(this.#directory.ownWork());
-    this.store.add(this.#options.timer.every(WORK_SHARE_INTERVAL_MS, share));
+    this.store.add(this.#options.timer.every(WORK_SHARE_INTERVAL_MS, () => this.#shareWork()));
     await this.#mesh.open();
     await this.#registry?.open();
     this.#startUsageReporter();
@@ -237,10 +257,11 @@
       timer,
       journal,
       metrics,
-      random: new Random(Math.floor(Math.random() * 2 ** 31)),
+      random: this.#random,
       log: new RequestLog(journal, timer, metrics),
       directory: this.#directory,
       startGate: this.#startGate,
+      held: this.#held,
       budgets: new RetryBudgets(bounds, () => this.#instances),
       quarantine: this.#quarantine,
       dataCentre: settings.dataCentre,
@@ -274,6 +295,12 @@
     this.store.add(new UsageReporter({ ...parts, usage: this.#usage, clock: this.#clock }));
   }
 
+  #shareWork(): void {
+    this.#permits.allocate();
+    this.#mesh.publishWork(this.#directory.ownWork());
+    this.#held.endRound();
+  }
+
   #countStartedRequest(workspace: WorkspaceName | undefined): void {
     const { usageWindowS } = this.#options.settings;
     if (workspace === undefined || usageWindowS === undefined) return;
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -1,6 +1,7 @@
 import type { Journal, Metrics, Random, Timer } from '@berylwood/base';
 import type { ContentQuarantine } from '@berylwood/policy';
 import type { EndpointDirectory } from './EndpointDirectory';
+import type { HeldRequests } from './HeldRequests';
 import type { RequestLog } from './RequestLog';
 import type { RetryBudgets } from './RetryBudgets';
 import type { RoutingTable } from './RoutingTable';
@@ -18,6 +19,7 @@
   readonly log: RequestLog;
   readonly directory: EndpointDirectory;
   readonly budgets: RetryBudgets;
+  readonly held: HeldRequests;
   readonly quarantine: ContentQuarantine;
   readonly dataCentre: string;
   readonly startGate: StartGate;
--- a/packages/gateway/src/lib/codes.ts
+++ b/packages/gateway/src/lib/codes.ts
@@ -107,4 +107,11 @@
     meaning: 'Requests that share content with this one crash endpoints and are held back.',
     remedy: 'Retry later, or tell the operator: the content may be cleared or must change.',
   },
+  limited: {
+    number: 9016,
+    status: 503,
+    notRun: true,
+    meaning: 'The endpoints of the pool limit the requests that they accept.',
+    remedy: 'Retry after the stated time.',
+  },
 });
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -138,4 +138,17 @@
       'An endpoint stated a condition with an unusable value, which is ignored; logged once for each endpoint.',
     action: 'Check the version of the endpoint.',
   },
+  requestHeld: {
+    number: 9043,
+    level: 'info',
+    meaning:
+      'A request waits for an endpoint with a limit, or is rejected because it would wait too long; at most 20 a second.',
+    action: 'See the limits in the line.',
+  },
+  limitsInvalid: {
+    number: 9044,
+    level: 'warn',
+    meaning: 'Limits or permits of another instance cannot be read and are ignored.',
+    action: 'Check that all instances run versions that fit together.',
+  },
 });
--- a/packages/gateway/src/lib/placeRequest.ts
+++ b/packages/gateway/src/lib/placeRequest.ts
@@ -25,18 +25,21 @@
 
 /**
  * Chooses an endpoint for a request among the usable ones. If all of them are ejected, any endpoint
- * that is in service is tried, since rejecting all requests would be worse.
+ * that is in service is tried, since rejecting all requests would be worse; but none beyond its limit.
  * @internal
  */
 export function placeRequest(
   context: GatewayContext,
-  { route, metadata, target, table, rank }: ResolvedRequest,
+  resolved: ResolvedRequest,
   tried: ReadonlySet<string>,
 ): Placement | undefined {
   const { directory, random, dataCentre } = context;
-  const untried = directory
-    .endpointsOf(target)
-    .filter((endpoint) => !tried.has(endpoint.listed.id) && endpoint.hasFreeConnection);
+  const { route, metadata, target, table, rank } = resolved;
+  const endpoints = directory.endpointsOf(target);
+  if (endpoints.some(({ statements }) => statements.isLimited)) context.held.recordDemand(resolved);
+  const untried = endpoints.filter(
+    (endpoint) => !tried.has(endpoint.listed.id) && endpoint.acceptsRequest,
+  );
   const usable = untried.filter(({ isUsable }) => isUsable);
   const candidates =
     usable.length > 0 ? usable : untried.filter(({ isInService: isStaying }) => isStaying);
--- a/packages/gateway/src/lib/retryAfterOf.ts
+++ b/packages/gateway/src/lib/retryAfterOf.ts
@@ -1,7 +1,7 @@
 import type { Failure, Random } from '@berylwood/base';
 import { retryAfterMs } from '@berylwood/policy';
 
-/** Expected time until capacity is free again, in milliseconds: about one response of an engine. */
+/** Default of the expected time until capacity is free again, in milliseconds: about one response of an engine. */
 const RETRY_AFTER_BASE_MS = 600;
 
 /**
@@ -9,10 +9,10 @@
  * @internal
  */
 export function retryAfterOf(
-  { code }: Failure,
+  { code, retryAfterMs: expectedMs = RETRY_AFTER_BASE_MS }: Failure,
   leftMs: number,
   random: Random,
 ): number | undefined {
   if (code.status !== 503) return undefined;
-  return retryAfterMs(RETRY_AFTER_BASE_MS, Math.max(0, leftMs), random);
+  return retryAfterMs(expectedMs, Math.max(0, leftMs), random);
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -41,9 +41,12 @@
   type LimitGrants,
   type LimitUse,
 } from './lib/limits/LimitGrant';
+export { EndpointPermits, type PermitConditions } from './lib/limits/EndpointPermits';
+export { PermitAllocator, type PermitDemand } from './lib/limits/PermitAllocator';
 export { StatedLimit, type LimitStatement } from './lib/limits/StatedLimit';
 export { WorkspaceLimiter } from './lib/limits/WorkspaceLimiter';
 export { LimitDivider } from './lib/limits/LimitDivider';
+export { UrgencyQueue, type RankedItem } from './lib/queue/UrgencyQueue';
 export { RetryBudget, type RetryBudgetOptions } from './lib/limits/RetryBudget';
 export type {
   ClassDemand,
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -10,8 +10,10 @@
 } from './lib/RegistryMachine';
 export { Registry, type RegistryOptions } from './lib/Registry';
 export { planMembership, type MemberHealth, type MembershipStep } from './lib/planMembership';
+export type { WorkAttachments } from './lib/WorkAttachments';
 export { Mesh, type MeshOptions } from './lib/Mesh';
 export type { EndpointWork } from './lib/MeshMessage';
+export { RotatingBatch } from './lib/RotatingBatch';
 export { UsageLedger, type WindowCounts } from './lib/UsageLedger';
 export { FleetClock } from './lib/FleetClock';
 export { registryCodes } from './lib/codes';
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -20,7 +20,8 @@
 import { ReportTimes } from './ReportTimes';
 import type { ConfigureOutcome, StoredConfiguration } from './RegistryMachine';
 import type { UsageLedger } from './UsageLedger';
-import { WorkDistributor } from './WorkDistributor';
+import type { WorkAttachments } from './WorkAttachments';
+import { WorkDistributor, type InstanceLink } from './WorkDistributor';
 
 /** Options of the mesh of one instance. @public */
 export interface MeshOptions {
@@ -56,6 +57,8 @@
   /** Called with the total work in flight from all other instances. */
   onWork: (endpoints: readonly EndpointWork[]) => void = () => {};
 
+  attachments: WorkAttachments | undefined;
+
   /** Called with each value that the leader broadcasts; the receiver validates it. */
   onNotice: (value: unknown) => void = () => {};
 
@@ -74,7 +77,7 @@
   readonly #peers: Peers;
 
   /** Accepted links with the address of the instance, which is empty until its first report. */
-  readonly #incoming = new Map<Link<AcceptorMessage, DialerMessage>, string>();
+  readonly #incoming = new Map<InstanceLink, string>();
 
   #configuration: StoredConfiguration | undefined;
 
@@ -155,18 +158,14 @@
     return this.#reportTimes.haveAllReported(otherReplicas, sinceMs);
   }
 
-  /**
-   * Sends the work in flight from this instance to the leader. The leader sends the sum over all other
-   * instances to each instance, or to a part of them if there are many.
-   */
+  /** Sends the work in flight from this instance to the leader; the leader sends the sums to the instances. */
   publishWork(endpoints: readonly EndpointWork[]): void {
     if (!this.isLeader) {
-      this.#peers.leader?.dialer.link?.send({ type: 'work', endpoints });
+      const link = this.#peers.leader?.dialer.link;
+      if (link) this.#work.report(endpoints, link, this.attachments);
       return;
     }
-    const instances = [...this.#incoming].filter(([, instance]) => instance !== '');
-    const links = instances.map(([link]) => link);
-    this.onWork(this.#work.distribute(endpoints, links));
+    this.onWork(this.#work.distribute(endpoints, this.#incoming, this.attachments));
   }
 
   /** Whether this instance leads the registry, and so reads shared data for all instances. */
@@ -207,7 +206,7 @@
     return Promise.resolve(fail(registryCodes.leaderUnknown, 'no leader is connected'));
   }
 
-  #accept(link: Link<AcceptorMessage, DialerMessage>): void {
+  #accept(link: InstanceLink): void {
     this.#incoming.set(link, '');
     link.onClose = () => {
       this.#incoming.delete(link);
@@ -215,8 +214,10 @@
     };
     link.onMessage = (message) => {
       if (message.type === 'report') this.#handleReport(link, message);
-      else if (message.type === 'work') this.#work.set(link, message.endpoints);
-      else if (message.type === 'hello') {
+      else if (message.type === 'work') {
+        const attachments = this.isLeader ? this.attachments : undefined;
+        this.#work.receive(link, this.#incoming.get(link) ?? '', message, attachments);
+      } else if (message.type === 'hello') {
         this.#addMembers(message.members);
         if (message.suspicions) this.onSuspicions(message.suspicions);
       }
@@ -225,10 +226,7 @@
     link.send({ ...this.#createStatus(), suspicions: this.suspicions() });
   }
 
-  #handleReport(
-    link: Link<AcceptorMessage, DialerMessage>,
-    { instance, source, wallMs, windows }: Report,
-  ): void {
+  #handleReport(link: InstanceLink, { instance, source, wallMs, windows }: Report): void {
     this.#incoming.set(link, instance);
     if (!this.#options.registry?.isLeader) return;
     this.#options.clock.observe(instance, wallMs);
@@ -320,8 +318,10 @@
   }
 
   #handleLeaderMessage(message: Exclude<AcceptorMessage, Status>): void {
-    if (message.type === 'work') this.onWork(message.endpoints);
-    else this.onNotice(message.value);
+    if (message.type === 'work') {
+      this.onWork(message.endpoints);
+      if (message.attachment !== undefined) this.attachments?.receiveUpdate(message.attachment);
+    } else this.onNotice(message.value);
   }
 
   /** Dials new addresses immediately, as an instance that has just started knows few others. */
--- a/packages/registry/src/lib/MeshMessage.ts
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -38,10 +38,12 @@
  */
 export type EndpointWork = readonly [endpoint: string, tokens: readonly number[], requests: number];
 
-/** Work in flight from the sending instance; from the leader, that of all other instances. */
-interface Work {
+/** Work in flight from the sending instance; from the leader, that of all other instances. @internal */
+export interface Work {
   readonly type: 'work';
   readonly endpoints: readonly EndpointWork[];
+  /** Opaque to the mesh; missing from earlier versions. */
+  readonly attachment?: unknown;
 }
 
 /** Suspicions of content, opaque to the mesh; missing if there are none, or from earlier versions. */
--- a/packages/registry/src/lib/RotatingBatch.ts
+++ b/packages/registry/src/lib/RotatingBatch.ts
@@ -2,7 +2,7 @@
  * Takes a bounded number of items in turn. Load pattern: the leader sends figures to each instance several
  * times a second; with hundreds of instances each receives them less often, instead of taking all of the
  * leader's processor time.
- * @internal
+ * @public
  */
 export class RotatingBatch {
   readonly #maxItems: number;
--- a/packages/registry/src/lib/WorkDistributor.ts
+++ b/packages/registry/src/lib/WorkDistributor.ts
@@ -1,9 +1,13 @@
 import type { Link } from '@berylwood/link';
 import { InFlightWork } from './InFlightWork';
-import type { AcceptorMessage, DialerMessage, EndpointWork } from './MeshMessage';
+import type { AcceptorMessage, DialerMessage, EndpointWork, Work } from './MeshMessage';
 import { RotatingBatch } from './RotatingBatch';
+import type { WorkAttachments } from './WorkAttachments';
 
-type InstanceLink = Link<AcceptorMessage, DialerMessage>;
+/** Link that another instance has dialled. @internal */
+export type InstanceLink = Link<AcceptorMessage, DialerMessage>;
+
+type LeaderLink = Link<DialerMessage, AcceptorMessage>;
 
 /**
  * Messages with the work of other instances that the leader sends at a time. With a thousand instances each
@@ -17,9 +21,26 @@
 
   readonly #batch = new RotatingBatch(MAX_WORK_MESSAGES);
 
+  /** Sends the work of this instance to the leader. */
+  report(
+    endpoints: readonly EndpointWork[],
+    leader: LeaderLink,
+    attachments: WorkAttachments | undefined,
+  ): void {
+    leader.send({ type: 'work', endpoints, attachment: attachments?.createReport() });
+  }
+
   /** Stores the work of the instance at the other end of a link. */
-  set(link: InstanceLink, endpoints: readonly EndpointWork[]): void {
+  receive(
+    link: InstanceLink,
+    instance: string,
+    { endpoints, attachment }: Work,
+    attachments: WorkAttachments | undefined,
+  ): void {
     this.#inFlight.set(link, endpoints);
+    if (instance !== '' && attachment !== undefined) {
+      attachments?.receiveReport(instance, attachment);
+    }
   }
 
   delete(link: InstanceLink): void {
@@ -29,15 +50,19 @@
   /**
    * Stores the work of this instance, sends the instances, or a part of them if there are many, the sum
    * over all others, and returns the sum over all but this one.
+   * @param instances the address of the instance by link; empty if it is not known yet
    */
   distribute(
     own: readonly EndpointWork[],
-    links: readonly InstanceLink[],
+    instances: ReadonlyMap<InstanceLink, string>,
+    attachments: WorkAttachments | undefined,
   ): readonly EndpointWork[] {
     this.#inFlight.set('own', own);
     const others = this.#inFlight.sumExcluding('own');
-    for (const link of this.#batch.take(links)) {
-      link.send({ type: 'work', endpoints: this.#inFlight.sumExcluding(link) });
+    const known = [...instances].filter(([, instance]) => instance !== '');
+    for (const [link, instance] of this.#batch.take(known)) {
+      const endpoints = this.#inFlight.sumExcluding(link);
+      link.send({ type: 'work', endpoints, attachment: attachments?.createUpdate(instance) });
     }
     return others;
   }
