Send no more requests to an endpoint that says it is leaving

Cause: the same as of the limit, no part read what an endpoint says of itself; only the list could take an endpoint out of service, and it lags.

Change: a response that says leaving takes the endpoint out of service at once, and the statement is shared like a limit, so one response is enough for all instances. Running streams go on. Lines: endpointLeaving, endpointStaying, healthCheckFailed.

--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -136,7 +136,7 @@
 
   /** Whether the endpoint is neither draining nor leaving; it may be ejected. */
   get isInService(): boolean {
-    return !this.#listed.isDraining && !this.#isLeaving;
+    return !this.#listed.isDraining && !this.#isLeaving && !this.statements.isLeaving;
   }
 
   /** Whether the endpoint has a connection for one more request, and accepts it by its conditions. */
--- a/packages/gateway/src/lib/EndpointStatements.ts
+++ b/packages/gateway/src/lib/EndpointStatements.ts
@@ -37,7 +37,18 @@
   readonly permits: number;
 }
 
-/** Time for which the end of a limit is shared with other instances, in milliseconds. */
+/** Kinds of statements that hold for all instances. @internal */
+export const STATEMENT_KINDS = ['rate', 'leaving'] as const;
+
+/** @internal */
+export type StatementKind = (typeof STATEMENT_KINDS)[number];
+
+const CHANGE_EVENTS = {
+  rate: { started: gatewayEvents.endpointLimited, ended: gatewayEvents.endpointLimitEnded },
+  leaving: { started: gatewayEvents.endpointLeaving, ended: gatewayEvents.endpointStaying },
+};
+
+/** Time for which the end of a restriction is shared with other instances, in milliseconds. */
 const SHARE_END_MS = 10_000;
 
 /** The conditions that an endpoint states in its responses, and the permits that they require. @internal */
@@ -49,12 +60,16 @@
 
   readonly #parts: EndpointParts;
 
-  /** Requests per second that the endpoint accepts from all instances together. */
-  readonly #rate = new StatedLimit();
+  readonly #stated = {
+    /** Requests per second that the endpoint accepts from all instances together. */
+    rate: new StatedLimit(),
+    /** 0 while the endpoint states that it is leaving. */
+    leaving: new StatedLimit(),
+  };
 
-  #rateSource: StatementSource | undefined;
+  readonly #sources: Partial<Record<StatementKind, StatementSource>> = {};
 
-  #rateChangedAt = -Infinity;
+  readonly #changedAt: Record<StatementKind, number> = { rate: -Infinity, leaving: -Infinity };
 
   #hasLoggedInvalid = false;
 
@@ -66,25 +81,42 @@
 
   /** Requests per second that the endpoint accepts from all instances together; Infinity without a limit. */
   get requestsPerS(): number {
-    return this.#rate.value;
+    return this.#stated.rate.value;
   }
 
   get isLimited(): boolean {
-    return this.#rate.isLimited;
+    return this.#stated.rate.isLimited;
+  }
+
+  /** Whether the endpoint states that it is leaving; it receives no more requests. */
+  get isLeaving(): boolean {
+    return this.#stated.leaving.isLimited;
   }
 
-  /** The latest statement of a limit, or of its end. */
-  get rateStatement(): LimitStatement {
-    return this.#rate.statement;
+  /** Time for which the endpoint has stated that it is leaving, in milliseconds. */
+  get leavingMs(): number {
+    return this.#parts.timer.now() - this.#changedAt.leaving;
   }
 
-  /** Whether other instances need the statement: there is a limit, or it has ended recently. */
-  get isRateShared(): boolean {
-    return this.isLimited || this.#parts.timer.now() - this.#rateChangedAt < SHARE_END_MS;
+  /** Statements that other instances need: those that restrict requests, and those that have ended recently. */
+  get shared(): [StatementKind, LimitStatement][] {
+    const since = this.#parts.timer.now() - SHARE_END_MS;
+    return STATEMENT_KINDS.filter((kind) => this.#stated[kind].isLimited || this.#changedAt[kind] > since).map((kind) => [kind, this.statementOf(kind)]);
+  }
+
+  /** The latest statement of a kind, or of its end. */
+  statementOf(kind: StatementKind): LimitStatement {
+    return this.#stated[kind].statement;
   }
 
   /** Whether the endpoint accepts a request of this instance now. */
   get acceptsRequest(): boolean {
+    if (this.isLeaving) return false;
+    return this.hasPermit;
+  }
+
+  /** Whether a request to the endpoint is within its limit. */
+  get hasPermit(): boolean {
     if (!this.isLimited) return true;
     const { fleet, timer } = this.#parts;
     const hasLeader = fleet.hasPermitLeader();
@@ -106,20 +138,24 @@
       this.#parts.journal.record(gatewayEvents.statementInvalid, fields);
     }
     const receivedAt = this.#parts.timer.now();
-    const value = stated.requestsPerS ?? Infinity;
-    this.mergeRate({ value, sentAt, receivedAt }, { request });
+    const values = {
+      rate: stated.requestsPerS ?? Infinity,
+      leaving: stated.isLeaving ? 0 : Infinity,
+    };
+    for (const kind of STATEMENT_KINDS) {
+      this.merge(kind, { value: values[kind], sentAt, receivedAt }, { request });
+    }
   }
 
-  /** Merges a statement about the limit. */
-  mergeRate(statement: LimitStatement, source: StatementSource): void {
-    if (!this.#rate.merge(statement)) return;
-    this.#rateSource = source;
-    this.#rateChangedAt = this.#parts.timer.now();
-    const fields = { endpoint: this.#endpoint, ...source };
-    if (this.isLimited) {
-      const { requestsPerS } = this;
-      this.#parts.journal.record(gatewayEvents.endpointLimited, { ...fields, requestsPerS });
-    } else this.#parts.journal.record(gatewayEvents.endpointLimitEnded, fields);
+  /** Merges a statement, which may be another instance's. */
+  merge(kind: StatementKind, statement: LimitStatement, source: StatementSource): void {
+    if (!this.#stated[kind].merge(statement)) return;
+    this.#sources[kind] = source;
+    this.#changedAt[kind] = this.#parts.timer.now();
+    const isRestricting = this.#stated[kind].isLimited;
+    const event = isRestricting ? CHANGE_EVENTS[kind].started : CHANGE_EVENTS[kind].ended;
+    const requestsPerS = this.isLimited ? this.requestsPerS : undefined;
+    this.#parts.journal.record(event, { endpoint: this.#endpoint, ...source, requestsPerS });
   }
 
   /** Describes the limit for the log. */
@@ -128,8 +164,8 @@
     return {
       endpoint: this.#endpoint,
       requestsPerS: this.requestsPerS,
-      ageMs: Math.round(now - this.#rate.statement.receivedAt),
-      source: this.#rateSource,
+      ageMs: Math.round(now - this.#stated.rate.statement.receivedAt),
+      source: this.#sources.rate,
       permits: this.permits.held(now),
     };
   }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -15,11 +15,12 @@
 import { gatewayEvents } from './events';
 import { CallerServer } from './CallerServer';
 import type { GatewayContext } from './GatewayContext';
-import type { WorkspaceName } from './ids';
+import type { PoolName, WorkspaceName } from './ids';
 import { EndpointListReader } from './EndpointListReader';
 import { HeldRequests } from './HeldRequests';
 import { OperatorServer } from './OperatorServer';
 import { PermitSharing } from './PermitSharing';
+import { LeavingCheck } from './LeavingCheck';
 import { ReadinessServer } from './ReadinessServer';
 import { RetryBudgets } from './RetryBudgets';
 import { RequestLog } from './RequestLog';
@@ -158,6 +159,9 @@
       journal,
       random,
     });
+    const healthPath = (pool: PoolName): string => this.#table?.findPool(pool)?.healthPath ?? '/';
+    const isChecker = (): boolean => this.#mesh.isLeader;
+    this.store.add(new LeavingCheck({ directory, wire, timer, journal, healthPath, isChecker }));
     this.#directory.hasPermitLeader = () => this.#permits.hasLeader;
     this.#callerServer = new CallerServer(this.#createContext());
     this.#readinessServer = new ReadinessServer(wire.paths.readiness, () => this.#isReady());
--- a/packages/gateway/src/lib/PermitSharing.test.ts
+++ b/packages/gateway/src/lib/PermitSharing.test.ts
@@ -23,6 +23,7 @@
 
 const conditions = (requestsPerS: number | undefined): StatedConditions => ({
   requestsPerS,
+  isLeaving: false,
   invalid: [],
 });
 
@@ -133,7 +134,7 @@
   const key = 'e-1 127.0.0.1:1';
   const invalid = [
     'text',
-    { statements: [[key, -1, 0, 0]], grants: [] },
+    { statements: [[key, 'rate', -1, 0, 0]], grants: [] },
     { statements: [], grants: [[key, 0.5]] },
     { statements: [], grants: [[key, 1e9]] },
   ];
--- a/packages/gateway/src/lib/PermitSharing.ts
+++ b/packages/gateway/src/lib/PermitSharing.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod';
 import type { Endpoint } from './Endpoint';
 import type { EndpointDirectory } from './EndpointDirectory';
+import { STATEMENT_KINDS, type StatementKind } from './EndpointStatements';
 import { gatewayEvents } from './events';
 import type { HeldRequests } from './HeldRequests';
 
@@ -26,9 +27,13 @@
 /** Times are sent as ages, since the clocks of instances differ. */
 const ageSchema = z.number().nonnegative();
 
-/** Endpoint, requests per second (null at the end of a limit), ages of the request and of its response. */
+/**
+ * Endpoint, kind of statement, its value (null at the end of a restriction), ages of the request and of its
+ * response.
+ */
 const statementSchema = z.tuple([
   keySchema,
+  z.enum(STATEMENT_KINDS),
   z.number().nonnegative().nullable(),
   ageSchema,
   ageSchema,
@@ -36,7 +41,7 @@
 
 type SharedStatement = z.output<typeof statementSchema>;
 
-const statementsSchema = z.array(statementSchema).max(2 * MAX_ENDPOINTS);
+const statementsSchema = z.array(statementSchema).max(2 * STATEMENT_KINDS.length * MAX_ENDPOINTS);
 
 /** Endpoint, wanted permits by rank, and expired permits that are returned. */
 const demandSchema = z.tuple([
@@ -68,8 +73,8 @@
 interface ReportingInstance {
   /** By endpoint, the permits wanted by rank; empty once they were considered. */
   wanted: ReadonlyMap<string, readonly number[]>;
-  /** Endpoints of its last report. */
-  readonly endpoints: readonly string[];
+  /** Statements of its last report. */
+  readonly statements: readonly SharedStatement[];
   readonly reportedAt: number;
 }
 
@@ -84,7 +89,7 @@
 }
 
 /**
- * Shares the limits of endpoints among all instances, and divides them: instances report their demand to
+ * Shares what endpoints state among all instances, and divides their limits: instances report their demand to
  * the leader, and the leader allocates permits for single requests.
  * @internal
  */
@@ -170,12 +175,12 @@
   #createReport(): Report | undefined {
     const { directory, timer } = this.#options;
     const now = timer.now();
-    const shared = directory.endpoints.filter(({ statements }) => statements.isRateShared);
+    const shared = directory.endpoints.filter(({ statements }) => statements.shared.length > 0);
     if (shared.length === 0) return undefined;
     const endpoints = this.#batch.take(shared);
     const limited = endpoints.filter(({ statements }) => statements.isLimited);
     return {
-      statements: endpoints.map((endpoint) => this.#statementOf(endpoint)),
+      statements: endpoints.flatMap((endpoint) => this.#sharedOf(endpoint)),
       demands: limited.map((endpoint) => [
         endpoint.key,
         this.#wantedOf(endpoint),
@@ -193,23 +198,28 @@
       this.#allocators.get(key)?.return(returned, now);
     this.#instances.set(instance, {
       wanted: new Map(report.demands.map(([key, wanted]) => [key, wanted])),
-      endpoints: report.statements.map(([key]) => key),
+      statements: report.statements,
       reportedAt: now,
     });
   }
 
   #createUpdate(instance: string): Update | undefined {
     const { directory } = this.#options;
-    const shared = directory.endpoints.filter(({ statements }) => statements.isRateShared);
-    // The instance may believe in a limit that has ended long ago.
-    const reported = this.#instances.get(instance)?.endpoints ?? [];
-    const asked = reported.flatMap((key) => directory.find(key) ?? []);
+    const shared = directory.endpoints.filter(({ statements }) => statements.shared.length > 0);
+    // The instance may believe in a restriction that has ended long ago.
+    const asked = this.#instances.get(instance)?.statements ?? [];
     if (shared.length === 0 && asked.length === 0) return undefined;
-    const statements = new Set([...asked, ...this.#batch.take(shared)]);
+    const statements = [
+      ...asked.flatMap(([key, kind]) => {
+        const endpoint = directory.find(key);
+        return endpoint ? [this.#share(endpoint, kind)] : [];
+      }),
+      ...this.#batch.take(shared).flatMap((endpoint) => this.#sharedOf(endpoint)),
+    ];
     const grants = [...(this.#granted.get(instance) ?? [])];
     this.#granted.delete(instance);
     return {
-      statements: [...statements].map((endpoint) => this.#statementOf(endpoint)),
+      statements,
       grants: grants.slice(0, MAX_ENDPOINTS),
     };
   }
@@ -229,17 +239,21 @@
   #mergeStatements(statements: readonly SharedStatement[], instance: string): void {
     const { timer, directory } = this.#options;
     const now = timer.now();
-    for (const [key, value, sentAgoMs, receivedAgoMs] of statements) {
+    for (const [key, kind, value, sentAgoMs, receivedAgoMs] of statements) {
       const times = { sentAt: now - sentAgoMs, receivedAt: now - receivedAgoMs };
       const statement = { value: value ?? Infinity, ...times };
-      directory.find(key)?.statements.mergeRate(statement, { instance });
+      directory.find(key)?.statements.merge(kind, statement, { instance });
     }
   }
 
-  #statementOf({ key, statements }: Endpoint): SharedStatement {
-    const { value, sentAt, receivedAt } = statements.rateStatement;
+  #sharedOf(endpoint: Endpoint): SharedStatement[] {
+    return endpoint.statements.shared.map(([kind]) => this.#share(endpoint, kind));
+  }
+
+  #share({ key, statements }: Endpoint, kind: StatementKind): SharedStatement {
+    const { value, sentAt, receivedAt } = statements.statementOf(kind);
     const now = this.#options.timer.now();
-    return [key, Number.isFinite(value) ? value : null, now - sentAt, now - receivedAt];
+    return [key, kind, Number.isFinite(value) ? value : null, now - sentAt, now - receivedAt];
   }
 
   /** By rank, the permits that this instance wants beyond those that it holds. */
--- a/packages/gateway/src/lib/Wire.ts
+++ b/packages/gateway/src/lib/Wire.ts
@@ -51,6 +51,8 @@
 export interface StatedConditions {
   /** Requests per second that it accepts from all instances together; undefined without a limit. */
   readonly requestsPerS: number | undefined;
+  /** Whether it is about to stop. */
+  readonly isLeaving: boolean;
   /** Stated values that cannot be used, as `name: value`. */
   readonly invalid: readonly string[];
 }
@@ -102,6 +104,9 @@
    */
   abstract endpointHeaders(headers: RawHeaders, handover: ForwardingMetadata): string[];
 
+  /** Builds the headers of a health check of an endpoint. */
+  abstract healthCheckHeaders(endpoint: EndpointId): string[];
+
   abstract readResponse(status: number, headers: RawHeaders): ResponseMetadata;
 
   /** Selects the headers of an endpoint's response that the caller receives. */
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -138,6 +138,25 @@
       'An endpoint stated a condition with an unusable value, which is ignored; logged once for each endpoint.',
     action: 'Check the version of the endpoint.',
   },
+  endpointLeaving: {
+    number: 9045,
+    level: 'info',
+    meaning: 'An endpoint states that it is leaving; it receives no more requests.',
+    action: 'none',
+  },
+  endpointStaying: {
+    number: 9046,
+    level: 'info',
+    meaning:
+      'An endpoint that stated that it was leaving no longer does, and receives requests again.',
+    action: 'none',
+  },
+  healthCheckFailed: {
+    number: 9047,
+    level: 'info',
+    meaning: 'The health check of an endpoint that stated that it was leaving has failed.',
+    action: 'None: it is checked again while it is listed.',
+  },
   requestHeld: {
     number: 9043,
     level: 'info',
