Allow for the delay of messages when statements of endpoints are merged

Found while reading the order of statements: their times are sent as ages, so a message that is held up for some 100 ms looks newer than it is, and an end of a limit or departure in it could replace a newer statement. The time of the request is now taken as earlier by the longest delay after which a silent link is closed. A restriction still holds at once; its end reaches other instances up to 1.5 s later.

PermitSharing.test, 'a delayed message about an earlier response does not lift a limit', failed before and passes.

--- a/packages/gateway/src/lib/EndpointStatements.ts
+++ b/packages/gateway/src/lib/EndpointStatements.ts
@@ -101,7 +101,9 @@
   /** Statements that other instances need: those that restrict requests, and those that have ended recently. */
   get shared(): [StatementKind, LimitStatement][] {
     const since = this.#parts.timer.now() - SHARE_END_MS;
-    return STATEMENT_KINDS.filter((kind) => this.#stated[kind].isLimited || this.#changedAt[kind] > since).map((kind) => [kind, this.statementOf(kind)]);
+    return STATEMENT_KINDS.filter(
+      (kind) => this.#stated[kind].isLimited || this.#changedAt[kind] > since,
+    ).map((kind) => [kind, this.statementOf(kind)]);
   }
 
   /** The latest statement of a kind, or of its end. */
--- a/packages/gateway/src/lib/PermitSharing.ts
+++ b/packages/gateway/src/lib/PermitSharing.ts
@@ -19,6 +19,12 @@
 /** Time for which a report or an update is used, in milliseconds: a few intervals of a large fleet. */
 const VALID_MS = 1000;
 
+/**
+ * Longest delay of a message between instances, in milliseconds: a silent link is closed before. A statement
+ * may be older by that than its ages say.
+ */
+const MAX_TRANSIT_MS = 1500;
+
 /** Key of this instance among those that demand permits. */
 const OWN = '';
 
@@ -240,7 +246,8 @@
     const { timer, directory } = this.#options;
     const now = timer.now();
     for (const [key, kind, value, sentAgoMs, receivedAgoMs] of statements) {
-      const times = { sentAt: now - sentAgoMs, receivedAt: now - receivedAgoMs };
+      const sentAt = now - sentAgoMs - MAX_TRANSIT_MS;
+      const times = { sentAt, receivedAt: now - receivedAgoMs };
       const statement = { value: value ?? Infinity, ...times };
       directory.find(key)?.statements.merge(kind, statement, { instance });
     }
