Keep the pause that an endpoint asks for when it rejects a request

Cause: as of the limit and the departure, Retry-After of an endpoint was not read. The rejected request went elsewhere, but the next one came to the same endpoint again; and a request that may be sent once ended there.

When nothing else is left, a request waits for the end of the pause if that is soon, else it is rejected at once with that time.

--- a/packages/gateway/src/lib/EndpointStatements.ts
+++ b/packages/gateway/src/lib/EndpointStatements.ts
@@ -35,6 +35,8 @@
   readonly source: StatementSource | undefined;
   /** Permits that this instance holds unused. */
   readonly permits: number;
+  /** Remaining pause, in milliseconds; 0 without one. */
+  readonly pausedMs: number;
 }
 
 /** Kinds of statements that hold for all instances. @internal */
@@ -71,6 +73,8 @@
 
   readonly #changedAt: Record<StatementKind, number> = { rate: -Infinity, leaving: -Infinity };
 
+  #pausedUntil = -Infinity;
+
   #hasLoggedInvalid = false;
 
   constructor(endpoint: EndpointId, parts: EndpointParts) {
@@ -98,6 +102,11 @@
     return this.#parts.timer.now() - this.#changedAt.leaving;
   }
 
+  /** Time for which the endpoint wants no more requests from this instance, in milliseconds. */
+  get pausedMs(): number {
+    return Math.max(0, this.#pausedUntil - this.#parts.timer.now());
+  }
+
   /** Statements that other instances need: those that restrict requests, and those that have ended recently. */
   get shared(): [StatementKind, LimitStatement][] {
     const since = this.#parts.timer.now() - SHARE_END_MS;
@@ -113,7 +122,7 @@
 
   /** Whether the endpoint accepts a request of this instance now. */
   get acceptsRequest(): boolean {
-    if (this.isLeaving) return false;
+    if (this.isLeaving || this.pausedMs > 0) return false;
     return this.hasPermit;
   }
 
@@ -140,6 +149,7 @@
       this.#parts.journal.record(gatewayEvents.statementInvalid, fields);
     }
     const receivedAt = this.#parts.timer.now();
+    if (stated.pauseMs !== undefined) this.#pause(stated.pauseMs, request);
     const values = {
       rate: stated.requestsPerS ?? Infinity,
       leaving: stated.isLeaving ? 0 : Infinity,
@@ -160,6 +170,14 @@
     this.#parts.journal.record(event, { endpoint: this.#endpoint, ...source, requestsPerS });
   }
 
+  #pause(pauseMs: number, request: AttemptId | undefined): void {
+    if (this.pausedMs === 0) {
+      const fields = { endpoint: this.#endpoint, request, pauseMs };
+      this.#parts.journal.record(gatewayEvents.endpointPaused, fields);
+    }
+    this.#pausedUntil = Math.max(this.#pausedUntil, this.#parts.timer.now() + pauseMs);
+  }
+
   /** Describes the limit for the log. */
   describe(): LimitDescription {
     const now = this.#parts.timer.now();
@@ -169,6 +187,7 @@
       ageMs: Math.round(now - this.#stated.rate.statement.receivedAt),
       source: this.#sources.rate,
       permits: this.permits.held(now),
+      pausedMs: Math.round(this.pausedMs),
     };
   }
 }
--- a/packages/gateway/src/lib/HeldRequests.ts
+++ b/packages/gateway/src/lib/HeldRequests.ts
@@ -76,8 +76,8 @@
 }
 
 /**
- * Requests that wait because the endpoints of their pool limit the requests that they accept. Load pattern:
- * all endpoints of a pool have a limit below what arrives. A request waits if it is expected to be placed
+ * Requests that wait because the endpoints of their pool limit the requests that they accept. Load patterns:
+ * all endpoints of a pool have a limit below what arrives, or ask for a pause at the same time. A request waits if it is expected to be placed
  * soon, and is rejected at once otherwise, with the time after which it may be placed.
  * @internal
  */
@@ -139,13 +139,13 @@
   hold(request: HeldRequest): Disposable {
     const { resolved, leftMs, triedEndpoints, onTurn } = request;
     const { target, rank, workspace, route } = resolved;
-    if (!this.#limited(target).some(({ listed }) => !triedEndpoints.has(listed.id))) {
+    if (!this.#restricted(target).some(({ listed }) => !triedEndpoints.has(listed.id))) {
       request.onRejected(new Failure(gatewayCodes.noEndpoint, 'no endpoint available'));
       return { [Symbol.dispose]: () => {} };
     }
     const { queue } = this.#poolOf(target);
     const ahead = queue.countAhead(rank);
-    const expectedMs = ((ahead + 1) * SECOND_MS) / this.#ratePerS(target);
+    const expectedMs = this.#expectedWaitMs(target, ahead);
     const waitMs = Math.max(MIN_WAIT_MS, route.objectiveMs * WAIT_OBJECTIVES);
     const maxWaitMs = Math.min(waitMs, leftMs * MAX_WAIT_SHARE);
     const isAdmitted = expectedMs <= maxWaitMs;
@@ -205,23 +205,30 @@
     return endpoints.some((endpoint) => endpoint.isInService && endpoint.acceptsRequest);
   }
 
-  /** Rate at which this instance can place requests of a pool, in requests per second. */
-  #ratePerS(pool: PoolName): number {
-    const { directory } = this.#options;
-    const limits = this.#limited(pool).map(({ statements }) => statements.requestsPerS);
-    const evenShare = limits.reduce((sum, limit) => sum + limit, 0) / directory.instances();
+  /** Expected time until a request of a pool is placed behind others, in milliseconds. */
+  #expectedWaitMs(pool: PoolName, ahead: number): number {
+    const restricted = this.#restricted(pool);
+    const pauses = restricted.map(({ statements }) => statements.pausedMs).filter((ms) => ms > 0);
+    const limits = restricted.filter(({ statements: { pausedMs } }) => pausedMs === 0);
+    const limitPerS = limits.reduce((sum, { statements }) => sum + statements.requestsPerS, 0);
+    const evenShare = limitPerS / this.#options.directory.instances();
     const measured = (this.#poolOf(pool).takenAt.length * SECOND_MS) / RATE_WINDOW_MS;
-    return Math.max(evenShare, measured);
+    const permitMs = ((ahead + 1) * SECOND_MS) / Math.max(evenShare, measured);
+    return Math.min(permitMs, ...pauses);
   }
 
-  #limited(pool: PoolName): Endpoint[] {
+  /** Endpoints in service that have a limit or have asked for a pause. */
+  #restricted(pool: PoolName): Endpoint[] {
     const endpoints = this.#options.directory.endpointsOf(pool);
-    return endpoints.filter(({ isInService, statements }) => isInService && statements.isLimited);
+    return endpoints.filter(
+      ({ isInService, statements }) =>
+        isInService && (statements.isLimited || statements.pausedMs > 0),
+    );
   }
 
   #reject({ onRejected }: HeldRequest, expectedMs: number, outcome: 'rejected' | 'expired'): void {
     this.#held.inc({ outcome });
-    const reason = 'the endpoints of the pool limit the requests that they accept';
+    const reason = 'the endpoints of the pool limit the requests that they accept, or pause';
     onRejected(new Failure(gatewayCodes.limited, reason, { retryAfterMs: expectedMs }));
   }
 
@@ -235,7 +242,7 @@
     this.#lines += 1;
     if (this.#lines > MAX_LINES_PER_S) return;
     const { metadata, target: pool, rank } = resolved;
-    const limits = this.#limited(pool).slice(0, MAX_LOGGED_LIMITS);
+    const restricted = this.#restricted(pool).slice(0, MAX_LOGGED_LIMITS);
     journal.record(gatewayEvents.requestHeld, {
       request: metadata.attempt,
       pool,
@@ -243,7 +250,7 @@
       ...decision,
       instances: directory.instances(),
       hasLeader: directory.hasPermitLeader(),
-      limits: limits.map(({ statements }) => statements.describe()),
+      limits: restricted.map(({ statements }) => statements.describe()),
     });
   }
 
--- a/packages/gateway/src/lib/LeavingCheck.ts
+++ b/packages/gateway/src/lib/LeavingCheck.ts
@@ -57,7 +57,7 @@
       const sinceCheckMs = timer.now() - (this.#checkedAt.get(endpoint) ?? -Infinity);
       const sinceMs = Math.min(statements.leavingMs, sinceCheckMs);
       const isDue = statements.isLeaving && !listed.isDraining && sinceMs >= CHECK_INTERVAL_MS;
-      if (isDue && statements.hasPermit) this.#check(endpoint);
+      if (isDue && statements.hasPermit && statements.pausedMs === 0) this.#check(endpoint);
     }
   }
 
--- a/packages/gateway/src/lib/PermitSharing.test.ts
+++ b/packages/gateway/src/lib/PermitSharing.test.ts
@@ -27,6 +27,7 @@
 const conditions = (requestsPerS: number | undefined): StatedConditions => ({
   requestsPerS,
   isLeaving: false,
+  pauseMs: undefined,
   invalid: [],
 });
 
--- a/packages/gateway/src/lib/Wire.ts
+++ b/packages/gateway/src/lib/Wire.ts
@@ -53,6 +53,8 @@
   readonly requestsPerS: number | undefined;
   /** Whether it is about to stop. */
   readonly isLeaving: boolean;
+  /** Time for which it wants no requests from this instance, in milliseconds; undefined without a pause. */
+  readonly pauseMs: number | undefined;
   /** Stated values that cannot be used, as `name: value`. */
   readonly invalid: readonly string[];
 }
--- a/packages/gateway/src/lib/codes.ts
+++ b/packages/gateway/src/lib/codes.ts
@@ -111,7 +111,7 @@
     number: 9016,
     status: 503,
     notRun: true,
-    meaning: 'The endpoints of the pool limit the requests that they accept.',
+    meaning: 'The endpoints of the pool limit the requests that they accept, or ask for a pause.',
     remedy: 'Retry after the stated time.',
   },
 });
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -157,6 +157,12 @@
     meaning: 'The health check of an endpoint that stated that it was leaving has failed.',
     action: 'None: it is checked again while it is listed.',
   },
+  endpointPaused: {
+    number: 9048,
+    level: 'info',
+    meaning: 'An endpoint rejected a request and wants no more from this instance for a time.',
+    action: 'none',
+  },
   requestHeld: {
     number: 9043,
     level: 'info',
