Try a quarantined part that shares its crashes with another one

Parts that were always sent together collect the same crashes; once both are held back, nothing with the sound one runs that could clear it.

Change: while two quarantined contents share a crash, a request that holds just one of them may try it, the first after 3 s, each trial without an answer four times later. A trial counts like a crash as soon as it is sent, so the mesh shares it and no other instance tries meanwhile. A single quarantined part is not tried, as before. Line: contentTried.

--- a/packages/gateway/src/lib/ContentGuard.ts
+++ b/packages/gateway/src/lib/ContentGuard.ts
@@ -53,9 +53,14 @@
 
   /** Records that an attempt is sent. */
   sent(): void {
-    const { quarantine, timer } = this.#context;
-    const hasSuspects = quarantine.size > 0;
-    this.#sent = hasSuspects ? quarantine.suspicionsOf(this.#keys, timer.now()) : undefined;
+    const { quarantine, timer, journal } = this.#context;
+    this.#sent = undefined;
+    if (quarantine.size === 0) return;
+    this.#sent = quarantine.suspicionsOf(this.#keys, timer.now());
+    const content = quarantine.startTrial(this.#keys, this.#requestContent.whole, timer.now());
+    if (content === undefined) return;
+    const { attempt: request } = this.#resolved.metadata;
+    journal.record(gatewayEvents.contentTried, { request, content });
   }
 
   /** Records that an endpoint has begun to answer; clears the contents. */
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -83,6 +83,13 @@
     meaning: 'Suspicions of another instance cannot be read and are ignored.',
     action: 'Check that all instances run versions that fit together.',
   },
+  contentTried: {
+    number: 9019,
+    level: 'info',
+    meaning:
+      'A request with a quarantined content is sent, since another content may be to blame for the same crashes.',
+    action: 'none',
+  },
   operatorAnswered: {
     number: 9020,
     level: 'info',
--- a/packages/policy/src/lib/health/ContentQuarantine.test.ts
+++ b/packages/policy/src/lib/health/ContentQuarantine.test.ts
@@ -117,3 +117,52 @@
     { seed: 27 },
   );
 });
+
+const DEADLY = 'deadly';
+const SOUND = ['sound-1', 'sound-2'];
+
+/** Sends requests with the contents once a second; the deadly content crashes the endpoint. */
+function sendEachSecond(
+  quarantine: ContentQuarantine,
+  contents: readonly string[],
+  { from, seconds }: { readonly from: number; readonly seconds: number },
+): { readonly crashes: number; readonly answers: number } {
+  let crashes = 0;
+  let answers = 0;
+  for (let now = from; now < from + seconds * 1000; now += 1000) {
+    if (quarantine.findQuarantined(contents, now) !== undefined) continue;
+    const witness = `request-${contents.join()}-${now}`;
+    const sent = quarantine.suspicionsOf(contents, now);
+    quarantine.startTrial(contents, witness, now);
+    if (contents.includes(DEADLY)) {
+      crashes += 1;
+      quarantine.crashed(
+        sent.map((suspicion) => ({ suspicion, witness })),
+        now,
+      );
+    } else {
+      answers += 1;
+      quarantine.answered(contents, now);
+    }
+  }
+  return { crashes, answers };
+}
+
+test('sound parts that always came with a deadly one do not stay quarantined', () => {
+  const quarantine = new ContentQuarantine();
+  const together = sendEachSecond(quarantine, [DEADLY, ...SOUND], { from: 0, seconds: 10 });
+  assert.equal(together.crashes, 3);
+  for (const part of SOUND) {
+    const alone = sendEachSecond(quarantine, [part], { from: 10_000, seconds: 10 });
+    assert.ok(alone.answers >= 9, `${part} is answered ${alone.answers} times`);
+  }
+  const deadly = sendEachSecond(quarantine, [DEADLY, 'other'], { from: 20_000, seconds: 60 });
+  assert.equal(deadly.crashes, 0, 'the only part left is not tried');
+});
+
+test('a deadly part that is tried since others are suspect too crashes few endpoints', () => {
+  const quarantine = new ContentQuarantine();
+  sendEachSecond(quarantine, [DEADLY, ...SOUND], { from: 0, seconds: 10 });
+  const { crashes } = sendEachSecond(quarantine, [DEADLY, 'other'], { from: 10_000, seconds: 60 });
+  assert.ok(crashes >= 1 && crashes <= 3, `${crashes} crashes`);
+});
--- a/packages/policy/src/lib/health/ContentQuarantine.ts
+++ b/packages/policy/src/lib/health/ContentQuarantine.ts
@@ -8,6 +8,11 @@
   readonly holdMs?: number;
   /** Time after which a suspicion without another crash expires, in milliseconds. Default 600000. */
   readonly suspectMs?: number;
+  /**
+   * Time until a quarantined content that shares its crashes with another one is tried, in milliseconds; each
+   * trial without an answer multiplies it by four. Default 3000.
+   */
+  readonly trialMs?: number;
   /** Maximum number of contents in the table. Default 4096. */
   readonly capacity?: number;
 }
@@ -49,9 +54,13 @@
   witnesses: 2,
   holdMs: 600_000,
   suspectMs: 600_000,
+  trialMs: 3000,
   capacity: 4096,
 };
 
+/** Factor by which each trial without an answer lengthens the time until the next one. */
+const TRIAL_BACKOFF = 4;
+
 /** Crashes kept of one content; more change nothing. */
 const MAX_CRASHES_KEPT = 8;
 
@@ -60,6 +69,8 @@
   readonly witnesses: readonly string[];
   /** End of the suspicion or quarantine, in milliseconds. */
   readonly until: number;
+  /** Time from which a quarantined content may be tried, in milliseconds. */
+  readonly trialAt: number;
 }
 
 /**
@@ -71,6 +82,10 @@
  * soon as any request with it begins to be answered. Crashes count only one after the other: an attempt adds
  * one to those that were known when it was sent. So endpoints that crash together, as after a power loss,
  * count as one, and content that many sound requests share is cleared in between.
+ *
+ * Contents that were always sent together are quarantined together, though only one of them may be to blame,
+ * and what is held back cannot be answered. So while several share their crashes, one request at a time tries
+ * one of them without the others.
  * @public
  */
 export class ContentQuarantine {
@@ -98,10 +113,23 @@
       .map(([content, { clearances, witnesses }]) => [content, clearances, witnesses]);
   }
 
-  /** The first of the contents that is quarantined, if any. */
+  /** The content for which a request may not be sent, if any. A request that may try a content is sent. */
   findQuarantined(contents: readonly string[], now: number): string | undefined {
-    if (this.size === 0) return undefined;
-    return contents.find((content) => this.#isQuarantined(this.#current(content, now)));
+    const [first, second] = this.#listQuarantined(contents, now);
+    if (first === undefined || second !== undefined) return first;
+    return this.#isTrialDue(first, now) ? undefined : first;
+  }
+
+  /**
+   * Records that a request with these contents is sent. If it tries a quarantined content, the trial counts
+   * like a crash until it is answered, so that no other request tries it meanwhile. Returns that content.
+   */
+  startTrial(contents: readonly string[], witness: string, now: number): string | undefined {
+    const [content] = this.#listQuarantined(contents, now);
+    if (content === undefined) return undefined;
+    const { clearances, witnesses } = this.#current(content, now);
+    this.#set([content, clearances, [...witnesses, witness]], now);
+    return content;
   }
 
   /** What is known of the contents when an attempt is sent, to be passed to `crashed`. */
@@ -152,28 +180,45 @@
     return witnesses.length >= crashes && new Set(witnesses).size >= required;
   }
 
+  #listQuarantined(contents: readonly string[], now: number): string[] {
+    if (this.size === 0) return [];
+    return contents.filter((content) => this.#isQuarantined(this.#current(content, now)));
+  }
+
+  /** Whether the content may be tried: another quarantined one may be to blame for the same crashes. */
+  #isTrialDue(content: string, now: number): boolean {
+    const { trialAt, witnesses } = this.#current(content, now);
+    if (now < trialAt) return false;
+    return [...this.#records].some(([other, record]) => {
+      const sharesCrash = (): boolean => record.witnesses.some((item) => witnesses.includes(item));
+      return other !== content && this.#isQuarantined(record) && sharesCrash();
+    });
+  }
+
   /** The record of a content; after a quarantine has ended, one more crash starts it again. */
   #current(content: string, now: number): ContentRecord {
     const known = this.#records.get(content);
-    if (!known) return { clearances: 0, witnesses: [], until: Infinity };
+    if (!known) return { clearances: 0, witnesses: [], until: Infinity, trialAt: Infinity };
     if (now < known.until) return known;
     const { crashes, suspectMs } = this.#options;
     const kept = this.#isQuarantined(known) ? crashes - 1 : 0;
     const witnesses = known.witnesses.slice(0, kept);
-    const current = { clearances: known.clearances, witnesses, until: now + suspectMs };
+    const { clearances } = known;
+    const current = { clearances, witnesses, until: now + suspectMs, trialAt: Infinity };
     this.#records.set(content, current);
     return current;
   }
 
   #set([content, clearances, witnesses]: Suspicion, now: number): void {
-    const { holdMs, suspectMs, capacity } = this.#options;
+    const { holdMs, suspectMs, trialMs, crashes, capacity } = this.#options;
     const before = this.#stateOf(this.#current(content, now));
     const kept = witnesses.slice(-MAX_CRASHES_KEPT);
     const after = this.#stateOf({ witnesses: kept });
     this.#records.delete(content);
     if (this.#records.size >= capacity && !this.#evict()) return;
     const until = now + (after === 'quarantined' ? holdMs : suspectMs);
-    this.#records.set(content, { clearances, witnesses: kept, until });
+    const trialAt = now + trialMs * TRIAL_BACKOFF ** Math.max(0, kept.length - crashes);
+    this.#records.set(content, { clearances, witnesses: kept, until, trialAt });
     this.onChange({ suspicion: [content, clearances, kept], before, after });
   }
 
