--- a/packages/gateway/src/lib/EndpointStatements.ts
+++ b/packages/gateway/src/lib/EndpointStatements.ts
@@ -107,12 +107,19 @@
     return Math.max(0, this.#pausedUntil - this.#parts.timer.now());
   }
 
-  /** Statements that other instances need: those that restrict requests, and those that have ended recently. */
-  get shared(): [StatementKind, LimitStatement][] {
+  /** Kinds of statements that other instances need: those that restrict requests, or have ended recently. */
+  get sharedKinds(): StatementKind[] {
     const since = this.#parts.timer.now() - SHARE_END_MS;
     return STATEMENT_KINDS.filter(
       (kind) => this.#stated[kind].isLimited || this.#changedAt[kind] > since,
-    ).map((kind) => [kind, this.statementOf(kind)]);
+    );
+  }
+
+  /** Whether other instances need any of the statements. */
+  get isShared(): boolean {
+    if (this.isLimited || this.isLeaving) return true;
+    const since = this.#parts.timer.now() - SHARE_END_MS;
+    return Math.max(this.#changedAt.rate, this.#changedAt.leaving) > since;
   }
 
   /** The latest statement of a kind, or of its end. */
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -12,6 +12,7 @@
 } from '@berylwood/registry';
 import type { GatewaySettings } from '@berylwood/schema';
 import { EndpointDirectory } from './EndpointDirectory';
+import { EndpointGauges } from './EndpointGauges';
 import { gatewayEvents } from './events';
 import { CallerServer } from './CallerServer';
 import type { GatewayContext } from './GatewayContext';
@@ -150,6 +151,7 @@
     this.#directory.maxConnections = (pool) => this.#table?.findPool(pool)?.maxConnections;
     const directory = this.#directory;
     this.#held = this.store.add(new HeldRequests({ directory, timer, journal, metrics }));
+    this.store.add(new EndpointGauges({ directory, timer, metrics }));
     const held = this.#held;
     this.#permits = new PermitSharing({
       directory,
@@ -300,7 +302,7 @@
   }
 
   #shareWork(): void {
-    this.#permits.allocate();
+    this.#permits.startRound();
     this.#mesh.publishWork(this.#directory.ownWork());
     this.#held.endRound();
   }
--- a/packages/gateway/src/lib/PermitSharing.test.ts
+++ b/packages/gateway/src/lib/PermitSharing.test.ts
@@ -63,11 +63,12 @@
   /** Runs rounds of the exchange with the leader. */
   const run = (rounds: number, members: readonly TestInstance[] = [other, third]): void => {
     for (let round = 0; round < rounds; round += 1) {
+      for (const { sharing } of [leader, other, third]) sharing.startRound();
       for (const member of members) {
         const name = member === other ? 'other' : 'third';
         leader.attachments.receiveReport(name, member.attachments.createReport());
       }
-      leader.sharing.allocate();
+      leader.sharing.startRound();
       for (const member of members) {
         const name = member === other ? 'other' : 'third';
         const update = leader.attachments.createUpdate(name);
@@ -131,6 +132,7 @@
   other.observe(2, 0);
   timer.advance(ROUND_MS);
   other.observe(undefined, timer.now());
+  other.sharing.startRound();
   const delayed = other.attachments.createReport();
   timer.advance(ROUND_MS);
   leader.observe(2, timer.now());
--- a/packages/gateway/src/lib/PermitSharing.ts
+++ b/packages/gateway/src/lib/PermitSharing.ts
@@ -113,6 +113,9 @@
   /** On the leader, permits that are not sent yet, by instance and endpoint. */
   readonly #granted = new Map<string, Map<string, number>>();
 
+  /** Endpoints whose statements other instances need in this round. */
+  #shared: readonly Endpoint[] = [];
+
   #updatedAt = -Infinity;
 
   constructor(options: PermitSharingOptions) {
@@ -132,9 +135,10 @@
     return mesh.isLeader || timer.now() - this.#updatedAt < VALID_MS;
   }
 
-  /** On the leader, allocates the permits of one round. */
-  allocate(): void {
+  /** Starts a round of the exchange; on the leader, allocates its permits. */
+  startRound(): void {
     const { mesh, timer, directory } = this.#options;
+    this.#shared = directory.endpoints.filter(({ statements }) => statements.isShared);
     if (!mesh.isLeader) {
       this.#forgetInstances();
       return;
@@ -145,7 +149,7 @@
       this.#instances.delete(instance);
       this.#granted.delete(instance);
     }
-    const limited = directory.endpoints.filter(({ statements }) => statements.isLimited);
+    const limited = this.#shared.filter(({ statements }) => statements.isLimited);
     const keys = new Set(limited.map(({ key }) => key));
     for (const key of this.#allocators.keys()) if (!keys.has(key)) this.#allocators.delete(key);
     for (const endpoint of limited) this.#allocateFor(endpoint, now);
@@ -179,11 +183,9 @@
   }
 
   #createReport(): Report | undefined {
-    const { directory, timer } = this.#options;
-    const now = timer.now();
-    const shared = directory.endpoints.filter(({ statements }) => statements.shared.length > 0);
-    if (shared.length === 0) return undefined;
-    const endpoints = this.#batch.take(shared);
+    if (this.#shared.length === 0) return undefined;
+    const now = this.#options.timer.now();
+    const endpoints = this.#batch.take(this.#shared);
     const limited = endpoints.filter(({ statements }) => statements.isLimited);
     return {
       statements: endpoints.flatMap((endpoint) => this.#sharedOf(endpoint)),
@@ -211,16 +213,15 @@
 
   #createUpdate(instance: string): Update | undefined {
     const { directory } = this.#options;
-    const shared = directory.endpoints.filter(({ statements }) => statements.shared.length > 0);
     // The instance may believe in a restriction that has ended long ago.
     const asked = this.#instances.get(instance)?.statements ?? [];
-    if (shared.length === 0 && asked.length === 0) return undefined;
+    if (this.#shared.length === 0 && asked.length === 0) return undefined;
     const statements = [
       ...asked.flatMap(([key, kind]) => {
         const endpoint = directory.find(key);
         return endpoint ? [this.#share(endpoint, kind)] : [];
       }),
-      ...this.#batch.take(shared).flatMap((endpoint) => this.#sharedOf(endpoint)),
+      ...this.#batch.take(this.#shared).flatMap((endpoint) => this.#sharedOf(endpoint)),
     ];
     const grants = [...(this.#granted.get(instance) ?? [])];
     this.#granted.delete(instance);
@@ -254,7 +255,7 @@
   }
 
   #sharedOf(endpoint: Endpoint): SharedStatement[] {
-    return endpoint.statements.shared.map(([kind]) => this.#share(endpoint, kind));
+    return endpoint.statements.sharedKinds.map((kind) => this.#share(endpoint, kind));
   }
 
   #share({ key, statements }: Endpoint, kind: StatementKind): SharedStatement {
