--- a/packages/gateway/src/lib/EndpointStatements.ts
+++ b/packages/gateway/src/lib/EndpointStatements.ts
@@ -4,8 +4,8 @@
 import type { AttemptId, EndpointId } from './ids';
 import type { StatedConditions } from './Wire';
 
-/** What an instance knows about the fleet that shares the endpoints. @internal */
-export interface FleetView {
+/** What an instance knows about the fleet that shares the endpoints. */
+interface FleetView {
   /** Number of instances that share the endpoints. */
   readonly instances: () => number;
   /** Whether a leader allocates the permits of endpoints with a limit. */
