Count only trials in the time until the next one

Cause: the time until the first trial grew with each crash beyond the third, as crashes and trials were the same witnesses. Attempts that had been sent before the quarantine made it 12 to 48 s. Change: a trial has a witness of its own kind, and only those lengthen the time. A deadly part is still tried at most three times in a minute.

ContentQuarantine.test, 'crashes beyond those of the quarantine do not delay the first trial of a sound part', failed before (0 answers) and passes.

--- a/packages/policy/src/lib/health/ContentQuarantine.test.ts
+++ b/packages/policy/src/lib/health/ContentQuarantine.test.ts
@@ -166,3 +166,18 @@
   const { crashes } = sendEachSecond(quarantine, [DEADLY, 'other'], { from: 10_000, seconds: 60 });
   assert.ok(crashes >= 1 && crashes <= 3, `${crashes} crashes`);
 });
+
+test('crashes beyond those of the quarantine do not delay the first trial of a sound part', () => {
+  const quarantine = new ContentQuarantine();
+  const together = [DEADLY, ...SOUND];
+  const inFlight = Array.from({ length: 5 }, (_, at) => send(quarantine, together, `first-${at}`));
+  sendEachSecond(quarantine, together, { from: 0, seconds: 5 });
+  const later = quarantine.suspicionsOf(together, 5000);
+  quarantine.crashed(
+    later.map((suspicion) => ({ suspicion, witness: 'late' })),
+    5000,
+  );
+  for (const contents of inFlight) quarantine.crashed(contents, 5000);
+  const { answers } = sendEachSecond(quarantine, ['sound-1'], { from: 6000, seconds: 10 });
+  assert.ok(answers >= 7, `${answers} answers`);
+});
--- a/packages/policy/src/lib/health/ContentQuarantine.ts
+++ b/packages/policy/src/lib/health/ContentQuarantine.ts
@@ -61,6 +61,9 @@
 /** Factor by which each trial without an answer lengthens the time until the next one. */
 const TRIAL_BACKOFF = 4;
 
+/** Start of the witness of a trial, which counts like a crash until the trial is answered. */
+const TRIAL_PREFIX = 'trial/';
+
 /** Crashes kept of one content; more change nothing. */
 const MAX_CRASHES_KEPT = 8;
 
@@ -128,7 +131,7 @@
     const [content] = this.#listQuarantined(contents, now);
     if (content === undefined) return undefined;
     const { clearances, witnesses } = this.#current(content, now);
-    this.#set([content, clearances, [...witnesses, witness]], now);
+    this.#set([content, clearances, [...witnesses, `${TRIAL_PREFIX}${witness}`]], now);
     return content;
   }
 
@@ -210,14 +213,15 @@
   }
 
   #set([content, clearances, witnesses]: Suspicion, now: number): void {
-    const { holdMs, suspectMs, trialMs, crashes, capacity } = this.#options;
+    const { holdMs, suspectMs, trialMs, capacity } = this.#options;
     const before = this.#stateOf(this.#current(content, now));
     const kept = witnesses.slice(-MAX_CRASHES_KEPT);
     const after = this.#stateOf({ witnesses: kept });
     this.#records.delete(content);
     if (this.#records.size >= capacity && !this.#evict()) return;
     const until = now + (after === 'quarantined' ? holdMs : suspectMs);
-    const trialAt = now + trialMs * TRIAL_BACKOFF ** Math.max(0, kept.length - crashes);
+    const trials = kept.filter((witness) => witness.startsWith(TRIAL_PREFIX)).length;
+    const trialAt = now + trialMs * TRIAL_BACKOFF ** trials;
     this.#records.set(content, { clearances, witnesses: kept, until, trialAt });
     this.onChange({ suspicion: [content, clearances, kept], before, after });
   }
