Keep the time of a limit that instances repeat to each other

Found while reading the diff: each instance repeats what it knows with its age, and the age does not contain the delay of the message. A limit that the leader and an instance repeat to each other became more recent by that delay in every round, and its end has to be stated by a request that was sent later. On slow links the end would have been noticed late. A repetition of a known restriction is now skipped.

PermitSharing.test, 'a limit that instances repeat to each other does not become more recent', failed before and passes.

--- a/packages/gateway/src/lib/PermitSharing.test.ts
+++ b/packages/gateway/src/lib/PermitSharing.test.ts
@@ -141,6 +141,23 @@
   assert.ok(leader.statements.isLimited);
 });
 
+test('a limit that instances repeat to each other does not become more recent', () => {
+  const { timer, leader, other } = createFleet();
+  other.observe(2, 0);
+  const { receivedAt } = other.statements.statementOf('rate');
+  for (let round = 0; round < 10; round += 1) {
+    other.sharing.startRound();
+    const report = other.attachments.createReport();
+    timer.advance(ROUND_MS);
+    leader.attachments.receiveReport('other', report);
+    leader.sharing.startRound();
+    const update = leader.attachments.createUpdate('other');
+    timer.advance(ROUND_MS);
+    other.attachments.receiveUpdate(update);
+  }
+  assert.equal(other.statements.statementOf('rate').receivedAt, receivedAt);
+});
+
 test('an endpoint with another id at the same address starts without a limit', () => {
   const { directory, observe } = createInstance(new VirtualTimer(), false);
   observe(2, 0);
--- a/packages/gateway/src/lib/PermitSharing.ts
+++ b/packages/gateway/src/lib/PermitSharing.ts
@@ -243,14 +243,16 @@
     }
   }
 
-  #mergeStatements(statements: readonly SharedStatement[], instance: string): void {
+  #mergeStatements(shared: readonly SharedStatement[], instance: string): void {
     const { timer, directory } = this.#options;
     const now = timer.now();
-    for (const [key, kind, value, sentAgoMs, receivedAgoMs] of statements) {
+    for (const [key, kind, value, sentAgoMs, receivedAgoMs] of shared) {
+      const statements = directory.find(key)?.statements;
+      // Each repetition of a known restriction would make it more recent by the delay of the message.
+      if (value !== null && statements?.statementOf(kind).value === value) continue;
       const sentAt = now - sentAgoMs - MAX_TRANSIT_MS;
       const times = { sentAt, receivedAt: now - receivedAgoMs };
-      const statement = { value: value ?? Infinity, ...times };
-      directory.find(key)?.statements.merge(kind, statement, { instance });
+      statements?.merge(kind, { value: value ?? Infinity, ...times }, { instance });
     }
   }
 
