Split the leader's permits and the messages from the sharing of permits

PermitSharing had three concerns: the messages, what the leader keeps of all instances, and the exchange. FleetPermits and permitMessages hold the first two; no decision changes. All tests of the package and the three process tests of conditions pass.

--- a/packages/gateway/src/lib/PermitSharing.ts
+++ b/packages/gateway/src/lib/PermitSharing.ts
@@ -1,22 +1,22 @@
 import type { Journal, Random, Timer } from '@berylwood/base';
-import { PermitAllocator, type PermitDemand } from '@berylwood/policy';
 import { RotatingBatch, type Mesh } from '@berylwood/registry';
-import { z } from 'zod';
+import type { z } from 'zod';
 import type { Endpoint } from './Endpoint';
 import type { EndpointDirectory } from './EndpointDirectory';
-import { STATEMENT_KINDS, type StatementKind } from './EndpointStatements';
+import type { StatementKind } from './EndpointStatements';
 import { gatewayEvents } from './events';
+import { FleetPermits, type LimitedEndpoint } from './FleetPermits';
 import type { HeldRequests } from './HeldRequests';
-
-/** Endpoints in one message. */
-const MAX_ENDPOINTS = 256;
-
-/** Permits of one endpoint in one message. */
-const MAX_PERMITS = 10_000;
-
-const MAX_KEY_LENGTH = 512;
-
-/** Time for which a report or an update is used, in milliseconds: a few intervals of a large fleet. */
+import {
+  MAX_ENDPOINTS,
+  permitReportSchema,
+  permitUpdateSchema,
+  type PermitReport,
+  type PermitUpdate,
+  type SharedStatement,
+} from './permitMessages';
+
+/** Time for which an update of the leader is used, in milliseconds: a few intervals of a large fleet. */
 const VALID_MS = 1000;
 
 /**
@@ -25,65 +25,6 @@
  */
 const MAX_TRANSIT_MS = 1500;
 
-/** Key of this instance among those that demand permits. */
-const OWN = '';
-
-const keySchema = z.string().max(MAX_KEY_LENGTH);
-
-/** Times are sent as ages, since the clocks of instances differ. */
-const ageSchema = z.number().nonnegative();
-
-/**
- * Endpoint, kind of statement, its value (null at the end of a restriction), ages of the request and of its
- * response.
- */
-const statementSchema = z.tuple([
-  keySchema,
-  z.enum(STATEMENT_KINDS),
-  z.number().nonnegative().nullable(),
-  ageSchema,
-  ageSchema,
-]);
-
-type SharedStatement = z.output<typeof statementSchema>;
-
-const statementsSchema = z.array(statementSchema).max(2 * STATEMENT_KINDS.length * MAX_ENDPOINTS);
-
-/** Endpoint, wanted permits by rank, and expired permits that are returned. */
-const demandSchema = z.tuple([
-  keySchema,
-  z.array(z.number().nonnegative()).max(MAX_ENDPOINTS),
-  z.number().int().nonnegative().max(MAX_PERMITS),
-]);
-
-const reportSchema = z.object({
-  statements: statementsSchema,
-  demands: z.array(demandSchema).max(MAX_ENDPOINTS),
-});
-
-/** Endpoint and the number of permits. */
-const grantSchema = z.tuple([keySchema, z.number().int().nonnegative().max(MAX_PERMITS)]);
-
-const updateSchema = z.object({
-  statements: statementsSchema,
-  grants: z.array(grantSchema).max(MAX_ENDPOINTS),
-});
-
-/** What an instance reports to the leader. */
-type Report = z.output<typeof reportSchema>;
-
-/** What the leader sends to an instance. */
-type Update = z.output<typeof updateSchema>;
-
-/** State on the leader of an instance that demands permits. */
-interface ReportingInstance {
-  /** By endpoint, the permits wanted by rank; empty once they were considered. */
-  wanted: ReadonlyMap<string, readonly number[]>;
-  /** Statements of its last report. */
-  readonly statements: readonly SharedStatement[];
-  readonly reportedAt: number;
-}
-
 /** Parts that the sharing of permits connects. @internal */
 export interface PermitSharingOptions {
   readonly directory: EndpointDirectory;
@@ -104,14 +45,8 @@
 
   readonly #batch = new RotatingBatch(MAX_ENDPOINTS);
 
-  /** On the leader, by endpoint. */
-  readonly #allocators = new Map<string, PermitAllocator>();
-
-  /** On the leader, by the address of the instance. */
-  readonly #instances = new Map<string, ReportingInstance>();
-
-  /** On the leader, permits that are not sent yet, by instance and endpoint. */
-  readonly #granted = new Map<string, Map<string, number>>();
+  /** Permits of the fleet while this instance leads. */
+  readonly #fleet: FleetPermits;
 
   /** Endpoints whose statements other instances need in this round. */
   #shared: readonly Endpoint[] = [];
@@ -120,6 +55,7 @@
 
   constructor(options: PermitSharingOptions) {
     this.#options = options;
+    this.#fleet = new FleetPermits(options.random);
     const { mesh } = options;
     mesh.attachments = {
       createReport: () => this.#createReport(),
@@ -140,49 +76,26 @@
     const { mesh, timer, directory } = this.#options;
     this.#shared = directory.endpoints.filter(({ statements }) => statements.isShared);
     if (!mesh.isLeader) {
-      this.#forgetInstances();
+      this.#fleet.clear();
       return;
     }
-    const now = timer.now();
-    for (const [instance, { reportedAt }] of this.#instances) {
-      if (now - reportedAt < VALID_MS) continue;
-      this.#instances.delete(instance);
-      this.#granted.delete(instance);
-    }
     const limited = this.#shared.filter(({ statements }) => statements.isLimited);
-    const keys = new Set(limited.map(({ key }) => key));
-    for (const key of this.#allocators.keys()) if (!keys.has(key)) this.#allocators.delete(key);
-    for (const endpoint of limited) this.#allocateFor(endpoint, now);
-    for (const state of this.#instances.values()) state.wanted = new Map();
+    const now = timer.now();
+    this.#fleet.allocate(
+      limited.map((endpoint) => this.#limitOf(endpoint, now)),
+      now,
+    );
   }
 
-  #allocateFor(endpoint: Endpoint, now: number): void {
+  #limitOf(endpoint: Endpoint, now: number): LimitedEndpoint {
     const { key, statements } = endpoint;
-    const allocator = this.#allocators.get(key) ?? new PermitAllocator(now);
-    this.#allocators.set(key, allocator);
-    allocator.setRate(statements.requestsPerS, now);
-    allocator.return(statements.permits.takeReturned(now), now);
-    const demands: PermitDemand<string>[] = [{ source: OWN, wanted: this.#wantedOf(endpoint) }];
-    for (const [source, { wanted }] of this.#instances) {
-      demands.push({ source, wanted: wanted.get(key) ?? [] });
-    }
-    for (const [source, count] of allocator.allocate(demands, now, this.#options.random)) {
-      if (source === OWN) statements.permits.grant(count, now);
-      else {
-        const grants = this.#granted.get(source) ?? new Map<string, number>();
-        grants.set(key, (grants.get(key) ?? 0) + count);
-        this.#granted.set(source, grants);
-      }
-    }
-  }
-
-  #forgetInstances(): void {
-    this.#allocators.clear();
-    this.#instances.clear();
-    this.#granted.clear();
+    const { requestsPerS, permits } = statements;
+    const onGranted = (count: number): void => permits.grant(count, now);
+    const returned = permits.takeReturned(now);
+    return { key, requestsPerS, wanted: this.#wantedOf(endpoint), returned, onGranted };
   }
 
-  #createReport(): Report | undefined {
+  #createReport(): PermitReport | undefined {
     if (this.#shared.length === 0) return undefined;
     const now = this.#options.timer.now();
     const endpoints = this.#batch.take(this.#shared);
@@ -198,23 +111,16 @@
   }
 
   #receiveReport(instance: string, value: unknown): void {
-    const report = this.#parse(reportSchema, instance, value);
+    const report = this.#parse(permitReportSchema, instance, value);
     if (!report) return;
-    const now = this.#options.timer.now();
     this.#mergeStatements(report.statements, instance);
-    for (const [key, , returned] of report.demands)
-      this.#allocators.get(key)?.return(returned, now);
-    this.#instances.set(instance, {
-      wanted: new Map(report.demands.map(([key, wanted]) => [key, wanted])),
-      statements: report.statements,
-      reportedAt: now,
-    });
+    this.#fleet.report(instance, report, this.#options.timer.now());
   }
 
-  #createUpdate(instance: string): Update | undefined {
+  #createUpdate(instance: string): PermitUpdate | undefined {
     const { directory } = this.#options;
     // The instance may believe in a restriction that has ended long ago.
-    const asked = this.#instances.get(instance)?.statements ?? [];
+    const asked = this.#fleet.statementsOf(instance);
     if (this.#shared.length === 0 && asked.length === 0) return undefined;
     const statements = [
       ...asked.flatMap(([key, kind]) => {
@@ -223,17 +129,12 @@
       }),
       ...this.#batch.take(this.#shared).flatMap((endpoint) => this.#sharedOf(endpoint)),
     ];
-    const grants = [...(this.#granted.get(instance) ?? [])];
-    this.#granted.delete(instance);
-    return {
-      statements,
-      grants: grants.slice(0, MAX_ENDPOINTS),
-    };
+    return { statements, grants: this.#fleet.takeGrants(instance) };
   }
 
   #receiveUpdate(value: unknown): void {
     const { timer, directory } = this.#options;
-    const update = this.#parse(updateSchema, 'leader', value);
+    const update = this.#parse(permitUpdateSchema, 'leader', value);
     if (!update) return;
     const now = timer.now();
     this.#updatedAt = now;
