--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -59,6 +59,7 @@
   /** Pool of connections to the endpoint. */
   readonly agent: Agent;
 
+  /** Conditions that the endpoint states in its responses. */
   readonly statements: EndpointStatements;
 
   #listed: ListedEndpoint;
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -57,6 +57,7 @@
   /** Called with the total work in flight from all other instances. */
   onWork: (endpoints: readonly EndpointWork[]) => void = () => {};
 
+  /** Values attached to the work that is exchanged with the leader. */
   attachments: WorkAttachments | undefined;
 
   /** Called with each value that the leader broadcasts; the receiver validates it. */
