Keep no requests that were rejected for a limit

Found while reading the whole change: each request that was rejected at once because of a limit or pause left an object in the store of HeldRequests until the process ended, so an instance before a pool that is limited for long would have grown without bound. Cause: the hold was added to the store before the decision, and only admitted requests release it. Now it is created after the decision. Callers and endpoints see no difference.

HeldRequests.test, 'rejected, placed, expired and abandoned requests are not kept', failed before (100 kept of 100 rejected) and passes; types, linter and formatter clean.

--- a/packages/gateway/src/lib/HeldRequests.test.ts
+++ b/packages/gateway/src/lib/HeldRequests.test.ts
@@ -84,6 +84,18 @@
   assert.deepEqual(placed, []);
 });
 
+test('rejected, placed, expired and abandoned requests are not kept', () => {
+  const rejecting = createPool(0.5);
+  for (let number = 0; number < 100; number += 1) rejecting.hold('a');
+  assert.equal(rejecting.held.size, 0);
+  const { timer, held, hold, grant } = createPool(100);
+  const holds = Array.from({ length: 3 }, () => hold('a'));
+  holds[0]?.[Symbol.dispose]();
+  grant(1);
+  timer.advance(OBJECTIVE_MS);
+  assert.equal(held.size, 0);
+});
+
 test('a request whose caller has left takes no permit', () => {
   const { timer, hold, grant, placed } = createPool(10);
   hold('gone')[Symbol.dispose]();
--- a/packages/gateway/src/lib/HeldRequests.ts
+++ b/packages/gateway/src/lib/HeldRequests.ts
@@ -77,8 +77,9 @@
 
 /**
  * Requests that wait because the endpoints of their pool limit the requests that they accept. Load patterns:
- * all endpoints of a pool have a limit below what arrives, or ask for a pause at the same time. A request waits if it is expected to be placed
- * soon, and is rejected at once otherwise, with the time after which it may be placed.
+ * all endpoints of a pool have a limit below what arrives, or ask for a pause at the same time. A request
+ * waits if it is expected to be placed soon, and is rejected at once otherwise, with the time after which it
+ * may be placed.
  * @internal
  */
 export class HeldRequests implements Disposable {
@@ -102,6 +103,11 @@
     this.#held = options.metrics.counter('held_requests_total', help, ['outcome']);
   }
 
+  /** Number of requests that are kept. */
+  get size(): number {
+    return this.#store.size;
+  }
+
   /** Records a request that is placed in a pool with a limited endpoint. */
   recordDemand({ target, rank }: ResolvedRequest): void {
     const { recent } = this.#poolOf(target);
@@ -150,11 +156,11 @@
     const maxWaitMs = Math.min(waitMs, leftMs * MAX_WAIT_SHARE);
     const isAdmitted = expectedMs <= maxWaitMs;
     this.#log(request, { ahead, expectedMs: Math.round(expectedMs), isAdmitted });
-    const hold = this.#store.add(new DisposableStore());
     if (!isAdmitted) {
       this.#reject(request, expectedMs, 'rejected');
-      return hold;
+      return { [Symbol.dispose]: () => {} };
     }
+    const hold = this.#store.add(new DisposableStore());
     const item: WaitingItem = {
       hold,
       onTurn,
