Keep a spoiled entry of the endpoint list to itself

With one entry in the platform's list whose id is not UTF-8, every instance ended by itself, again after each start. Callers on open connections got no answer.

Cause: the decoder took any text as an id and any five digits as a port. `http.request` throws on both (ERR_INVALID_CHAR, ERR_SOCKET_BAD_PORT), in the event handler of a caller's request. The leader publishes the list, and the receivers checked even less. On the same path: a raw control character in one entry made the whole page unreadable, as the page was parsed at once.

Change: ids and addresses are checked once, by schemas whose types (`EndpointId`, `Address`) hold only what can be sent and dialled, for the platform's list and for the list of the leader alike. A page that is not JSON as a whole is read entry by entry; without the token of the next page it is refused, as before.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,8 @@
 export * from './lib/ids';
 export * from './lib/RoutingConfiguration';
 export * from './lib/Wire';
+export { isFieldValue } from './lib/isFieldValue';
+export { addressSchema, endpointIdSchema } from './lib/endpointSchemas';
 export { RoutingTable, chooseTarget } from './lib/RoutingTable';
 export { gatewayCodes } from './lib/codes';
 export { gatewayEvents } from './lib/events';
--- a/packages/gateway/src/lib/EndpointListReader.test.ts
+++ b/packages/gateway/src/lib/EndpointListReader.test.ts
@@ -10,7 +10,7 @@
   return {
     id: asId<'endpoint'>(id),
     pool: asId<'pool'>('pool'),
-    address: '127.0.0.1:1',
+    address: asId<'address'>('127.0.0.1:1'),
     dataCentre: 'a',
     slots: 4,
     isDraining: false,
--- a/packages/gateway/src/lib/EndpointListReader.ts
+++ b/packages/gateway/src/lib/EndpointListReader.ts
@@ -1,7 +1,7 @@
 import { DisposableStore, type Journal, type Timer } from '@berylwood/base';
 import type { EndpointDirectory } from './EndpointDirectory';
 import { gatewayEvents } from './events';
-import { listedEndpointsSchema } from './listedEndpointsSchema';
+import { decodeListedEndpoints } from './decodeListedEndpoints';
 import type { ListedEndpoint, PlatformCalls } from './Wire';
 
 /** Regular interval between reads, in milliseconds: a third of a short drain. */
@@ -64,9 +64,14 @@
 
   /** Applies a list that another instance has published. */
   receive(value: unknown): void {
-    const listed = listedEndpointsSchema.safeParse(value);
-    if (listed.success) this.#options.directory.replace(listed.data as ListedEndpoint[]);
-    else this.#options.journal.record(gatewayEvents.listFailed, { failure: listed.error.message });
+    const listed = decodeListedEndpoints(value);
+    if (listed.isErr()) {
+      this.#options.journal.record(gatewayEvents.listFailed, { failure: listed.error });
+      return;
+    }
+    const { endpoints, unreadable } = listed.value;
+    this.#options.directory.replace(endpoints);
+    if (unreadable > 0) this.#options.journal.record(gatewayEvents.listFailed, { unreadable });
   }
 
   [Symbol.dispose](): void {
--- a/packages/gateway/src/lib/HeldRequests.test.ts
+++ b/packages/gateway/src/lib/HeldRequests.test.ts
@@ -32,7 +32,11 @@
   const journal = createSilentJournal(timer);
   const directory = new EndpointDirectory(timer, journal, new Random(1));
   directory.hasPermitLeader = () => true;
-  const listed = { id: asId<'endpoint'>('e-1'), pool: POOL, address: '127.0.0.1:1' };
+  const listed = {
+    id: asId<'endpoint'>('e-1'),
+    pool: POOL,
+    address: asId<'address'>('127.0.0.1:1'),
+  };
   directory.replace([{ ...listed, dataCentre: 'a', slots: 4, isDraining: false }]);
   const [endpoint] = directory.endpointsOf(POOL);
   assert.ok(endpoint);
--- a/packages/gateway/src/lib/PermitSharing.test.ts
+++ b/packages/gateway/src/lib/PermitSharing.test.ts
@@ -18,7 +18,7 @@
 const listedEndpoint = (id: string, address = '127.0.0.1:1') => ({
   id: asId<'endpoint'>(id),
   pool: POOL,
-  address,
+  address: asId<'address'>(address),
   dataCentre: 'a',
   slots: 4,
   isDraining: false,
--- a/packages/gateway/src/lib/Wire.ts
+++ b/packages/gateway/src/lib/Wire.ts
@@ -1,4 +1,5 @@
 import type { Failure } from '@berylwood/base';
+import type { Address } from '@berylwood/link';
 import type { Result } from 'neverthrow';
 import type { AttemptId, EndpointId, PoolName, WorkspaceName } from './ids';
 import type { RoutingConfiguration } from './RoutingConfiguration';
@@ -78,8 +79,7 @@
 export interface ListedEndpoint {
   readonly id: EndpointId;
   readonly pool: PoolName;
-  /** `IP:PORT`. */
-  readonly address: string;
+  readonly address: Address;
   readonly dataCentre: string;
   readonly slots: number;
   readonly isDraining: boolean;
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -5,6 +5,6 @@
 export { LinkServer } from './lib/LinkServer';
 export { Dialer, type DialerOptions } from './lib/Dialer';
 export { type LinkIdentity, type LinkOptions } from './lib/LinkOptions';
-export { splitAddress } from './lib/address';
+export { parseAddress, splitAddress, type Address } from './lib/address';
 export { closeNow } from './lib/closeNow';
 export { listenOn } from './lib/listenOn';
