Do not dial what cannot be dialled

A member address that a peer sends ("hello", "status") was dialled unchecked, and `new WebSocket` throws on one that is no address, in a timer or a handler of the link.

Ruled out for the messages of the log themselves: an exception in a link's handler closes that link alone.

Change: `AddressBook` takes only addresses that can be dialled, and a dialer logs `addressInvalid` (1104) and tries again later where its own address is none, as one from the settings may be.

--- a/packages/link/src/lib/Dialer.test.ts
+++ b/packages/link/src/lib/Dialer.test.ts
@@ -3,7 +3,8 @@
 import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
 import test, { type TestContext } from 'node:test';
-import { SystemTimer, createSilentJournal } from '@berylwood/base';
+import { SystemTimer, VirtualTimer, createSilentJournal } from '@berylwood/base';
+import fc from 'fast-check';
 import { z } from 'zod';
 import { Dialer } from './Dialer';
 
@@ -63,3 +64,23 @@
   const elapsedMs = timer.now() - resumedAt;
   assert.ok(elapsedMs < KERNEL_RETRY_MS / 2, `opened after ${elapsedMs} ms`);
 });
+
+// Guards against an address received from a peer that ends the process that dials it.
+test('an address that cannot be dialled is tried again and does not throw', () => {
+  fc.assert(
+    fc.property(fc.oneof(fc.string(), fc.webAuthority({ withPort: true })), (text) => {
+      const timer = new VirtualTimer();
+      const dialer = new Dialer<string, string>({
+        timer,
+        journal: createSilentJournal(timer),
+        schema: z.string(),
+        addresses: [`${text}\u0000`],
+        path: '/',
+      });
+      dialer.open();
+      timer.advance(KERNEL_RETRY_MS);
+      dialer[Symbol.dispose]();
+    }),
+    { seed: 1 },
+  );
+});
--- a/packages/link/src/lib/Dialer.ts
+++ b/packages/link/src/lib/Dialer.ts
@@ -1,6 +1,7 @@
 import { connect, type NetConnectOpts, type Socket } from 'node:net';
 import { Random } from '@berylwood/base';
-import { WebSocket } from 'ws';
+import { WebSocket, type ClientOptions } from 'ws';
+import { linkEvents } from './events';
 import { Link } from './Link';
 import { MAX_FRAME_BYTES, type LinkIdentity, type LinkOptions } from './LinkOptions';
 
@@ -82,9 +83,27 @@
     if (this.#disposed) return;
     const address = this.#addresses[this.#nextAddressIndex % this.#addresses.length] ?? '';
     this.#nextAddressIndex += 1;
+    const socket = this.#createSocket(address);
+    if (!socket) {
+      this.#reconnectLater();
+      return;
+    }
+    this.#socket = socket;
+    const reconnect = (): void => this.#scheduleReconnect(socket);
+    socket.once('error', reconnect);
+    socket.once('close', reconnect);
+    socket.once('open', () => {
+      socket.off('error', reconnect);
+      socket.off('close', reconnect);
+      this.#handleOpen(socket, address);
+    });
+  }
+
+  /** Starts connecting to an address; undefined if it is no address. */
+  #createSocket(address: string): WebSocket | undefined {
     const { identity, path, connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS } = this.#options;
     const scheme = identity ? 'wss' : 'ws';
-    const socket = new WebSocket(`${scheme}://${address}${path}`, {
+    const options: ClientOptions = {
       handshakeTimeout: connectTimeoutMs,
       maxPayload: MAX_FRAME_BYTES,
       perMessageDeflate: false,
@@ -97,16 +116,14 @@
         // plain IP addresses. A falsy return value means no error.
         checkServerIdentity: () => false,
       }),
-    });
-    this.#socket = socket;
-    const reconnect = (): void => this.#scheduleReconnect(socket);
-    socket.once('error', reconnect);
-    socket.once('close', reconnect);
-    socket.once('open', () => {
-      socket.off('error', reconnect);
-      socket.off('close', reconnect);
-      this.#handleOpen(socket, address);
-    });
+    };
+    try {
+      return new WebSocket(`${scheme}://${address}${path}`, options);
+    } catch (error) {
+      const fields = { address, error: String(error) };
+      this.#options.journal.record(linkEvents.addressInvalid, fields);
+      return undefined;
+    }
   }
 
   readonly #connectTcp = (options: NetConnectOpts): Socket => {
@@ -139,6 +156,10 @@
     this.#socket = undefined;
     // Ignores further errors of a failed handshake; without a listener they would be thrown.
     socket.on('error', () => {});
+    this.#reconnectLater();
+  }
+
+  #reconnectLater(): void {
     const delayMs = this.#backoffMs * this.#random.between(0.5, 1.5);
     this.#backoffMs = Math.min(this.#backoffMs * 2, MAX_BACKOFF_MS);
     this.#backoff = this.#options.timer.after(delayMs, () => this.#connect());
--- a/packages/link/src/lib/events.ts
+++ b/packages/link/src/lib/events.ts
@@ -26,4 +26,10 @@
     meaning: 'A message failed validation and its connection was dropped.',
     action: 'Compare the versions of both processes.',
   },
+  addressInvalid: {
+    number: 1104,
+    level: 'error',
+    meaning: 'An address to which no connection can be opened; it is tried again later.',
+    action: 'Correct the address in the settings, or compare the versions of both processes.',
+  },
 });
--- a/packages/registry/src/lib/AddressBook.ts
+++ b/packages/registry/src/lib/AddressBook.ts
@@ -1,4 +1,5 @@
 import type { Timer } from '@berylwood/base';
+import { parseAddress } from '@berylwood/link';
 import type { Registry } from './Registry';
 
 /** Time after which an address received from another instance expires, in milliseconds. */
@@ -43,9 +44,11 @@
     return targets;
   }
 
+  /** Adds addresses received from another instance; those that cannot be dialled are ignored. */
   addMembers(members: readonly string[]): void {
     const now = this.#options.timer.now();
-    for (const member of members) this.#receivedAt.set(member, now);
+    const addresses = members.flatMap((member) => parseAddress(member) ?? []);
+    for (const address of addresses) this.#receivedAt.set(address, now);
   }
 
   get #recentMembers(): string[] {
