Keep a spoiled response to the attempt that received it

One engine spoiled one byte of one in 50 answers; the instance that read a blank in a header's name ended by itself, and callers with requests at sound engines got no answer.

Cause: the parser of Node.js accepts heads that `ServerResponse.writeHead` refuses (ERR_INVALID_HTTP_TOKEN, statuses under 100), and the exception left an event handler.

Change: the head of a response is checked once, before anything in it is believed: status 200 to 599, names that are tokens, values without control characters, no body with 204. Otherwise the attempt ends as broken, and is repeated where that is allowed. Beyond that a `FaultBoundary` holds the handlers of one request and of one attempt: what they throw ends that one with an answer (9018), a line (`fault`, 9049) and a count (`faults_total`); health checks and calls of operators have one too. An attempt whose request closes without a response (a status 101) ends at once and not at the deadline. To make room, arrival, log lines, the start of an attempt and the drain of a stop left `Exchange` and `Gateway` for files of their own.

--- a/packages/gateway/src/lib/Attempt.test.ts
+++ b/packages/gateway/src/lib/Attempt.test.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { SystemTimer } from '@berylwood/base';
-import { PlainWire, createOutgoingRequest, createRawEndpoint } from '../fixtures/rawEndpoint';
+import {
+  createAttemptParts,
+  createOutgoingRequest,
+  createRawEndpoint,
+} from '../fixtures/rawEndpoint';
 import { Attempt, type ResponseHead, type AttemptEnd } from './Attempt';
 import type { Endpoint } from './Endpoint';
 
@@ -19,7 +22,7 @@
       },
       onEnd: (end: AttemptEnd) => resolve({ end, head, body }),
     };
-    const parts = { wire: new PlainWire(), timer: new SystemTimer() };
+    const parts = createAttemptParts();
     // eslint-disable-next-line no-new -- the listener receives the result
     new Attempt(endpoint, createOutgoingRequest(), listener, parts);
   });
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -1,9 +1,13 @@
 import { request as sendRequest, type ClientRequest, type IncomingMessage } from 'node:http';
+import type { EventEmitter } from 'node:events';
 import type { Socket } from 'node:net';
 import type { Timer } from '@berylwood/base';
 import { splitAddress } from '@berylwood/link';
 import type { Endpoint } from './Endpoint';
 import { usableIdleMs } from './createEndpointAgent';
+import { FaultBoundary } from './FaultBoundary';
+import type { FaultLog } from './FaultLog';
+import { findResponseProblem } from './findResponseProblem';
 import type { AttemptId } from './ids';
 import { CONNECT_TIMEOUT_MS } from './probeConnection';
 import { RESPONSE_LIMITS } from './responseLimits';
@@ -78,6 +82,9 @@
 
   readonly #timer: Timer;
 
+  /** Ends the attempt as broken if what the endpoint sends makes a handler throw. */
+  readonly #boundary: FaultBoundary;
+
   #response: IncomingMessage | undefined;
 
   #connectTimeout: Disposable | undefined;
@@ -94,7 +101,7 @@
     endpoint: Endpoint,
     outgoing: OutgoingRequest,
     listener: AttemptListener,
-    parts: { readonly wire: Wire; readonly timer: Timer },
+    parts: { readonly wire: Wire; readonly timer: Timer; readonly faults: FaultLog },
   ) {
     this.endpoint = endpoint;
     this.#outgoing = outgoing;
@@ -105,8 +112,13 @@
     const { requestsPerS } = endpoint.statements;
     this.limitPerS = requestsPerS < Infinity ? requestsPerS : undefined;
     this.#pendingPrefillTokens = outgoing.promptTokens;
-    endpoint.attemptStarted();
-    endpoint.queue(outgoing.rank, this.#pendingPrefillTokens);
+    this.#boundary = new FaultBoundary((error) => {
+      parts.faults.record('attempt', error, {
+        request: outgoing.attempt,
+        endpoint: endpoint.listed.id,
+      });
+      this.abort(`unexpected exception: ${String(error)}`);
+    });
     const { host, port } = splitAddress(endpoint.listed.address);
     const { method, target, headers, body } = outgoing;
     this.#request = sendRequest({
@@ -118,12 +130,25 @@
       agent: endpoint.agent,
       setHost: false,
     });
-    this.#request.on('socket', (socket) => this.#onSocket(socket));
-    this.#request.on('response', (answer) => this.#onResponse(answer));
-    this.#request.on('error', (error) => this.#onError(error));
+    endpoint.attemptStarted();
+    endpoint.queue(outgoing.rank, this.#pendingPrefillTokens);
+    this.#on(this.#request, 'socket', (socket: Socket) => this.#onSocket(socket));
+    this.#on(this.#request, 'response', (answer: IncomingMessage) => this.#onResponse(answer));
+    this.#on(this.#request, 'error', (error: Error) => this.#onError(error));
+    this.#on(this.#request, 'close', () => {
+      if (!this.#response) this.#endLost('closed without a response');
+    });
     this.#request.end(body);
   }
 
+  #on<Arguments extends unknown[]>(
+    emitter: EventEmitter,
+    event: string,
+    handler: (...args: Arguments) => void,
+  ): void {
+    emitter.on(event, this.#boundary.wrap(handler));
+  }
+
   /** Whether the endpoint may have received bytes of the request. */
   get isSent(): boolean {
     return this.#isSent;
@@ -191,6 +216,14 @@
     }
     this.endpoint.seen();
     const { statusCode: status = 0, rawHeaders } = answer;
+    const hasTransferEncoding = 'transfer-encoding' in answer.headers;
+    const hasContentLength = 'content-length' in answer.headers;
+    const statesBody = hasTransferEncoding || Number(answer.headers['content-length'] ?? 0) > 0;
+    const problem = findResponseProblem({ status, rawHeaders, statesBody });
+    if (problem !== undefined) {
+      this.abort(`malformed response: ${problem}`);
+      return;
+    }
     const metadata = this.#wire.readResponse(status, rawHeaders);
     if (metadata.attempt !== undefined && metadata.attempt !== this.#outgoing.attempt) {
       this.abort('response belongs to another request');
@@ -203,7 +236,7 @@
     this.endpoint.statements.observe(conditions, this.#outgoing.attempt, this.startedAt);
     const type = answer.headers['content-type'] ?? '';
     const isEventStream = type.startsWith('text/event-stream');
-    const hasLength = 'content-length' in answer.headers || 'transfer-encoding' in answer.headers;
+    const hasLength = hasContentLength || hasTransferEncoding;
     const head: ResponseHead = { status, rawHeaders, metadata, isEventStream, hasLength };
     if (metadata.isNotRun || metadata.isMisdirected) {
       this.#discardBody(answer);
@@ -211,20 +244,20 @@
       return;
     }
     this.#listener.onHead(head);
-    answer.on('data', (chunk: Buffer) => {
+    this.#on(answer, 'data', (chunk: Buffer) => {
       this.endpoint.seen();
       if (this.#isFinished) return;
       if (!this.#listener.onData(chunk)) answer.pause();
     });
     const { socket } = answer;
-    answer.on('end', () => {
+    this.#on(answer, 'end', () => {
       // The parser also treats a connection reset as the end of a response without a length.
       const isComplete = answer.complete && (hasLength || socket.readableEnded);
       if (isComplete) this.#end({ type: 'complete' });
       else this.#endLost('answer cut off');
     });
-    answer.on('error', (error) => this.#endLost(String(error)));
-    answer.on('close', () => this.#endLost('answer cut off'));
+    this.#on(answer, 'error', (error: Error) => this.#endLost(String(error)));
+    this.#on(answer, 'close', () => this.#endLost('answer cut off'));
   }
 
   /** Reads the body of a rejection to its end, so that the connection can be reused, but not for long. */
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -1,35 +1,31 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Failure, Lifecycle, type Code } from '@berylwood/base';
 import { ResponseRelay } from './ResponseRelay';
-import { Attempt, type ResponseHead, type AttemptEnd, type AttemptListener } from './Attempt';
-import { AttemptHistory } from './AttemptHistory';
+import { Arrival } from './Arrival';
+import type { Attempt, AttemptEnd, AttemptListener, ResponseHead } from './Attempt';
+import type { AttemptHistory } from './AttemptHistory';
 import { gatewayCodes } from './codes';
-import { composeAttempt } from './composeAttempt';
 import { ContentGuard } from './ContentGuard';
-import { describeRequest } from './describeRequest';
+import { FaultBoundary } from './FaultBoundary';
 import { exchangeTable, type ExchangeEvent } from './exchangeMachine';
 import type { GatewayContext } from './GatewayContext';
-import { logAttemptFailure } from './logAttemptFailure';
-import { ResponseTiming } from './ResponseTiming';
 import { placeRequest } from './placeRequest';
-import { readBody } from './readBody';
 import { retryAfterOf } from './retryAfterOf';
-import { resolveRequest, type ResolvedRequest } from './resolveRequest';
-import type { RequestRecord } from './RequestLog';
+import type { ResolvedRequest } from './resolveRequest';
+import { RequestReport } from './RequestReport';
 import { sendFailure } from './sendFailure';
-import { StallDetector } from './StallDetector';
+import type { StallDetector } from './StallDetector';
+import { startAttempt } from './startAttempt';
 import { startsTooLate } from './startsTooLate';
 
 /** One attempt of a caller, from its arrival to the end of its response. @internal */
-export class Exchange implements AttemptListener {
+export class Exchange {
   readonly #context: GatewayContext;
 
   readonly #request: IncomingMessage;
 
   readonly #response: ServerResponse;
 
-  readonly #arrivedAt: number;
-
   readonly #lifecycle = new Lifecycle<ExchangeEvent, undefined>(exchangeTable);
 
   #resolved: ResolvedRequest | undefined;
@@ -46,23 +42,33 @@
 
   #attempt: Attempt | undefined;
 
-  #relay: ResponseRelay | undefined;
+  readonly #relay: ResponseRelay;
 
   /** Hold on a request that waits for the start of the instance or for an endpoint. */
   #hold: Disposable | undefined;
 
-  readonly #history = new AttemptHistory();
+  readonly #report: RequestReport;
 
-  readonly #timing = new ResponseTiming();
+  /** Contains the handlers of this request: what one of them throws ends this request alone. */
+  readonly #boundary = new FaultBoundary((error) => this.#onFault(error));
 
-  /** Expected time until the end of the prefill, as of the latest placement. */
-  #expectedPrefillMs = 0;
+  /** Passes the events of an attempt on within the boundary. */
+  readonly #listener: AttemptListener = {
+    onHead: this.#boundary.wrap((head) => this.#onHead(head)),
+    onData: (chunk) => this.#boundary.run(() => this.#onData(chunk)) ?? false,
+    onEnd: this.#boundary.wrap((end) => this.#onEnd(end)),
+  };
 
   constructor(context: GatewayContext, request: IncomingMessage, response: ServerResponse) {
     this.#context = context;
     this.#request = request;
     this.#response = response;
-    this.#arrivedAt = context.timer.now();
+    this.#report = new RequestReport(context);
+    this.#relay = new ResponseRelay(response, context.wire);
+  }
+
+  get #history(): AttemptHistory {
+    return this.#report.history;
   }
 
   get #leftMs(): number {
@@ -71,34 +77,32 @@
 
   /** Resolves, reads and places the request; while the instance is starting, holds it first. */
   start(): void {
-    this.#response.on('close', () => this.#onCallerClosed());
-    this.#response.on('drain', () => this.#attempt?.resume());
-    const { startGate, wire } = this.#context;
-    if (startGate.isHolding) {
-      const { deadlineMs } = wire.readRequest(this.#request.rawHeaders);
-      const onTimeout = (): void => this.#onTimeout();
-      this.#hold = startGate.wait({ onRelease: () => this.#resolve(), deadlineMs, onTimeout });
-    } else this.#resolve();
+    const boundary = this.#boundary;
+    const onClose = boundary.wrap(() => this.#onCallerClosed());
+    const onDrain = boundary.wrap(() => this.#attempt?.resume());
+    this.#response.on('close', onClose);
+    this.#response.on('drain', onDrain);
+    const arrival = new Arrival(this.#context, this.#request, boundary, {
+      onResolved: (resolved) => this.#onResolved(resolved),
+      onBody: (body) => this.#onBody(body),
+      onRejected: (failure) => this.#respondWithFailure(failure),
+      onTimeout: () => this.#onTimeout(),
+      onGone: () => this.#onCallerClosed(),
+    });
+    this.#hold = arrival;
+    boundary.run(() => arrival.start());
   }
 
-  #resolve(): void {
-    const resolved = resolveRequest(this.#context, this.#request);
-    if (resolved.isErr()) {
-      this.#respondWithFailure(resolved.error);
-      return;
-    }
-    this.#resolved = resolved.value;
-    const { metadata, route, table, target } = resolved.value;
-    const allowedMs = Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs);
-    this.#deadlineAt = this.#arrivedAt + allowedMs;
-    this.#deadlineTimer = this.#context.timer.after(this.#leftMs, () => this.#onTimeout());
-    this.#context.budgets.recordRequest(target);
-    readBody(this.#request, table.configuration.limits.maxBodyBytes, (body) => this.#onBody(body));
+  #onResolved(resolved: ResolvedRequest): void {
+    this.#resolved = resolved;
+    const allowedMs = Math.min(resolved.metadata.deadlineMs ?? Infinity, resolved.route.timeoutMs);
+    this.#deadlineAt = this.#report.arrivedAt + allowedMs;
+    const onTimeout = this.#boundary.wrap(() => this.#onTimeout());
+    this.#deadlineTimer = this.#context.timer.after(this.#leftMs, onTimeout);
   }
 
-  onHead(head: ResponseHead): void {
+  #onHead(head: ResponseHead): void {
     if (!head.isEventStream) this.#detector?.[Symbol.dispose]();
-    if (!this.#relay) this.#relay = new ResponseRelay(this.#response, this.#context.wire);
     if (this.#relay.isHeadSent && !head.isEventStream) {
       this.#attempt?.abort(`stream not resumed, status ${head.status}`);
       return;
@@ -107,8 +111,8 @@
     if (!head.isEventStream) this.#answerBegan();
   }
 
-  onData(chunk: Buffer): boolean {
-    const answer = this.#relay as ResponseRelay;
+  #onData(chunk: Buffer): boolean {
+    const answer = this.#relay;
     const { hasSentEvents: hadSentEvents, forwardedBytes } = answer;
     const isWritable = answer.push(chunk);
     if (answer.exceededLimit) {
@@ -117,7 +121,7 @@
     }
     // Bytes of an incomplete event are no progress.
     if (answer.forwardedBytes > forwardedBytes) {
-      this.#timing.mark(this.#context.timer.now());
+      this.#report.timing.mark(this.#context.timer.now());
       this.#detector?.eventReceived();
     }
     if (answer.hasSentEvents && !hadSentEvents) {
@@ -129,7 +133,7 @@
     return isWritable;
   }
 
-  onEnd(end: AttemptEnd): void {
+  #onEnd(end: AttemptEnd): void {
     this.#detector?.[Symbol.dispose]();
     switch (end.type) {
       case 'complete':
@@ -149,7 +153,7 @@
         this.#history.mayHaveRun = true;
         this.#attempt?.endpoint.failed();
         this.#logAttemptFailure(end.type, end.reason);
-        if (end.isConnectionLost) this.#onConnectionLost(end.reason);
+        if (end.isConnectionLost) this.#onConnectionLost(end.reason).catch(this.#onFault);
         else this.#retryOrAbort(gatewayCodes.outcomeUnknown, end.reason);
     }
   }
@@ -166,19 +170,13 @@
     if (hasBudget && this.#canRetry(false)) this.#attempt?.abort(reason);
   }
 
-  #onBody(body: Buffer | 'tooLarge' | 'gone'): void {
+  #onBody(body: Buffer): void {
     if (this.#lifecycle.isFinal) return;
     const { context, resolved } = this.#parts;
-    if (body === 'gone') {
-      this.#onCallerClosed();
-    } else if (body === 'tooLarge') {
-      this.#respondWithFailure(new Failure(gatewayCodes.bodyTooLarge, 'the body is too large'));
-    } else {
-      this.#body = body;
-      this.#guard = new ContentGuard(context, resolved, this.#request, body);
-      this.#lifecycle.send('read');
-      this.#placeAndSend();
-    }
+    this.#body = body;
+    this.#guard = new ContentGuard(context, resolved, this.#request, body);
+    this.#lifecycle.send('read');
+    this.#placeAndSend();
   }
 
   #placeAndSend(): void {
@@ -194,26 +192,25 @@
       return;
     }
     const { endpoint, tokens, prefillMs } = placement;
-    this.#expectedPrefillMs = prefillMs;
+    this.#report.expectedPrefillMs = prefillMs;
     if (this.#history.sends === 0 && startsTooLate(resolved, prefillMs, this.#leftMs)) {
       this.#abort(gatewayCodes.overloaded, 'expected to start too late');
       return;
     }
-    if (endpoint.statements.takePermit()) context.held.recordTaken(resolved.target);
     this.#history.sent(endpoint.listed.id);
     this.#lifecycle.send('send');
-    const outgoing = composeAttempt(context, resolved, this.#request, {
-      endpoint: endpoint.listed.id,
-      leftMs: this.#leftMs,
-      body: this.#body,
+    this.#guard?.sent();
+    const started = startAttempt(context, resolved, this.#request, {
+      endpoint,
       tokens,
-      resumeAfter: this.#relay?.lastEventId,
+      body: this.#body,
+      leftMs: this.#leftMs,
+      resumeAfter: this.#relay.lastEventId,
+      listener: this.#listener,
+      onStall: this.#boundary.wrap((reason) => this.#onStall(reason)),
     });
-    this.#guard?.sent();
-    this.#attempt = new Attempt(endpoint, outgoing, this, context);
-    const { timer } = context;
-    const onStall = (reason: string): void => this.#onStall(reason);
-    this.#detector = new StallDetector({ timer, attempt: this.#attempt, ...resolved, onStall });
+    this.#attempt = started.attempt;
+    this.#detector = started.detector;
   }
 
   /** Waits until an endpoint accepts the request, or ends it. */
@@ -222,8 +219,10 @@
       resolved: this.#parts.resolved,
       leftMs: this.#leftMs,
       triedEndpoints: this.#history.triedEndpoints,
-      onTurn: () => this.#placeAndSend(),
-      onRejected: ({ code, message, retryAfterMs }) => this.#abort(code, message, retryAfterMs),
+      onTurn: this.#boundary.wrap(() => this.#placeAndSend()),
+      onRejected: this.#boundary.wrap(({ code, message, retryAfterMs }) =>
+        this.#abort(code, message, retryAfterMs),
+      ),
     });
   }
 
@@ -232,10 +231,10 @@
   }
 
   #onComplete(): void {
-    const answer = this.#relay as ResponseRelay;
+    const answer = this.#relay;
     if (answer.isEventStream && answer.partialEventBytes > 0) {
       const reason = 'stream ended within an event';
-      this.onEnd({ type: 'broken', reason, isConnectionLost: true });
+      this.#onEnd({ type: 'broken', reason, isConnectionLost: true });
       return;
     }
     const { isFailure } = answer;
@@ -270,10 +269,11 @@
       ? 0
       : budgets.take(resolved.target, this.#history.sends, this.#leftMs, random);
     if (delayMs === undefined || !this.#lifecycle.send('retry')) return false;
-    this.#relay?.reset();
-    timer.after(delayMs, () => {
+    this.#relay.reset();
+    const onDelayPassed = (): void => {
       if (!this.#lifecycle.isFinal) this.#placeAndSend();
-    });
+    };
+    timer.after(delayMs, this.#boundary.wrap(onDelayPassed));
     return true;
   }
 
@@ -281,7 +281,7 @@
   #abort(code: Code, reason: string, retryAfterMs?: number): void {
     if (this.#lifecycle.isFinal) return;
     const codeIfRun = code.notRun === true ? gatewayCodes.outcomeUnknown : code;
-    if (this.#relay?.isHeadSent) {
+    if (this.#relay.isHeadSent) {
       this.#lifecycle.send('fail');
       this.#response.destroy();
       this.#finish(this.#relay.status, codeIfRun.number, reason);
@@ -300,6 +300,21 @@
     this.#abort(code, 'the deadline of the request has passed');
   }
 
+  /** Ends the request after an exception; its state is not used any further. */
+  readonly #onFault = (error: unknown): void => {
+    const { faults } = this.#context;
+    const fields = { request: this.#resolved?.metadata.attempt, path: this.#request.url };
+    faults.record('request', error, fields);
+    if (this.#lifecycle.isFinal) return;
+    try {
+      this.#attempt?.cancel();
+      this.#abort(gatewayCodes.fault, String(error));
+    } catch (consequence) {
+      faults.record('request', consequence, fields);
+      this.#response.destroy();
+    }
+  };
+
   #onCallerClosed(): void {
     if (this.#lifecycle.isFinal) return;
     this.#lifecycle.send('leave');
@@ -308,7 +323,7 @@
   }
 
   #respondWithFailure(failure: Failure): void {
-    this.#lifecycle.send('fail');
+    if (!this.#lifecycle.send('fail')) return;
     const { random, isStopping } = this.#context;
     const retryMs = retryAfterOf(failure, this.#leftMs, random);
     sendFailure(this.#response, failure, retryMs, isStopping() || !this.#request.complete);
@@ -322,29 +337,14 @@
   }
 
   #logAttemptFailure(type: string, reason: string): void {
-    const tries = { attempt: this.#attempt, sends: this.#history.sends, leftMs: this.#leftMs };
-    logAttemptFailure(this.#context, this.#parts.resolved, tries, { type, reason });
+    const cause = { type, reason, leftMs: this.#leftMs };
+    this.#report.attemptFailed(this.#parts.resolved, this.#attempt, cause);
   }
 
   #finish(status: number, code: number | undefined, reason: string | undefined): void {
     this.#hold?.[Symbol.dispose]();
     this.#deadlineTimer?.[Symbol.dispose]();
     this.#detector?.[Symbol.dispose]();
-    const { context } = this.#parts;
-    const record: RequestRecord = {
-      ...describeRequest(context, this.#resolved),
-      endpoint: this.#attempt?.endpoint.listed.id,
-      status,
-      code,
-      reason,
-      sends: this.#history.sends,
-      limitPerS: this.#attempt?.limitPerS,
-      firstMs: this.#timing.firstAt && this.#timing.firstAt - this.#arrivedAt,
-      expectedMs: this.#expectedPrefillMs,
-      pauseMs: this.#timing.longestPauseMs,
-      totalMs: context.timer.now() - this.#arrivedAt,
-    };
-    if (code === undefined && reason === undefined) context.log.served(record);
-    else context.log.failed(record);
+    this.#report.ended(this.#resolved, this.#attempt, { status, code, reason });
   }
 }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -11,9 +11,11 @@
   type StoredConfiguration,
 } from '@berylwood/registry';
 import type { GatewaySettings } from '@berylwood/schema';
+import { drainCallers } from './drainCallers';
 import { EndpointDirectory } from './EndpointDirectory';
 import { EndpointGauges } from './EndpointGauges';
 import { gatewayEvents } from './events';
+import { FaultLog } from './FaultLog';
 import { CallerServer } from './CallerServer';
 import type { GatewayContext } from './GatewayContext';
 import type { PoolName, WorkspaceName } from './ids';
@@ -48,21 +50,6 @@
  */
 const ASSUMED_INSTANCES = 64;
 
-/** Time within which the load balancer detects that the instance is not ready, in milliseconds. */
-const BALANCER_NOTICE_MS = 2600;
-
-/**
- * Largest fraction of the grace period for which a stopping instance still takes requests. The rest is for
- * those it has taken, however short the grace period is.
- */
-const NOTICE_SHARE = 0.5;
-
-/** Time before the end of the grace period at which open requests are cut, in milliseconds. */
-const CUT_MARGIN_MS = 500;
-
-/** Interval at which open requests are checked during a stop, in milliseconds. */
-const DRAIN_POLL_MS = 100;
-
 /** Interval at which instances exchange their work in flight, in milliseconds: a few engine steps. */
 const WORK_SHARE_INTERVAL_MS = 100;
 
@@ -111,6 +98,8 @@
 
   readonly #permits: PermitSharing;
 
+  readonly #faults: FaultLog;
+
   #table: RoutingTable | undefined;
 
   #isStopping = false;
@@ -125,6 +114,7 @@
     const { settings, wire, platform, timer, journal, metrics, incarnation } = options;
     this.#options = options;
     this.#settings = settings;
+    this.#faults = new FaultLog(journal, metrics);
     this.#address = `${settings.ip}:${settings.meshPort}`;
     this.#usageSource = `${settings.instance}/${incarnation}`;
     this.#clock = new FleetClock(timer);
@@ -163,11 +153,13 @@
     });
     const healthPath = (pool: PoolName): string => this.#table?.findPool(pool)?.healthPath ?? '/';
     const isChecker = (): boolean => this.#mesh.isLeader;
-    this.store.add(new LeavingCheck({ directory, wire, timer, journal, healthPath, isChecker }));
+    const faults = this.#faults;
+    const leaving = { directory, wire, timer, journal, faults, healthPath, isChecker };
+    this.store.add(new LeavingCheck(leaving));
     this.#directory.hasPermitLeader = () => this.#permits.hasLeader;
     this.#callerServer = new CallerServer(this.#createContext());
     this.#readinessServer = new ReadinessServer(wire.paths.readiness, () => this.#isReady());
-    this.#operatorServer = new OperatorServer({ wire, mesh: this.#mesh, journal });
+    this.#operatorServer = new OperatorServer({ wire, mesh: this.#mesh, journal, faults });
     this.#listReader = platform && this.#createListReader(platform);
   }
 
@@ -203,15 +195,11 @@
     this.#registry?.transferLeadership().catch((error: unknown) => {
       this.#options.journal.record(gatewayEvents.handOverFailed, { error: String(error) });
     });
-    const startedAt = timer.now();
-    const endsAt = startedAt + settings.graceS * 1000 - CUT_MARGIN_MS;
-    await timer.sleep(Math.min(BALANCER_NOTICE_MS, (endsAt - startedAt) * NOTICE_SHARE));
-    this.#isRejecting = true;
-    this.#callerServer.closeIdleConnections();
-    while (this.#callerServer.openRequests > 0 && timer.now() < endsAt) {
-      await timer.sleep(DRAIN_POLL_MS);
-      this.#callerServer.closeIdleConnections();
-    }
+    const onUnlisted = (): void => {
+      this.#isRejecting = true;
+    };
+    const graceMs = settings.graceS * 1000;
+    await drainCallers(this.#callerServer, { timer, graceMs, onUnlisted });
     this.#callerServer.close();
     this.#operatorServer.close();
     this.#readinessServer.close();
@@ -265,6 +253,7 @@
       metrics,
       random: this.#random,
       log: new RequestLog(journal, timer, metrics),
+      faults: this.#faults,
       directory: this.#directory,
       startGate: this.#startGate,
       held: this.#held,
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -1,6 +1,7 @@
 import type { Journal, Metrics, Random, Timer } from '@berylwood/base';
 import type { ContentQuarantine } from '@berylwood/policy';
 import type { EndpointDirectory } from './EndpointDirectory';
+import type { FaultLog } from './FaultLog';
 import type { HeldRequests } from './HeldRequests';
 import type { RequestLog } from './RequestLog';
 import type { RetryBudgets } from './RetryBudgets';
@@ -17,6 +18,7 @@
   readonly journal: Journal;
   readonly metrics: Metrics;
   readonly log: RequestLog;
+  readonly faults: FaultLog;
   readonly directory: EndpointDirectory;
   readonly budgets: RetryBudgets;
   readonly held: HeldRequests;
--- a/packages/gateway/src/lib/LeavingCheck.ts
+++ b/packages/gateway/src/lib/LeavingCheck.ts
@@ -1,9 +1,12 @@
-import { request as sendRequest } from 'node:http';
+import { request as sendRequest, type IncomingMessage } from 'node:http';
 import { DisposableStore, type Journal, type Timer } from '@berylwood/base';
 import { splitAddress } from '@berylwood/link';
 import type { Endpoint } from './Endpoint';
 import type { EndpointDirectory } from './EndpointDirectory';
 import { gatewayEvents } from './events';
+import { FaultBoundary } from './FaultBoundary';
+import type { FaultLog } from './FaultLog';
+import { findMalformedHeader } from './findMalformedHeader';
 import type { PoolName } from './ids';
 import type { Wire } from './Wire';
 
@@ -23,6 +26,7 @@
   readonly wire: Wire;
   readonly timer: Timer;
   readonly journal: Journal;
+  readonly faults: FaultLog;
   readonly healthPath: (pool: PoolName) => string;
   /** Whether this instance checks for all instances. */
   readonly isChecker: () => boolean;
@@ -57,11 +61,19 @@
       const sinceCheckMs = timer.now() - (this.#checkedAt.get(endpoint) ?? -Infinity);
       const sinceMs = Math.min(statements.leavingMs, sinceCheckMs);
       const isDue = statements.isLeaving && !listed.isDraining && sinceMs >= CHECK_INTERVAL_MS;
-      if (isDue && statements.hasPermit && statements.pausedMs === 0) this.#check(endpoint);
+      if (isDue && statements.hasPermit && statements.pausedMs === 0) this.#contain(endpoint);
     }
   }
 
-  #check(endpoint: Endpoint): void {
+  /** Checks an endpoint; an exception ends this check alone. */
+  #contain(endpoint: Endpoint): void {
+    const { faults } = this.#options;
+    const fields = { endpoint: endpoint.listed.id };
+    const boundary = new FaultBoundary((error) => faults.record('healthCheck', error, fields));
+    boundary.run(() => this.#check(endpoint, boundary));
+  }
+
+  #check(endpoint: Endpoint, boundary: FaultBoundary): void {
     const { wire, timer, journal, healthPath } = this.#options;
     const { listed, statements, agent } = endpoint;
     const sentAt = timer.now();
@@ -75,14 +87,17 @@
       setHost: false,
     });
     const timeout = this.#store.add(timer.after(CHECK_TIMEOUT_MS, () => check.destroy()));
-    check.on('response', (response) => {
+    const onResponse = boundary.wrap((response: IncomingMessage) => {
       const { statusCode: status = 0, rawHeaders } = response;
-      const { conditions } = wire.readResponse(status, rawHeaders);
-      if (status === OK) statements.observe(conditions, undefined, sentAt);
       response.resume();
       // The status has been read; what breaks afterwards is only the connection.
       response.on('error', () => check.destroy());
+      const isWellFormed = findMalformedHeader(rawHeaders) === undefined;
+      if (status !== OK || !isWellFormed) return;
+      const { conditions } = wire.readResponse(status, rawHeaders);
+      statements.observe(conditions, undefined, sentAt);
     });
+    check.on('response', onResponse);
     check.on('error', (error) => {
       journal.record(gatewayEvents.healthCheckFailed, {
         endpoint: listed.id,
--- a/packages/gateway/src/lib/OperatorServer.ts
+++ b/packages/gateway/src/lib/OperatorServer.ts
@@ -1,8 +1,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
-import type { Failure, Journal } from '@berylwood/base';
+import { Failure, type Journal } from '@berylwood/base';
 import type { Mesh } from '@berylwood/registry';
 import { gatewayEvents } from './events';
+import { gatewayCodes } from './codes';
+import type { FaultLog } from './FaultLog';
 import { HttpListener } from './HttpListener';
 import { readBody } from './readBody';
 import { sendFailure } from './sendFailure';
@@ -22,6 +24,7 @@
   readonly wire: Wire;
   readonly mesh: Mesh;
   readonly journal: Journal;
+  readonly faults: FaultLog;
 }
 
 /** HTTP server for operators: PUT commits a configuration, GET returns the newest one. @internal */
@@ -46,13 +49,22 @@
     } else if (request.method === 'PUT') {
       readBody(request, MAX_CONFIGURATION_BYTES, (body) => {
         if (body === 'tooLarge') response.writeHead(413, { Connection: 'close' }).end();
-        else if (body !== 'gone') this.#configure(body, response);
+        else if (body !== 'gone') this.#contain(response, () => this.#configure(body, response));
       });
     } else if (request.method === 'GET') {
-      this.#sendNewest(response);
+      this.#contain(response, () => this.#sendNewest(response));
     } else response.writeHead(405, { Allow: 'GET, PUT' }).end();
   }
 
+  /** Runs a call of an operator; an exception ends this call alone. */
+  #contain(response: ServerResponse, call: () => Promise<void>): void {
+    call().catch((error: unknown) => {
+      this.#options.faults.record('operatorCall', error, {});
+      if (response.headersSent) response.destroy();
+      else sendFailure(response, new Failure(gatewayCodes.fault, String(error)), undefined, true);
+    });
+  }
+
   async #configure(body: Buffer, response: ServerResponse): Promise<void> {
     const { wire, mesh } = this.#options;
     const decoded = wire.decodeConfiguration(body.toString('utf8'));
--- a/packages/gateway/src/lib/codes.ts
+++ b/packages/gateway/src/lib/codes.ts
@@ -114,4 +114,18 @@
     meaning: 'The endpoints of the pool limit the requests that they accept, or ask for a pause.',
     remedy: 'Retry after the stated time.',
   },
+  requestMalformed: {
+    number: 9017,
+    status: 400,
+    notRun: true,
+    meaning: 'The path or a header of the request holds characters that HTTP does not allow.',
+    remedy: 'Encode the path, and send headers whose names are tokens.',
+  },
+  fault: {
+    number: 9018,
+    status: 500,
+    notRun: 'unknown',
+    meaning: 'An unexpected exception ended the request.',
+    remedy: 'Retry if the request is idempotent, and report it.',
+  },
 });
--- a/packages/gateway/src/lib/endpointInTrouble.test.ts
+++ b/packages/gateway/src/lib/endpointInTrouble.test.ts
@@ -3,7 +3,7 @@
 import { test, type TestContext } from 'node:test';
 import { SystemTimer } from '@berylwood/base';
 import {
-  PlainWire,
+  createAttemptParts,
   createOutgoingRequest,
   createRawEndpoint,
   type RawEndpoint,
@@ -26,10 +26,7 @@
   return new Promise((resolve) => {
     const listener: AttemptListener = { onHead: () => {}, onData: () => true, onEnd: resolve };
     // eslint-disable-next-line no-new -- the listener receives the result
-    new Attempt(endpoint, createOutgoingRequest(), listener, {
-      wire: new PlainWire(),
-      timer: new SystemTimer(),
-    });
+    new Attempt(endpoint, createOutgoingRequest(), listener, createAttemptParts());
   });
 }
 
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -170,6 +170,12 @@
     meaning: 'An endpoint rejected a request and wants no more from this instance for a time.',
     action: 'none',
   },
+  fault: {
+    number: 9049,
+    level: 'error',
+    meaning: 'An unexpected exception ended one request, attempt or call; others are not affected.',
+    action: 'Report it with the `stack` of the line.',
+  },
   requestHeld: {
     number: 9043,
     level: 'info',
--- a/packages/gateway/src/lib/readBody.ts
+++ b/packages/gateway/src/lib/readBody.ts
@@ -1,5 +1,8 @@
 import type { IncomingMessage } from 'node:http';
 
+/** A complete body, or why there is none. @internal */
+export type ReadBody = Buffer | 'tooLarge' | 'gone';
+
 /**
  * Reads a complete request body. Reports `tooLarge` as soon as the limit is exceeded, and `gone` if
  * the caller closes its connection before the end.
@@ -8,12 +11,12 @@
 export function readBody(
   request: IncomingMessage,
   maxBytes: number,
-  onEnd: (body: Buffer | 'tooLarge' | 'gone') => void,
+  onEnd: (body: ReadBody) => void,
 ): void {
   const chunks: Buffer[] = [];
   let bytes = 0;
   let isOver = false;
-  const end = (result: Buffer | 'tooLarge' | 'gone'): void => {
+  const end = (result: ReadBody): void => {
     if (isOver) return;
     isOver = true;
     onEnd(result);
--- /dev/null
+++ b/packages/gateway/src/lib/spoiledHead.test.ts
@@ -0,0 +1,134 @@
+import assert from 'node:assert/strict';
+import { IncomingMessage, ServerResponse } from 'node:http';
+import { Socket } from 'node:net';
+import { test, type TestContext } from 'node:test';
+import fc from 'fast-check';
+import {
+  createAttemptParts,
+  createOutgoingRequest,
+  createRawEndpoint,
+  type RawEndpoint,
+} from '../fixtures/rawEndpoint';
+import { Attempt, type AttemptEnd, type ResponseHead } from './Attempt';
+import type { Endpoint } from './Endpoint';
+
+const BODY = 'found';
+
+const HEAD = [
+  'HTTP/1.1 200 OK',
+  'Attempt-Id: a-1',
+  'Engine-Signature: 3e1b.07',
+  'Content-Type: text/plain',
+  `Content-Length: ${BODY.length}`,
+  '\r\n',
+].join('\r\n');
+
+/** Time after which an attempt is cancelled, since its response may never be complete, in milliseconds. */
+const PATIENCE_MS = 20;
+
+/** Number of requests that run at the same time, each at an endpoint of its own. */
+const LANES = 32;
+
+interface Outcome {
+  readonly end: AttemptEnd | 'cancelled';
+  readonly head: ResponseHead | undefined;
+}
+
+function send(endpoint: Endpoint): Promise<Outcome> {
+  return new Promise((resolve) => {
+    const parts = createAttemptParts();
+    let head: ResponseHead | undefined;
+    const listener = {
+      onHead: (received: ResponseHead) => {
+        head = received;
+      },
+      onData: () => true,
+      onEnd: (end: AttemptEnd) => resolve({ end, head }),
+    };
+    const attempt = new Attempt(endpoint, createOutgoingRequest(), listener, parts);
+    parts.timer.after(PATIENCE_MS, () => {
+      attempt.cancel();
+      resolve({ end: 'cancelled', head });
+    });
+  });
+}
+
+/** Writes a head to a caller as the relay does; throws if Node.js cannot send it. */
+function writeHead({ status, rawHeaders }: ResponseHead): void {
+  const response = new ServerResponse(new IncomingMessage(new Socket()));
+  const headers = rawHeaders.filter((_, at) => {
+    const name = rawHeaders[at - (at % 2)]?.toLowerCase();
+    return name !== 'content-length' && name !== 'transfer-encoding';
+  });
+  response.writeHead(status, headers);
+}
+
+async function createLanes(t: TestContext, nextBytes: () => Buffer): Promise<RawEndpoint[]> {
+  const lanes = await Promise.all(
+    Array.from({ length: LANES }, () => createRawEndpoint((socket) => socket.write(nextBytes()))),
+  );
+  t.after(() => lanes.forEach(({ close }) => close()));
+  return lanes;
+}
+
+// Guards against a spoiled response of one endpoint that ends the process which relays it.
+test('every byte in every position of a head is relayed or ends the attempt', async (t) => {
+  const whole = Buffer.from(HEAD + BODY);
+  let next = 0;
+  const nextBytes = (): Buffer => {
+    const bytes = Buffer.from(whole);
+    bytes[Math.floor(next / 256)] = next % 256;
+    next += 1;
+    return bytes;
+  };
+  const lanes = await createLanes(t, nextBytes);
+  const count = HEAD.length * 256;
+  let complete = 0;
+  const run = async ({ endpoint }: RawEndpoint): Promise<void> => {
+    while (next < count) {
+      const { end, head } = await send(endpoint);
+      if (head) writeHead(head);
+      if (end !== 'cancelled' && end.type === 'complete') complete += 1;
+    }
+  };
+  await Promise.all(lanes.map(run));
+  // Most bytes of a value may be others without a harm to the form of the head.
+  assert.ok(complete > count / 4, `${complete} of ${count} are complete`);
+});
+
+test('every status and any bytes in place of a response are relayed or end the attempt', async (t) => {
+  let bytes = Buffer.alloc(0);
+  const [lane] = await createLanes(t, () => bytes);
+  const { endpoint } = lane as RawEndpoint;
+  const statuses = fc
+    .integer({ min: 0, max: 999 })
+    .map((status) => HEAD.replace('200', String(status).padStart(3, '0')) + BODY);
+  const names = fc.string({ unit: 'binary', maxLength: 12 });
+  const headers = fc
+    .tuple(names, names)
+    .map(([name, value]) => HEAD.replace('Attempt-Id: a-1', `${name}: ${value}`) + BODY);
+  const texts = fc.oneof(statuses, headers, fc.string({ unit: 'binary' }));
+  const property = fc.asyncProperty(texts, async (text) => {
+    bytes = Buffer.from(text, 'latin1');
+    const { head } = await send(endpoint);
+    if (!head) return;
+    writeHead(head);
+    assert.ok(head.status >= 200 && head.status <= 599);
+  });
+  await fc.assert(property, { numRuns: 1000, seed: 1 });
+});
+
+test('after a spoiled response the next sound one of the same endpoint is relayed', async (t) => {
+  const spoiled = HEAD.replace('Engine-Signature', 'Engine Signature') + BODY;
+  const { endpoint, close } = await createRawEndpoint((socket, count) =>
+    socket.write(count % 2 === 1 ? spoiled : HEAD + BODY),
+  );
+  t.after(close);
+  for (let round = 0; round < 20; round += 1) {
+    const first = await send(endpoint);
+    assert.equal(first.end !== 'cancelled' && first.end.type, 'broken');
+    assert.equal(first.head, undefined);
+    const second = await send(endpoint);
+    assert.equal(second.end !== 'cancelled' && second.end.type, 'complete');
+  }
+});
