Send every response so that a cut one cannot look complete

Of streams with neither a length nor chunks, those that a crashed engine reset ended in order for their callers, who took them for complete.

Cause: the relay passed on that a response had no framing, and closed the connection in order when the attempt broke. Ruled out: the detection of the reset (`Attempt` ended as broken each time) and the engine's own end. Wider than the case: with HTTP/1.0 every cut stream looked complete, whatever its framing, also at the route's timeout, at a planned stop and at a kill. And the reverse: a 204 without a length and a response to HEAD became 502.

Change: the framing towards the caller no longer follows the engine's. HTTP/1.1 gets chunks or the length, so an end without the last chunk is a cut, however it comes. A caller that reads no chunks gets the response once it is complete, with its length, up to 4 MB, or as it arrives if the engine has stated the length; its streams come at their end. Responses without a body are complete at their head.

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -13,6 +13,9 @@
 import { RESPONSE_LIMITS } from './responseLimits';
 import type { ResponseMetadata, Wire } from './Wire';
 
+/** Statuses of responses that never have a body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /** A request as it is sent to an endpoint. @internal */
 export interface OutgoingRequest {
   readonly method: string;
@@ -33,8 +36,8 @@
   readonly rawHeaders: readonly string[];
   readonly metadata: ResponseMetadata;
   readonly isEventStream: boolean;
-  /** Whether the response is framed by Content-Length or Transfer-Encoding, not by a close. */
-  readonly hasLength: boolean;
+  /** Bytes of the body by Content-Length; undefined if it is framed by chunks or ends with the connection. */
+  readonly contentLength: number | undefined;
 }
 
 /**
@@ -216,9 +219,11 @@
     }
     this.endpoint.seen();
     const { statusCode: status = 0, rawHeaders } = answer;
-    const hasTransferEncoding = 'transfer-encoding' in answer.headers;
-    const hasContentLength = 'content-length' in answer.headers;
-    const statesBody = hasTransferEncoding || Number(answer.headers['content-length'] ?? 0) > 0;
+    const isChunked = 'transfer-encoding' in answer.headers;
+    const statedLength = answer.headers['content-length'];
+    const contentLength =
+      statedLength === undefined || isChunked ? undefined : Number(statedLength);
+    const statesBody = isChunked || (contentLength ?? 0) > 0;
     const problem = findResponseProblem({ status, rawHeaders, statesBody });
     if (problem !== undefined) {
       this.abort(`malformed response: ${problem}`);
@@ -236,8 +241,9 @@
     this.endpoint.statements.observe(conditions, this.#outgoing.attempt, this.startedAt);
     const type = answer.headers['content-type'] ?? '';
     const isEventStream = type.startsWith('text/event-stream');
-    const hasLength = hasContentLength || hasTransferEncoding;
-    const head: ResponseHead = { status, rawHeaders, metadata, isEventStream, hasLength };
+    const hasNoBody = this.#outgoing.method === 'HEAD' || BODILESS_STATUSES.has(status);
+    const endsWithConnection = !isChunked && contentLength === undefined && !hasNoBody;
+    const head: ResponseHead = { status, rawHeaders, metadata, isEventStream, contentLength };
     if (metadata.isNotRun || metadata.isMisdirected) {
       this.#discardBody(answer);
       this.#end({ type: 'refused', head });
@@ -252,7 +258,7 @@
     const { socket } = answer;
     this.#on(answer, 'end', () => {
       // The parser also treats a connection reset as the end of a response without a length.
-      const isComplete = answer.complete && (hasLength || socket.readableEnded);
+      const isComplete = answer.complete && (!endsWithConnection || socket.readableEnded);
       if (isComplete) this.#end({ type: 'complete' });
       else this.#endLost('answer cut off');
     });
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -113,7 +113,7 @@
 
   #onData(chunk: Buffer): boolean {
     const answer = this.#relay;
-    const { hasSentEvents: hadSentEvents, forwardedBytes } = answer;
+    const { hasEvents: hadEvents, forwardedBytes } = answer;
     const isWritable = answer.push(chunk);
     if (answer.exceededLimit) {
       this.#attempt?.abort(`the response exceeds ${answer.exceededLimit}`);
@@ -124,7 +124,7 @@
       this.#report.timing.mark(this.#context.timer.now());
       this.#detector?.eventReceived();
     }
-    if (answer.hasSentEvents && !hadSentEvents) {
+    if (answer.hasEvents && !hadEvents) {
       this.#answerBegan();
       this.#attempt?.prefillFinished();
       this.#attempt?.endpoint.executionStarted(this.#parts.resolved.rank, this.#attempt.startedAt);
@@ -283,7 +283,7 @@
     const codeIfRun = code.notRun === true ? gatewayCodes.outcomeUnknown : code;
     if (this.#relay.isHeadSent) {
       this.#lifecycle.send('fail');
-      this.#response.destroy();
+      this.#relay.cut();
       this.#finish(this.#relay.status, codeIfRun.number, reason);
       return;
     }
--- a/packages/gateway/src/lib/ResponseRelay.test.ts
+++ b/packages/gateway/src/lib/ResponseRelay.test.ts
@@ -9,12 +9,17 @@
 function createRelay({ isEventStream }: Pick<ResponseHead, 'isEventStream'>) {
   const written: string[] = [];
   const response = {
+    useChunkedEncodingByDefault: true,
+    req: { method: 'GET' },
     writeHead: () => {},
     write: (bytes: Buffer) => written.push(bytes.toString()) > 0,
   } as unknown as ServerResponse;
   const relay = new ResponseRelay(response, { responseHeaders: () => [] } as unknown as Wire);
   const metadata = {} as ResponseHead['metadata'];
-  relay.setHead({ status: 200, rawHeaders: [], metadata, isEventStream, hasLength: true }, false);
+  relay.setHead(
+    { status: 200, rawHeaders: [], metadata, isEventStream, contentLength: undefined },
+    false,
+  );
   return { relay, written };
 }
 
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -7,12 +7,19 @@
 /** Bytes of a plain response that are buffered; until they are sent, another endpoint can serve it. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
 const MIN_FAILURE_STATUS = 500;
 
 /**
  * Relays an endpoint's response to the caller. Plain responses are buffered until they are complete or
  * exceed the buffer. Streams are forwarded in complete events, and the head with the first event. Until
  * the head is sent, the request can be retried on another endpoint.
+ *
+ * The caller can tell a cut response from a complete one however it ends, even by a kill of this process: it
+ * is sent in chunks or with its length. A caller that reads no chunks gets each response once it is complete,
+ * unless the endpoint has stated the length.
  * @internal
  */
 export class ResponseRelay {
@@ -37,12 +44,16 @@
 
   #closesConnection = false;
 
+  /** Whether the caller's version of HTTP has chunked transfer encoding. */
+  readonly #readsChunks: boolean;
+
   constructor(response: ServerResponse, wire: Wire) {
     this.#response = response;
     this.#wire = wire;
+    this.#readsChunks = response.useChunkedEncodingByDefault;
   }
 
-  /** Bytes of the body that were forwarded to the caller; bytes of an incomplete event are not. */
+  /** Bytes of the body that were accepted for the caller; those of an incomplete event are not. */
   get forwardedBytes(): number {
     return this.#forwardedBytes;
   }
@@ -65,8 +76,9 @@
     return this.status >= MIN_FAILURE_STATUS;
   }
 
-  get hasSentEvents(): boolean {
-    return this.#isHeadSent && this.isEventStream;
+  /** Whether the response has a complete event. */
+  get hasEvents(): boolean {
+    return this.isEventStream && this.#forwardedBytes > 0;
   }
 
   /** Size of the incomplete event that is pending, in bytes. */
@@ -78,6 +90,7 @@
   get exceededLimit(): keyof ResponseLimits | undefined {
     if (this.partialEventBytes > RESPONSE_LIMITS.maxEventBytes) return 'maxEventBytes';
     if (this.#bodyBytes > RESPONSE_LIMITS.maxBodyBytes) return 'maxBodyBytes';
+    if (this.#bufferedBytes > RESPONSE_LIMITS.maxBufferedBytes) return 'maxBufferedBytes';
     return undefined;
   }
 
@@ -98,15 +111,10 @@
   push(chunk: Buffer): boolean {
     if (this.#scanner) {
       const { bytes } = this.#scanner.push(chunk);
-      return bytes.length === 0 || this.#write(bytes);
+      return bytes.length === 0 || this.#accept(bytes, 0);
     }
     this.#bodyBytes += chunk.length;
-    if (this.#isHeadSent) return this.#write(chunk);
-    this.#buffered.push(chunk);
-    this.#bufferedBytes += chunk.length;
-    return (
-      this.#bufferedBytes <= MAX_BUFFERED_BYTES || this.#write(Buffer.concat(this.#takeBuffered()))
-    );
+    return this.#accept(chunk, MAX_BUFFERED_BYTES);
   }
 
   /** Discards buffered data, which another endpoint will send again. */
@@ -114,16 +122,34 @@
     this.#takeBuffered();
     this.#bodyBytes = 0;
     this.#scanner?.dropPartialEvent();
-    if (!this.#isHeadSent) this.#scanner = undefined;
+    if (this.#isHeadSent) return;
+    this.#scanner = undefined;
+    this.#forwardedBytes = 0;
   }
 
+  /** Ends a complete response. */
   finish(): void {
     const body = Buffer.concat(this.#takeBuffered());
-    const isSized = !this.isEventStream && this.#head?.hasLength;
-    if (!this.#isHeadSent) this.#sendHead(isSized ? body.length : undefined);
+    if (!this.#isHeadSent) this.#sendHead(body.length);
     this.#response.end(body);
   }
 
+  /** Ends a response whose head was sent, so that the caller sees that it is incomplete. */
+  cut(): void {
+    this.#response.destroy();
+  }
+
+  /** Sends bytes of the body, or buffers them while there are at most `maxBufferedBytes` of them. */
+  #accept(bytes: Buffer, maxBufferedBytes: number): boolean {
+    this.#forwardedBytes += bytes.length;
+    if (this.#isHeadSent) return this.#response.write(bytes);
+    this.#buffered.push(bytes);
+    this.#bufferedBytes += bytes.length;
+    if (this.#bufferedBytes <= maxBufferedBytes || !this.#canDelimit) return true;
+    this.#sendHead(undefined);
+    return this.#response.write(Buffer.concat(this.#takeBuffered()));
+  }
+
   #takeBuffered(): Buffer[] {
     const buffered = this.#buffered;
     this.#buffered = [];
@@ -131,20 +157,25 @@
     return buffered;
   }
 
-  #write(bytes: Buffer): boolean {
-    if (!this.#isHeadSent) this.#sendHead(undefined);
-    this.#forwardedBytes += bytes.length;
-    return this.#response.write(bytes);
+  /** Whether the caller can tell the end of the body before the response is complete. */
+  get #canDelimit(): boolean {
+    return this.#readsChunks || this.#statedLength !== undefined;
+  }
+
+  /** Bytes of the body as stated; a resumed stream may be longer or shorter than its first endpoint stated. */
+  get #statedLength(): number | undefined {
+    return this.isEventStream ? undefined : this.#head?.contentLength;
   }
 
+  /** @param bodyBytes - size of the body if it is complete. */
   #sendHead(bodyBytes: number | undefined): void {
     const { status = 0, rawHeaders = [] } = this.#head ?? {};
     const headers = this.#wire.responseHeaders(rawHeaders);
-    if (bodyBytes !== undefined) headers.push('Content-Length', String(bodyBytes));
-    const isUnframed = this.#head?.hasLength === false;
-    if (this.#closesConnection || isUnframed) headers.push('Connection', 'close');
-    // The end of such a response is not marked, so it is forwarded without chunked encoding as well.
-    if (isUnframed) this.#response.useChunkedEncodingByDefault = false;
+    const hasBody = status !== NO_CONTENT && status !== NOT_MODIFIED;
+    const isHead = this.#response.req.method === 'HEAD';
+    const length = isHead ? this.#statedLength : (bodyBytes ?? this.#statedLength);
+    if (hasBody && length !== undefined) headers.push('Content-Length', String(length));
+    if (this.#closesConnection) headers.push('Connection', 'close');
     this.#isHeadSent = true;
     this.#response.writeHead(status, headers);
   }
--- a/packages/gateway/src/lib/responseLimits.ts
+++ b/packages/gateway/src/lib/responseLimits.ts
@@ -10,6 +10,8 @@
   readonly maxEventBytes: number;
   /** Bytes of a response that is not a stream of events. */
   readonly maxBodyBytes: number;
+  /** Bytes that are buffered for a caller who can read the response only with its length. */
+  readonly maxBufferedBytes: number;
   /** Bytes of the body of a rejection, which are discarded so that the connection can be reused. */
   readonly maxDiscardedBytes: number;
   /** Time for discarding the body of a rejection, in milliseconds. */
@@ -21,6 +23,7 @@
   maxHeadBytes: 64 * 1024,
   maxEventBytes: 1024 * 1024,
   maxBodyBytes: 64 * 1024 * 1024,
+  maxBufferedBytes: 4 * 1024 * 1024,
   maxDiscardedBytes: 16 * 1024,
   maxDiscardMs: 250,
 };
