Reject a caller's request that cannot be forwarded

Seen: by hand in the review, no script: a blank in a header's name or a tab in the path of a caller's request ended the process.

Change: such a request is rejected with 400 (`requestMalformed`, 9017), and its connection closed, since what follows it may belong to its body.

--- a/packages/gateway/src/lib/resolveRequest.ts
+++ b/packages/gateway/src/lib/resolveRequest.ts
@@ -2,6 +2,7 @@
 import { fail, type Failure } from '@berylwood/base';
 import { ok, type Result } from 'neverthrow';
 import { gatewayCodes } from './codes';
+import { findRequestProblem } from './findRequestProblem';
 import type { GatewayContext } from './GatewayContext';
 import type { PoolName } from './ids';
 import type { Route, Workspace } from './RoutingConfiguration';
@@ -25,6 +26,8 @@
   context: GatewayContext,
   request: IncomingMessage,
 ): Result<ResolvedRequest, Failure> {
+  const problem = findRequestProblem(request);
+  if (problem !== undefined) return fail(gatewayCodes.requestMalformed, problem);
   if (context.isRejecting()) return fail(gatewayCodes.stopping, 'the instance is stopping');
   const table = context.table();
   if (!table) return fail(gatewayCodes.unconfigured, 'no configuration is in force');
--- a/packages/gateway/src/lib/sendFailure.ts
+++ b/packages/gateway/src/lib/sendFailure.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import type { Failure } from '@berylwood/base';
+import { gatewayCodes } from './codes';
 
 const SECOND_MS = 1000;
 
@@ -14,7 +15,9 @@
   const body = JSON.stringify({ error });
   const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
   if (retryMs !== undefined) headers.push('Retry-After', (retryMs / SECOND_MS).toFixed(3));
-  if (closesConnection) headers.push('Connection', 'close');
+  // What follows a malformed request may belong to its body.
+  const isMalformed = code === gatewayCodes.requestMalformed;
+  if (closesConnection || isMalformed) headers.push('Connection', 'close');
   response.writeHead(code.status, headers);
   response.end(body);
 }
