--- a/packages/gateway/src/lib/CallerServer.ts
+++ b/packages/gateway/src/lib/CallerServer.ts
@@ -3,6 +3,7 @@
 import type { GatewayContext } from './GatewayContext';
 import { HttpListener } from './HttpListener';
 import type { CallerLimits } from './RoutingConfiguration';
+import { toServerTimeoutMs } from './toServerTimeoutMs';
 
 /**
  * Maximum size of headers, in bytes. It is fixed before a configuration is loaded, so a configuration
@@ -48,8 +49,8 @@
   }
 
   applyLimits({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
-    this.server.headersTimeout = headerTimeoutMs;
-    this.server.keepAliveTimeout = idleTimeoutMs;
+    this.server.headersTimeout = toServerTimeoutMs(headerTimeoutMs);
+    this.server.keepAliveTimeout = toServerTimeoutMs(idleTimeoutMs);
   }
 
   closeIdleConnections(): void {
--- a/packages/gateway/src/lib/OperatorServer.ts
+++ b/packages/gateway/src/lib/OperatorServer.ts
@@ -1,12 +1,14 @@
+import { isUtf8 } from 'node:buffer';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
-import { Failure, type Journal } from '@berylwood/base';
+import { Failure, fail, type Journal } from '@berylwood/base';
 import type { Mesh } from '@berylwood/registry';
 import { gatewayEvents } from './events';
 import { gatewayCodes } from './codes';
 import type { FaultLog } from './FaultLog';
 import { HttpListener } from './HttpListener';
 import { readBody } from './readBody';
+import type { RoutingConfiguration } from './RoutingConfiguration';
 import { sendFailure } from './sendFailure';
 import type { Wire } from './Wire';
 
@@ -67,7 +69,9 @@
 
   async #configure(body: Buffer, response: ServerResponse): Promise<void> {
     const { wire, mesh } = this.#options;
-    const decoded = wire.decodeConfiguration(body.toString('utf8'));
+    const decoded = isUtf8(body)
+      ? wire.decodeConfiguration(body.toString('utf8'))
+      : fail<RoutingConfiguration>(gatewayCodes.configurationInvalid, 'the body is not UTF-8');
     if (decoded.isErr()) {
       this.#logCall('refused', undefined, decoded.error.message);
       sendFailure(response, decoded.error, undefined, false);
