Forward nothing from a stream that is not one of its events

Cause: `EventScanner` took any bytes up to a blank line for an event and any text after `id:` for an id. A foreign block reached the caller as a piece; if the stream then broke, its id went unchecked into the header of the resumed request, which throws.

Change: a block is an event only if it is UTF-8 without control characters, all its lines are fields or comments, it has data and exactly one id, a number above the last one. Anything else ends the attempt as broken, the stream resumes after the last sound event, or is cut. An event directly before foreign bytes, in the same read, is not forwarded either, as they may have begun inside it. Empty blocks and comments are dropped. What cannot be told: text that keeps the form of the event that it falls into.

--- a/packages/gateway/src/lib/EventScanner.ts
+++ b/packages/gateway/src/lib/EventScanner.ts
@@ -1,3 +1,5 @@
+import { decodeEvent } from './decodeEvent';
+
 /** Complete events found in the received bytes of a stream. @internal */
 export interface ScannedEvents {
   /** Bytes of the complete events, in order; empty if there are none. */
@@ -18,8 +20,9 @@
 
 /**
  * Splits a stream of server-sent events into complete events, so that a caller never receives part of an
- * event that the endpoint did not finish. Events that a resumed stream repeats are dropped. The cost is
- * linear in the bytes received, however an endpoint splits an event.
+ * event that the endpoint did not finish. Events that a resumed stream repeats are dropped. Nothing is read
+ * after a block that is no event, or whose id does not increase. The cost is linear in the bytes received,
+ * however an endpoint splits an event.
  * @internal
  */
 export class EventScanner {
@@ -28,7 +31,17 @@
 
   #partialBytes = 0;
 
-  #lastId: string | undefined;
+  #lastId: number | undefined;
+
+  /** Whether the stream may still repeat events that were forwarded before it was resumed. */
+  #mayRepeat = false;
+
+  #problem: string | undefined;
+
+  /** Why the stream holds bytes that are no part of it; undefined if it does not. */
+  get problem(): string | undefined {
+    return this.#problem;
+  }
 
   /** Size of the incomplete event, in bytes. */
   get partialEventBytes(): number {
@@ -36,34 +49,55 @@
   }
 
   get lastId(): string | undefined {
-    return this.#lastId;
+    return this.#lastId === undefined ? undefined : String(this.#lastId);
   }
 
-  /** Discards the incomplete event, since another endpoint sends it again. */
-  dropPartialEvent(): void {
+  /** Starts to read the stream of another endpoint, which sends the incomplete event again. */
+  resume(): void {
+    this.#dropPartialEvent();
+    this.#problem = undefined;
+    this.#mayRepeat = true;
+  }
+
+  #dropPartialEvent(): void {
     this.#buffer = EMPTY;
     this.#partialBytes = 0;
   }
 
   push(chunk: Buffer): ScannedEvents {
+    if (this.#problem !== undefined) return { bytes: EMPTY, lastId: this.lastId };
     let searchFrom = Math.max(0, this.#partialBytes - MAX_OVERLAP_BYTES);
     const bytes = this.#partialBytes > 0 ? this.#append(chunk) : chunk;
     const parts: Buffer[] = [];
+    let idBeforeLast: number | undefined;
     let from = 0;
-    for (let end = findEnd(bytes, searchFrom); end > 0; end = findEnd(bytes, searchFrom)) {
+    for (
+      let end = findEnd(bytes, searchFrom);
+      end > 0 && this.#problem === undefined;
+      end = findEnd(bytes, searchFrom)
+    ) {
       const event = bytes.subarray(from, end);
+      const idBefore = this.#lastId;
       from = end;
       searchFrom = end;
-      if (!this.#isRepeated(event)) parts.push(event);
+      if (this.#isNext(event)) {
+        parts.push(event);
+        idBeforeLast = idBefore;
+      }
+    }
+    // Foreign bytes right after an event may have begun inside it.
+    if (this.#problem !== undefined && parts.length > 0) {
+      parts.pop();
+      this.#lastId = idBeforeLast;
     }
     // The caller may still read the complete events from the buffer, so the rest moves to another one.
     if (from > 0 || bytes === chunk) this.#keep(bytes.subarray(from));
     const whole = parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts);
-    return { bytes: whole, lastId: this.#lastId };
+    return { bytes: whole, lastId: this.lastId };
   }
 
   #keep(rest: Buffer): void {
-    this.dropPartialEvent();
+    this.#dropPartialEvent();
     if (rest.length > 0) this.#append(rest);
   }
 
@@ -80,12 +114,20 @@
     return this.#buffer.subarray(0, bytes);
   }
 
-  #isRepeated(event: Buffer): boolean {
-    const id = readId(event);
-    if (id === undefined) return false;
-    const isOld = this.#lastId !== undefined && Number(id) <= Number(this.#lastId);
-    if (!isOld) this.#lastId = id;
-    return isOld;
+  /** Whether a block is the next event to forward; records a problem if it is no event at all. */
+  #isNext(block: Buffer): boolean {
+    const event = decodeEvent(block);
+    if (event.type === 'empty') return false;
+    if (event.type === 'malformed') {
+      this.#problem = event.reason;
+      return false;
+    }
+    const isNew = this.#lastId === undefined || event.id > this.#lastId;
+    if (isNew) {
+      this.#lastId = event.id;
+      this.#mayRepeat = false;
+    } else if (!this.#mayRepeat) this.#problem = `id ${event.id} after ${this.#lastId}`;
+    return isNew;
   }
 }
 
@@ -97,8 +139,3 @@
   }
   return 0;
 }
-
-function readId(event: Buffer): string | undefined {
-  const match = /^id: ?([^\r\n]*)/m.exec(event.toString('latin1'));
-  return match?.[1];
-}
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -115,10 +115,7 @@
     const answer = this.#relay;
     const { hasEvents: hadEvents, forwardedBytes } = answer;
     const isWritable = answer.push(chunk);
-    if (answer.exceededLimit) {
-      this.#attempt?.abort(`the response exceeds ${answer.exceededLimit}`);
-      return false;
-    }
+    const problem = answer.exceededLimit ?? answer.streamProblem;
     // Bytes of an incomplete event are no progress.
     if (answer.forwardedBytes > forwardedBytes) {
       this.#report.timing.mark(this.#context.timer.now());
@@ -130,6 +127,8 @@
       this.#attempt?.endpoint.executionStarted(this.#parts.resolved.rank, this.#attempt.startedAt);
     }
     if (answer.isHeadSent && this.#lifecycle.can('answer')) this.#lifecycle.send('answer');
+    // The events before it are sound and were forwarded.
+    if (problem !== undefined) this.#attempt?.abort(`malformed response: ${problem}`);
     return isWritable;
   }
 
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -86,6 +86,11 @@
     return this.#scanner?.partialEventBytes ?? 0;
   }
 
+  /** Why the stream holds bytes that are no part of it, if it does. */
+  get streamProblem(): string | undefined {
+    return this.#scanner?.problem;
+  }
+
   /** Limit that the response exceeds, if any. */
   get exceededLimit(): keyof ResponseLimits | undefined {
     if (this.partialEventBytes > RESPONSE_LIMITS.maxEventBytes) return 'maxEventBytes';
@@ -121,7 +126,7 @@
   reset(): void {
     this.#takeBuffered();
     this.#bodyBytes = 0;
-    this.#scanner?.dropPartialEvent();
+    this.#scanner?.resume();
     if (this.#isHeadSent) return;
     this.#scanner = undefined;
     this.#forwardedBytes = 0;
