Treat a success without a signature as no answer of the endpoint

An engine spoiled one byte of the name `Engine-Signature`, and the caller got 200 without a signature.

Cause: nothing read the signature; whatever the parser took for a response was passed on. Ruled out by reading: the relay drops no header of that name.

Change: the wire says whether a response is authentic, which for the platform means that a 2xx bears a signature. One that does not ends its attempt as broken, before anything else in it is believed, and is repeated where that is allowed.

--- a/packages/gateway/src/lib/Attempt.test.ts
+++ b/packages/gateway/src/lib/Attempt.test.ts
@@ -63,3 +63,14 @@
   assert.equal(end.type, 'broken');
   close();
 });
+
+// Guards against a success without a signature that reaches the caller.
+test('a response that its endpoint has not signed is broken', async () => {
+  const { endpoint, close } = await createRawEndpoint((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\nNot-Signed: 1\r\nContent-Length: 2\r\n\r\nok');
+  });
+  const { end, head } = await send(endpoint);
+  assert.equal(end.type, 'broken');
+  assert.equal(head, undefined);
+  close();
+});
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -234,6 +234,10 @@
       this.abort('response belongs to another request');
       return;
     }
+    if (!metadata.isAuthentic) {
+      this.abort('malformed response: no signature');
+      return;
+    }
     this.#response = answer;
     this.#request.idleMs = metadata.closesConnection ? 0 : usableIdleMs(metadata.keepAliveMs);
     if (metadata.load) this.endpoint.observeLoad(metadata.load);
--- a/packages/gateway/src/lib/Wire.ts
+++ b/packages/gateway/src/lib/Wire.ts
@@ -67,6 +67,8 @@
   readonly isNotRun: boolean;
   /** Whether the response comes from an incarnation other than the expected one. */
   readonly isMisdirected: boolean;
+  /** Whether the response bears what shows that the endpoint has made it, as far as that is required. */
+  readonly isAuthentic: boolean;
   readonly load: ReportedLoad | undefined;
   readonly conditions: StatedConditions;
   /** Time for which the endpoint keeps an idle connection open, in milliseconds. */
