Tell blank lines at the end of a stream from an incomplete event

Cause: found in reading the diff. A stream that ends with more blank lines than one left a byte in the scanner, and counted as ended within an event.

--- a/packages/gateway/src/lib/EventScanner.test.ts
+++ b/packages/gateway/src/lib/EventScanner.test.ts
@@ -137,3 +137,11 @@
   scanner.push(Buffer.from(event(1)));
   assert.match(scanner.problem ?? '', /id 1 after 3/);
 });
+
+test('blank lines at the end of a stream are no incomplete event', () => {
+  const scanner = new EventScanner();
+  scanner.push(Buffer.from(`${event(1)}\r\n`));
+  assert.equal(scanner.hasPartialEvent, false);
+  scanner.push(Buffer.from('i'));
+  assert.equal(scanner.hasPartialEvent, true);
+});
--- a/packages/gateway/src/lib/EventScanner.ts
+++ b/packages/gateway/src/lib/EventScanner.ts
@@ -48,6 +48,12 @@
     return this.#partialBytes;
   }
 
+  /** Whether there is an incomplete event; the ends of lines after an event are none. */
+  get hasPartialEvent(): boolean {
+    const partial = this.#buffer.subarray(0, this.#partialBytes);
+    return partial.some((byte) => byte !== LINE_FEED && byte !== CARRIAGE_RETURN);
+  }
+
   get lastId(): string | undefined {
     return this.#lastId === undefined ? undefined : String(this.#lastId);
   }
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -115,7 +115,6 @@
     const answer = this.#relay;
     const { hasEvents: hadEvents, forwardedBytes } = answer;
     const isWritable = answer.push(chunk);
-    const problem = answer.exceededLimit ?? answer.streamProblem;
     // Bytes of an incomplete event are no progress.
     if (answer.forwardedBytes > forwardedBytes) {
       this.#report.timing.mark(this.#context.timer.now());
@@ -128,7 +127,7 @@
     }
     if (answer.isHeadSent && this.#lifecycle.can('answer')) this.#lifecycle.send('answer');
     // The events before it are sound and were forwarded.
-    if (problem !== undefined) this.#attempt?.abort(`malformed response: ${problem}`);
+    if (answer.problem !== undefined) this.#attempt?.abort(answer.problem);
     return isWritable;
   }
 
@@ -231,7 +230,7 @@
 
   #onComplete(): void {
     const answer = this.#relay;
-    if (answer.isEventStream && answer.partialEventBytes > 0) {
+    if (answer.endsInsideEvent) {
       const reason = 'stream ended within an event';
       this.#onEnd({ type: 'broken', reason, isConnectionLost: true });
       return;
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -86,9 +86,16 @@
     return this.#scanner?.partialEventBytes ?? 0;
   }
 
-  /** Why the stream holds bytes that are no part of it, if it does. */
-  get streamProblem(): string | undefined {
-    return this.#scanner?.problem;
+  /** Whether the response so far ends inside an event. */
+  get endsInsideEvent(): boolean {
+    return this.#scanner?.hasPartialEvent ?? false;
+  }
+
+  /** Why the rest of the response cannot be relayed; undefined if it can. */
+  get problem(): string | undefined {
+    if (this.exceededLimit) return `the response exceeds ${this.exceededLimit}`;
+    const problem = this.#scanner?.problem;
+    return problem === undefined ? undefined : `malformed response: ${problem}`;
   }
 
   /** Limit that the response exceeds, if any. */
