--- a/packages/gateway/src/lib/leaveRegistry.ts
+++ b/packages/gateway/src/lib/leaveRegistry.ts
@@ -26,6 +26,8 @@
  */
 export async function leaveRegistry(options: LeaveOptions): Promise<void> {
   const { registry, mesh, timer, journal, graceMs } = options;
+  const canHandOver = (): boolean =>
+    registry.canHandVoteOver((address) => mesh.isConnected(address));
   const endsAt = timer.now() + Math.min(HAND_OVER_TIMEOUT_MS, graceMs * HAND_OVER_SHARE);
   mesh.leave();
   do {
@@ -34,7 +36,7 @@
       journal.record(gatewayEvents.handOverFailed, { error: String(error) });
     });
     await timer.sleep(POLL_INTERVAL_MS);
-  } while (registry.canHandVoteOver && timer.now() < endsAt);
-  const hasVote = registry.canHandVoteOver;
+  } while (canHandOver() && timer.now() < endsAt);
+  const hasVote = canHandOver();
   journal.record(gatewayEvents.registryLeft, { hasVote, members: registry.members });
 }
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -103,6 +103,11 @@
     return [...this.#addressBook.dialTargets];
   }
 
+  /** Whether this instance has a link to the replica at an address. */
+  isConnected(address: string): boolean {
+    return this.#peers.isConnected(address);
+  }
+
   /** Accepts links of other instances on the server's port; call before it listens. */
   serve(server: LinkServer): void {
     const { timer, journal } = this.#options;
--- a/packages/registry/src/lib/Peers.ts
+++ b/packages/registry/src/lib/Peers.ts
@@ -62,6 +62,10 @@
     return leader;
   }
 
+  isConnected(address: string): boolean {
+    return this.#peers.get(address)?.dialer.link !== undefined;
+  }
+
   /** Open links. */
   get links(): Link<DialerMessage, AcceptorMessage>[] {
     return [...this.#peers.values()].flatMap(({ dialer }) => dialer.link ?? []);
--- a/packages/registry/src/lib/Registry.ts
+++ b/packages/registry/src/lib/Registry.ts
@@ -11,6 +11,7 @@
 } from '@berylwood/consensus';
 import { Unpackr } from 'msgpackr';
 import { err, ok, type Result } from 'neverthrow';
+import { canHandVoteOver } from './canHandVoteOver';
 import { registryCodes } from './codes';
 import { ConfigurationCache } from './ConfigurationCache';
 import { registryEvents } from './events';
@@ -198,12 +199,12 @@
     if (isLeaving) this.#checkReplica();
   }
 
-  /** Whether a stop of this replica should wait: it votes, and another member could vote in its place. */
-  get canHandVoteOver(): boolean {
-    const { identity, settledMembership } = this.#replica?.status ?? {};
-    const members = settledMembership?.members ?? [];
-    const own = members.find(({ incarnation }) => incarnation === identity?.incarnation);
-    return own?.kind === 'voter' && members.some(({ kind }) => kind !== 'voter');
+  /** Whether a stop should wait until another replica has this one's vote. */
+  canHandVoteOver(isConnected: (address: string) => boolean): boolean {
+    const status = this.#replica?.status;
+    if (!status) return false;
+    const { identity, settledMembership } = status;
+    return canHandVoteOver(settledMembership.members, identity.incarnation, isConnected);
   }
 
   /** Transfers leadership to another replica before a planned stop. */
--- /dev/null
+++ b/packages/registry/src/lib/canHandVoteOver.ts
@@ -0,0 +1,15 @@
+import type { Incarnation, Member } from '@berylwood/consensus';
+
+/**
+ * Whether a replica that stops should wait until another one has its vote: it is a voter, and a member without a
+ * vote is connected.
+ * @internal
+ */
+export function canHandVoteOver(
+  members: readonly Member[],
+  own: Incarnation,
+  isConnected: (address: string) => boolean,
+): boolean {
+  const isVoter = members.some(({ incarnation, kind }) => incarnation === own && kind === 'voter');
+  return isVoter && members.some(({ kind, address }) => kind !== 'voter' && isConnected(address));
+}
