Give no vote to a learner that has not replied to this leader

A leader that had just been elected gave the vote of a lost replica first to a learner that had been gone for seconds, and lost 1.4 s by it; the next loss came when the successor had had its time.

Cause: the silence of a member without a reply is counted from the leader's election, so one that is gone looks present for a second.

Change: only a learner that has replied to this leader is a candidate; all reply within a heartbeat.

--- a/packages/consensus/src/lib/MembershipKeeper.ts
+++ b/packages/consensus/src/lib/MembershipKeeper.ts
@@ -75,13 +75,17 @@
     for (const [name, until] of this.#leavingUntil) {
       if (until <= now) this.#leavingUntil.delete(name);
     }
-    return membership.members.map((member) => ({
-      ...member,
-      silenceMs: replica.silenceMs(member.incarnation) ?? now - this.#leaderSince,
-      // A leader hands its leadership over first, and keeps its vote if it cannot.
-      isLeaving:
-        member.incarnation !== identity.incarnation && this.#leavingUntil.has(member.replica),
-    }));
+    return membership.members.map((member) => {
+      const silenceMs = replica.silenceMs(member.incarnation);
+      const isSelf = member.incarnation === identity.incarnation;
+      return {
+        ...member,
+        silenceMs: silenceMs ?? now - this.#leaderSince,
+        hasReplied: silenceMs !== undefined,
+        // A leader hands its leadership over first, and keeps its vote if it cannot.
+        isLeaving: !isSelf && this.#leavingUntil.has(member.replica),
+      };
+    });
   }
 
   #change(step: MembershipStep, members: readonly MemberHealth[]): void {
--- a/packages/consensus/src/lib/planMembership.test.ts
+++ b/packages/consensus/src/lib/planMembership.test.ts
@@ -7,7 +7,7 @@
 const LIMITS = { replaceAfterMs: 3000, removeAfterMs: 60_000 };
 
 function member(name: string, kind: MemberKind = 'voter', silenceMs = 0): MemberHealth {
-  return { replica: createReplicaName(name), kind, silenceMs, isLeaving: false };
+  return { replica: createReplicaName(name), kind, silenceMs, hasReplied: true, isLeaving: false };
 }
 
 test('learners become voters up to the target', () => {
@@ -67,3 +67,12 @@
   const after = [...members, member('e')];
   assert.deepEqual(planMembership(after, 3, LIMITS), { replica: 'a', change: 'demote' });
 });
+
+// Guards against a new leader that gives a vote to a learner that has been gone for long.
+test('a learner that has not replied to this leader gets no vote', () => {
+  const gone = { ...member('d', 'learner', 500), hasReplied: false };
+  const members = [member('a'), member('b'), member('c', 'voter', 9000), gone];
+  assert.equal(planMembership(members, 3, LIMITS), undefined);
+  const withLearner = [...members, member('e', 'learner')];
+  assert.deepEqual(planMembership(withLearner, 3, LIMITS), { replica: 'e', change: 'promote' });
+});
--- a/packages/consensus/src/lib/planMembership.ts
+++ b/packages/consensus/src/lib/planMembership.ts
@@ -7,6 +7,8 @@
   readonly kind: MemberKind;
   /** Time since its last reply, or since the leader started to wait for one, in milliseconds. */
   readonly silenceMs: number;
+  /** Whether it has replied to this leader; without a reply it may be gone for long. */
+  readonly hasReplied: boolean;
   /** Whether it has said that it is about to stop. */
   readonly isLeaving: boolean;
 }
@@ -47,7 +49,7 @@
   const learners = members.filter(({ kind }) => kind === 'learner');
   const gone = voters.find(isGone);
   if (gone && voters.length > target) return { replica: gone.replica, change: 'demote' };
-  const candidate = learners.find((member) => !isGone(member));
+  const candidate = learners.find((member) => member.hasReplied && !isGone(member));
   if (candidate && (voters.length < target || gone)) {
     return { replica: candidate.replica, change: 'promote' };
   }
