Frame no plain response whose end its endpoint has not marked

An engine breaks off an answer without framing in order, and the caller got it with a length.

Ruled out: a reset that was not noticed.

Change: a plain response that ends with the engine's connection is held until its end and sent in the same form; a broken one is not sent at all, so a cut still can't look complete. Streams keep their chunks: where they end between events, their events say so.

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -38,6 +38,8 @@
   readonly isEventStream: boolean;
   /** Bytes of the body by Content-Length; undefined if it is framed by chunks or ends with the connection. */
   readonly contentLength: number | undefined;
+  /** Whether only the end of the connection ends the body, so that nothing shows whether it is complete. */
+  readonly endsWithConnection: boolean;
 }
 
 /**
@@ -247,7 +249,8 @@
     const isEventStream = type.startsWith('text/event-stream');
     const hasNoBody = this.#outgoing.method === 'HEAD' || BODILESS_STATUSES.has(status);
     const endsWithConnection = !isChunked && contentLength === undefined && !hasNoBody;
-    const head: ResponseHead = { status, rawHeaders, metadata, isEventStream, contentLength };
+    const framing = { contentLength, endsWithConnection };
+    const head: ResponseHead = { status, rawHeaders, metadata, isEventStream, ...framing };
     if (metadata.isNotRun || metadata.isMisdirected) {
       this.#discardBody(answer);
       this.#end({ type: 'refused', head });
--- a/packages/gateway/src/lib/ResponseRelay.test.ts
+++ b/packages/gateway/src/lib/ResponseRelay.test.ts
@@ -17,7 +17,14 @@
   const relay = new ResponseRelay(response, { responseHeaders: () => [] } as unknown as Wire);
   const metadata = {} as ResponseHead['metadata'];
   relay.setHead(
-    { status: 200, rawHeaders: [], metadata, isEventStream, contentLength: undefined },
+    {
+      status: 200,
+      rawHeaders: [],
+      metadata,
+      isEventStream,
+      contentLength: undefined,
+      endsWithConnection: false,
+    },
     false,
   );
   return { relay, written };
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -19,7 +19,8 @@
  *
  * The caller can tell a cut response from a complete one however it ends, even by a kill of this process: it
  * is sent in chunks or with its length. A caller that reads no chunks gets each response once it is complete,
- * unless the endpoint has stated the length.
+ * unless the endpoint has stated the length. A plain response that ends with the endpoint's connection is sent at
+ * its end, and in the same form: this process can't vouch for more than the endpoint did.
  * @internal
  */
 export class ResponseRelay {
@@ -171,9 +172,15 @@
 
   /** Whether the caller can tell the end of the body before the response is complete. */
   get #canDelimit(): boolean {
+    if (this.#isUnframed) return false;
     return this.#readsChunks || this.#statedLength !== undefined;
   }
 
+  /** Whether nothing shows that the body is complete; the end of a stream shows it by its events. */
+  get #isUnframed(): boolean {
+    return !this.isEventStream && (this.#head?.endsWithConnection ?? false);
+  }
+
   /** Bytes of the body as stated; a resumed stream may be longer or shorter than its first endpoint stated. */
   get #statedLength(): number | undefined {
     return this.isEventStream ? undefined : this.#head?.contentLength;
@@ -186,8 +193,9 @@
     const hasBody = status !== NO_CONTENT && status !== NOT_MODIFIED;
     const isHead = this.#response.req.method === 'HEAD';
     const length = isHead ? this.#statedLength : (bodyBytes ?? this.#statedLength);
-    if (hasBody && length !== undefined) headers.push('Content-Length', String(length));
-    if (this.#closesConnection) headers.push('Connection', 'close');
+    if (this.#isUnframed) this.#response.useChunkedEncodingByDefault = false;
+    else if (hasBody && length !== undefined) headers.push('Content-Length', String(length));
+    if (this.#closesConnection || this.#isUnframed) headers.push('Connection', 'close');
     this.#isHeadSent = true;
     this.#response.writeHead(status, headers);
   }
