Tell a reset that arrives together with data from an orderly end

Cause: the event loop reports the end of a connection when data and a reset arrive in one wake-up, as they do more often under load, so `readableEnded` is true after a reset. Ruled out: the relay towards the caller (the attempt itself had ended as complete).

Change: when the socket of a response without a length ends, a connection that has no peer any more was reset.

--- a/packages/gateway/src/lib/Attempt.test.ts
+++ b/packages/gateway/src/lib/Attempt.test.ts
@@ -74,3 +74,16 @@
   assert.equal(head, undefined);
   close();
 });
+
+// Guards against a reset that arrives together with data and looks like an orderly end.
+test('a response without a length is broken when data and a reset arrive together', async () => {
+  const { endpoint, close } = await createRawEndpoint((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
+    socket.resetAndDestroy();
+  });
+  for (let round = 0; round < 50; round += 1) {
+    const { end } = await send(endpoint);
+    assert.equal(end.type, 'broken', `round ${round}`);
+  }
+  close();
+});
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -68,6 +68,18 @@
   onEnd(end: AttemptEnd): void;
 }
 
+/**
+ * Returns a function that tells, once the socket has ended, whether the connection was reset: a reset that arrives
+ * together with data is reported as an orderly end, but leaves no peer.
+ */
+function detectReset(socket: Socket): () => boolean {
+  let wasReset = false;
+  socket.prependOnceListener('end', () => {
+    wasReset = !socket.destroyed && socket.remoteAddress === undefined;
+  });
+  return () => wasReset;
+}
+
 /** One attempt to have a request served by one endpoint. @internal */
 export class Attempt {
   readonly endpoint: Endpoint;
@@ -263,9 +275,11 @@
       if (!this.#listener.onData(chunk)) answer.pause();
     });
     const { socket } = answer;
+    const wasReset = detectReset(socket);
     this.#on(answer, 'end', () => {
       // The parser also treats a connection reset as the end of a response without a length.
-      const isComplete = answer.complete && (!endsWithConnection || socket.readableEnded);
+      const hasEnded = socket.readableEnded && !wasReset();
+      const isComplete = answer.complete && (!endsWithConnection || hasEnded);
       if (isComplete) this.#end({ type: 'complete' });
       else this.#endLost('answer cut off');
     });
