Keep one copy of what was written twice, and no name of the platform in the gateway

Two constants bounded quotations for the log, three places knew which statuses have no body, and a test of the gateway used headers of the platform, which belongs to `platform/`.

Change: `quoteForLog` and `bodilessStatuses`, each in a file of its own, and neutral header names in spoiledHead.test. No decision changed.

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import type { Timer } from '@berylwood/base';
 import { splitAddress } from '@berylwood/link';
+import { bodilessStatuses } from './bodilessStatuses';
 import type { Endpoint } from './Endpoint';
 import { usableIdleMs } from './createEndpointAgent';
 import { FaultBoundary } from './FaultBoundary';
@@ -13,9 +14,6 @@
 import { RESPONSE_LIMITS } from './responseLimits';
 import type { ResponseMetadata, Wire } from './Wire';
 
-/** Statuses of responses that never have a body. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** A request as it is sent to an endpoint. @internal */
 export interface OutgoingRequest {
   readonly method: string;
@@ -259,7 +257,7 @@
     this.endpoint.statements.observe(conditions, this.#outgoing.attempt, this.startedAt);
     const type = answer.headers['content-type'] ?? '';
     const isEventStream = type.startsWith('text/event-stream');
-    const hasNoBody = this.#outgoing.method === 'HEAD' || BODILESS_STATUSES.has(status);
+    const hasNoBody = this.#outgoing.method === 'HEAD' || bodilessStatuses.has(status);
     const endsWithConnection = !isChunked && contentLength === undefined && !hasNoBody;
     const framing = { contentLength, endsWithConnection };
     const head: ResponseHead = { status, rawHeaders, metadata, isEventStream, ...framing };
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import type { ResponseHead } from './Attempt';
+import { bodilessStatuses } from './bodilessStatuses';
 import { EventScanner } from './EventScanner';
 import { RESPONSE_LIMITS, type ResponseLimits } from './responseLimits';
 import type { Wire } from './Wire';
@@ -7,9 +8,6 @@
 /** Bytes of a plain response that are buffered; until they are sent, another endpoint can serve it. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
-
 const MIN_FAILURE_STATUS = 500;
 
 /**
@@ -190,7 +188,7 @@
   #sendHead(bodyBytes: number | undefined): void {
     const { status = 0, rawHeaders = [] } = this.#head ?? {};
     const headers = this.#wire.responseHeaders(rawHeaders);
-    const hasBody = status !== NO_CONTENT && status !== NOT_MODIFIED;
+    const hasBody = !bodilessStatuses.has(status);
     const isHead = this.#response.req.method === 'HEAD';
     const length = isHead ? this.#statedLength : (bodyBytes ?? this.#statedLength);
     if (this.#isUnframed) this.#response.useChunkedEncodingByDefault = false;
--- a/packages/gateway/src/lib/findResponseProblem.ts
+++ b/packages/gateway/src/lib/findResponseProblem.ts
@@ -1,9 +1,7 @@
 import { findMalformedHeader } from './findMalformedHeader';
+import { quoteForLog } from './quoteForLog';
 import type { RawHeaders } from './Wire';
 
-/** Longest part of a response that is quoted in a log line, in characters. */
-const MAX_QUOTED_LENGTH = 80;
-
 const MIN_STATUS = 200;
 const MAX_STATUS = 599;
 const NO_CONTENT = 204;
@@ -26,5 +24,5 @@
   if (status < MIN_STATUS || status > MAX_STATUS) return `status ${status}`;
   if (status === NO_CONTENT && statesBody) return 'status 204 with a body';
   const header = findMalformedHeader(rawHeaders);
-  return header === undefined ? undefined : `header ${header.slice(0, MAX_QUOTED_LENGTH)}`;
+  return header === undefined ? undefined : `header ${quoteForLog(header)}`;
 }
--- a/packages/gateway/src/lib/spoiledHead.test.ts
+++ b/packages/gateway/src/lib/spoiledHead.test.ts
@@ -17,8 +17,8 @@
 
 const HEAD = [
   'HTTP/1.1 200 OK',
-  'Attempt-Id: a-1',
-  `Engine-Signature: ${SIGNATURE}`,
+  'Request-Id: a-1',
+  `Signed-By: ${SIGNATURE}`,
   'Content-Type: text/plain',
   `Content-Length: ${BODY.length}`,
   '\r\n',
@@ -121,7 +121,7 @@
   const names = fc.string({ unit: 'binary', maxLength: 12 });
   const headers = fc
     .tuple(names, names)
-    .map(([name, value]) => HEAD.replace('Attempt-Id: a-1', `${name}: ${value}`) + BODY);
+    .map(([name, value]) => HEAD.replace('Request-Id: a-1', `${name}: ${value}`) + BODY);
   const texts = fc.oneof(statuses, headers, fc.string({ unit: 'binary' }));
   const property = fc.asyncProperty(texts, async (text) => {
     lane.bytes = Buffer.from(text, 'latin1');
@@ -134,7 +134,7 @@
 });
 
 test('after a spoiled response the next sound one of the same endpoint is relayed', async (t) => {
-  const spoiled = HEAD.replace('Engine-Signature', 'Engine Signature') + BODY;
+  const spoiled = HEAD.replace('Signed-By', 'Signed By') + BODY;
   const { endpoint, close } = await createRawEndpoint((socket, count) =>
     socket.write(count % 2 === 1 ? spoiled : HEAD + BODY),
   );
