Let the relay of the tests pass a reset on as a reset

Its engines reset some of their streams, and all connections go through the relay.

Cause: the relay closed the other side in order when one side was reset, and a reset that arrived together with data was an orderly end to it. For a stream without a length nothing then tells the cut from the end.

Change: a side that is reset, or has no peer at its end, resets the other one.

--- a/packages/testing/src/lib/Relay.ts
+++ b/packages/testing/src/lib/Relay.ts
@@ -95,10 +95,7 @@
 
   /** Resets all open connections, in whatever frame they are. */
   reset(): void {
-    for (const { near, far } of this.#pairs) {
-      near.resetAndDestroy();
-      far.resetAndDestroy();
-    }
+    this.#pairs.forEach(reset);
   }
 
   async close(): Promise<void> {
@@ -130,8 +127,9 @@
         const passes = this.#pairs.delete(pair);
         // A cut network tells neither side that the other is gone.
         if (!passes || this.#mode === 'silent') return;
-        const leftMs = hadError ? 0 : pair.dueAt - performance.now();
-        if (leftMs > 0) setTimeout(() => this.#drop(pair), leftMs + LAST_BYTES_MS);
+        const leftMs = pair.dueAt - performance.now();
+        if (hadError) reset(pair);
+        else if (leftMs > 0) setTimeout(() => this.#drop(pair), leftMs + LAST_BYTES_MS);
         else this.#drop(pair);
       });
     }
@@ -167,7 +165,11 @@
     to.on('drain', () => {
       if (this.#mode !== 'silent') from.resume();
     });
-    from.on('end', () => pass(() => to.end()));
+    from.on('end', () => {
+      // A reset that arrives together with data is reported as an orderly end, but leaves no peer.
+      if (!from.destroyed && from.remoteAddress === undefined) reset(pair);
+      else pass(() => to.end());
+    });
   }
 }
 
@@ -176,6 +178,12 @@
   if (!to.write(chunk) && to.writableLength > HIGH_WATER_BYTES) from.pause();
 }
 
+/** Passes the reset of one side on to the other. */
+function reset({ near, far }: Pair): void {
+  near.resetAndDestroy();
+  far.resetAndDestroy();
+}
+
 function pause(...sockets: Socket[]): void {
   for (const socket of sockets) socket.pause();
 }
