Let a keeper of the simulator belong to one replica

Cause: by the states of all replicas at each change, b led from 8.3 s on with n1 as a learner, and its keeper still held the replica that had been closed at 3.0 s: b was back after 105 ms, between two checks of 200 ms, and only a check that found no replica dropped the keeper. The registry makes a keeper with each replica and has no such fault.

Change: keepers are kept by replica.

--- a/packages/consensus/src/simulation/replaceReplicas.ts
+++ b/packages/consensus/src/simulation/replaceReplicas.ts
@@ -1,5 +1,6 @@
 import { AdmissionPolicy } from '../lib/AdmissionPolicy';
 import { MembershipKeeper } from '../lib/MembershipKeeper';
+import type { Replica } from '../lib/Replica';
 import { Invariants } from './Invariants';
 import { SimulatedCluster, type SimulatedNode } from './SimulatedCluster';
 import { Workload } from './Workload';
@@ -48,7 +49,8 @@
 
   readonly #voters: number;
 
-  readonly #keepers = new Map<SimulatedNode, MembershipKeeper>();
+  /** A machine has another replica after each start. */
+  readonly #keepers = new WeakMap<Replica, MembershipKeeper>();
 
   readonly #leaving = new Set<SimulatedNode>();
 
@@ -195,19 +197,15 @@
   #checkMemberships(): void {
     for (const node of this.cluster.nodes) {
       const replica = node.active;
-      if (!replica) {
-        this.#keepers.delete(node);
-        continue;
-      }
-      const keeper = this.#keepers.get(node) ?? this.#createKeeper(node);
+      if (!replica) continue;
+      const keeper = this.#keepers.get(replica) ?? this.#createKeeper(node, replica);
       for (const { name } of this.#leaving) keeper.setLeaving(name, true);
       keeper.check();
     }
   }
 
-  #createKeeper(node: SimulatedNode): MembershipKeeper {
-    const { replica, timer } = node;
-    if (!replica) throw new Error(`${node.name} does not run`);
+  #createKeeper(node: SimulatedNode, replica: Replica): MembershipKeeper {
+    const { timer } = node;
     const keeper = new MembershipKeeper({
       replica,
       timer,
@@ -219,7 +217,7 @@
       },
       onRefused: (step, { message }) => this.#log(`${step.change} ${step.replica}: ${message}`),
     });
-    this.#keepers.set(node, keeper);
+    this.#keepers.set(replica, keeper);
     return keeper;
   }
 
