Split the reading of a response's head from the attempt

Change: `readResponseHead` decides alone, without state, whether a head is a response of the endpoint to the request; `detectReset` has a file of its own. No decision changed.

--- a/packages/gateway/src/lib/Attempt.test.ts
+++ b/packages/gateway/src/lib/Attempt.test.ts
@@ -5,7 +5,8 @@
   createOutgoingRequest,
   createRawEndpoint,
 } from '../fixtures/rawEndpoint';
-import { Attempt, type ResponseHead, type AttemptEnd } from './Attempt';
+import { Attempt, type AttemptEnd } from './Attempt';
+import type { ResponseHead } from './readResponseHead';
 import type { Endpoint } from './Endpoint';
 
 function send(endpoint: Endpoint): Promise<{ end: AttemptEnd; head?: ResponseHead; body: string }> {
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -3,16 +3,16 @@
 import type { Socket } from 'node:net';
 import type { Timer } from '@berylwood/base';
 import { splitAddress } from '@berylwood/link';
-import { bodilessStatuses } from './bodilessStatuses';
 import type { Endpoint } from './Endpoint';
 import { usableIdleMs } from './createEndpointAgent';
 import { FaultBoundary } from './FaultBoundary';
 import type { FaultLog } from './FaultLog';
-import { findResponseProblem } from './findResponseProblem';
+import { detectReset } from './detectReset';
 import type { AttemptId } from './ids';
 import { CONNECT_TIMEOUT_MS } from './probeConnection';
+import { readResponseHead, type ResponseHead } from './readResponseHead';
 import { RESPONSE_LIMITS } from './responseLimits';
-import type { ResponseMetadata, Wire } from './Wire';
+import type { Wire } from './Wire';
 
 /** A request as it is sent to an endpoint. @internal */
 export interface OutgoingRequest {
@@ -28,18 +28,6 @@
   readonly rank: number;
 }
 
-/** Status and headers of a response. @internal */
-export interface ResponseHead {
-  readonly status: number;
-  readonly rawHeaders: readonly string[];
-  readonly metadata: ResponseMetadata;
-  readonly isEventStream: boolean;
-  /** Bytes of the body by Content-Length; undefined if it is framed by chunks or ends with the connection. */
-  readonly contentLength: number | undefined;
-  /** Whether only the end of the connection ends the body, so that nothing shows whether it is complete. */
-  readonly endsWithConnection: boolean;
-}
-
 /**
  * Outcome of an attempt: `unsent` and `refused` prove that it has not run; after `broken` it may have
  * run.
@@ -66,18 +54,6 @@
   onEnd(end: AttemptEnd): void;
 }
 
-/**
- * Returns a function that tells, once the socket has ended, whether the connection was reset: a reset that arrives
- * together with data is reported as an orderly end, but leaves no peer.
- */
-function detectReset(socket: Socket): () => boolean {
-  let wasReset = false;
-  socket.prependOnceListener('end', () => {
-    wasReset = !socket.destroyed && socket.remoteAddress === undefined;
-  });
-  return () => wasReset;
-}
-
 /** One attempt to have a request served by one endpoint. @internal */
 export class Attempt {
   readonly endpoint: Endpoint;
@@ -230,37 +206,18 @@
       return;
     }
     this.endpoint.seen();
-    const { statusCode: status = 0, rawHeaders } = answer;
-    const isChunked = 'transfer-encoding' in answer.headers;
-    const statedLength = answer.headers['content-length'];
-    const contentLength =
-      statedLength === undefined || isChunked ? undefined : Number(statedLength);
-    const statesBody = isChunked || (contentLength ?? 0) > 0;
-    const problem = findResponseProblem({ status, rawHeaders, statesBody });
-    if (problem !== undefined) {
-      this.abort(`malformed response: ${problem}`);
-      return;
-    }
-    const metadata = this.#wire.readResponse(status, rawHeaders);
-    if (metadata.attempt !== undefined && metadata.attempt !== this.#outgoing.attempt) {
-      this.abort('response belongs to another request');
-      return;
-    }
-    if (!metadata.isAuthentic) {
-      this.abort('malformed response: no signature');
+    const read = readResponseHead(this.#wire, this.#outgoing, answer);
+    if (read.isErr()) {
+      this.abort(read.error);
       return;
     }
+    const head = read.value;
+    const { metadata, endsWithConnection } = head;
     this.#response = answer;
     this.#request.idleMs = metadata.closesConnection ? 0 : usableIdleMs(metadata.keepAliveMs);
     if (metadata.load) this.endpoint.observeLoad(metadata.load);
     const { conditions } = metadata;
     this.endpoint.statements.observe(conditions, this.#outgoing.attempt, this.startedAt);
-    const type = answer.headers['content-type'] ?? '';
-    const isEventStream = type.startsWith('text/event-stream');
-    const hasNoBody = this.#outgoing.method === 'HEAD' || bodilessStatuses.has(status);
-    const endsWithConnection = !isChunked && contentLength === undefined && !hasNoBody;
-    const framing = { contentLength, endsWithConnection };
-    const head: ResponseHead = { status, rawHeaders, metadata, isEventStream, ...framing };
     if (metadata.isNotRun || metadata.isMisdirected) {
       this.#discardBody(answer);
       this.#end({ type: 'refused', head });
--- a/packages/gateway/src/lib/ResponseRelay.test.ts
+++ b/packages/gateway/src/lib/ResponseRelay.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import type { ServerResponse } from 'node:http';
 import { test } from 'node:test';
-import type { ResponseHead } from './Attempt';
+import type { ResponseHead } from './readResponseHead';
 import { ResponseRelay } from './ResponseRelay';
 import { RESPONSE_LIMITS } from './responseLimits';
 import type { Wire } from './Wire';
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import type { ResponseHead } from './Attempt';
+import type { ResponseHead } from './readResponseHead';
 import { bodilessStatuses } from './bodilessStatuses';
 import { EventScanner } from './EventScanner';
 import { RESPONSE_LIMITS, type ResponseLimits } from './responseLimits';
--- a/packages/gateway/src/lib/spoiledHead.test.ts
+++ b/packages/gateway/src/lib/spoiledHead.test.ts
@@ -8,7 +8,8 @@
   createOutgoingRequest,
   createRawEndpoint,
 } from '../fixtures/rawEndpoint';
-import { Attempt, type AttemptEnd, type ResponseHead } from './Attempt';
+import { Attempt, type AttemptEnd } from './Attempt';
+import type { ResponseHead } from './readResponseHead';
 import type { Endpoint } from './Endpoint';
 
 const BODY = 'found';
