Append no change of the membership during a transfer of leadership

Proposals were rejected during a transfer, changes of the membership were not.

Change: the changer waits until the transfer has ended; a join is kept and taken then.

--- a/packages/consensus/src/lib/Leader.ts
+++ b/packages/consensus/src/lib/Leader.ts
@@ -93,6 +93,11 @@
     return this.#proposals.add(entry.index, entryBytes(entry));
   }
 
+  /** Whether leadership is being transferred, so that no entry may be appended. */
+  get isRejecting(): boolean {
+    return this.#isRejecting;
+  }
+
   /** Starts or stops rejecting proposals. */
   setRejecting(isRejecting: boolean): void {
     this.#isRejecting = isRejecting;
--- a/packages/consensus/src/lib/MembershipChanger.ts
+++ b/packages/consensus/src/lib/MembershipChanger.ts
@@ -121,10 +121,14 @@
     return this.#core.membership.latest;
   }
 
-  /** Whether the latest membership is committed and so is an entry of this term. */
+  /**
+   * Whether the latest membership is committed and so is an entry of this term. During a transfer of leadership
+   * another entry would make the log of the successor the shorter one, and it could not be elected.
+   */
   get #canChange(): boolean {
     const { commitIndex, membership } = this.#core;
-    return this.#leader.isEstablished && membership.latestIndex <= commitIndex;
+    const { isEstablished, isRejecting } = this.#leader;
+    return isEstablished && !isRejecting && membership.latestIndex <= commitIndex;
   }
 
   /** Whether a learner has synced all committed entries and is reachable. */
--- a/packages/consensus/src/simulation/replaceReplicas.test.ts
+++ b/packages/consensus/src/simulation/replaceReplicas.test.ts
@@ -16,3 +16,11 @@
 test('a group of three bears replacements and lost disks, one at a time', () => replaceMany(30, 3));
 
 test('a group of five bears replacements and lost disks, two at a time', () => replaceMany(10, 5));
+
+// Guards against a leader that appends a change of the membership while it transfers its leadership.
+test('a leaving leader gets rid of its leadership while another replica joins', async () => {
+  assert.deepEqual(await replaceReplicas({ seed: 51626, voters: 3 }), {
+    violations: [],
+    trace: [],
+  });
+});
