--- a/packages/gateway/src/lib/spoiledHead.test.ts
+++ b/packages/gateway/src/lib/spoiledHead.test.ts
@@ -148,3 +148,26 @@
     assert.equal(second.end !== 'cancelled' && second.end.type, 'complete');
   }
 });
+
+// Guards against trailers that end the process or that reach the next request on the connection.
+test('any bytes in place of trailers end with their response', async (t) => {
+  const lane = await createLane(t);
+  const head = HEAD.replace(/Content-Length: \d+/, 'Transfer-Encoding: chunked');
+  const trailers = fc.oneof(
+    fc.string({ unit: 'binary', maxLength: 40 }),
+    fc.uint8Array({ maxLength: 40 }).map((bytes) => Buffer.from(bytes).toString('latin1')),
+    fc.constantFrom('', 'X: y\r\n', 'X Y: z\r\n', 'Content-Length: 9\r\n', ': x\r\n', 'X: \0\r\n'),
+  );
+  const property = fc.asyncProperty(trailers, async (text) => {
+    lane.bytes = Buffer.from(`${head}5\r\n${BODY}\r\n0\r\n${text}\r\n`, 'latin1');
+    const spoiled = await send(lane.endpoint);
+    if (spoiled.head) writeHead(spoiled.head);
+    lane.bytes = Buffer.from(HEAD + BODY);
+    const next = await send(lane.endpoint);
+    // An attempt on a connection with unread bytes is broken; it must not get another response.
+    if (next.head) assert.equal(next.head.status, 200);
+    const last = await send(lane.endpoint);
+    assert.notEqual(last.end === 'cancelled' ? 'cancelled' : last.end.type, 'broken');
+  });
+  await fc.assert(property, { numRuns: 400, seed: 1 });
+});
