Test that any bytes of a peer leave other links open

The test sends 400 generated frames (plain bytes, packed values of any shape, packed triples and batches) over links of their own to a server that holds another link, and then uses that one. It covers the frames of one link of strings; the schemas of each message are covered by their own tests.

--- a/packages/link/src/lib/Link.test.ts
+++ b/packages/link/src/lib/Link.test.ts
@@ -3,7 +3,10 @@
 import { createServer, connect, type AddressInfo, type Socket } from 'node:net';
 import test, { type TestContext } from 'node:test';
 import { SystemTimer, createSilentJournal } from '@berylwood/base';
+import fc from 'fast-check';
+import { pack } from 'msgpackr';
 import { ok } from 'neverthrow';
+import { WebSocket } from 'ws';
 import { z } from 'zod';
 import { Dialer } from './Dialer';
 import type { Link } from './Link';
@@ -54,7 +57,7 @@
     });
   const first = nextLink();
   dialer.open();
-  return { link: await first, served, nextLink };
+  return { link: await first, served, bound, nextLink };
 }
 
 /** A TCP relay that can stop passing bytes without closing. */
@@ -146,3 +149,27 @@
   link.send(42 as unknown as string);
   await closed;
 });
+
+// Guards against a peer whose bytes end the process, or the links of other peers.
+test('any bytes of one peer leave the links of others open', async (t) => {
+  const { link, bound } = await createPair(t, undefined, { silenceTimeoutMs: 10_000 });
+  const frames = fc.oneof(
+    fc.uint8Array({ maxLength: 60 }).map((bytes) => Buffer.from(bytes)),
+    fc.anything().map((value) => pack(value)),
+    fc.tuple(fc.anything(), fc.anything(), fc.array(fc.anything())).map((value) => pack(value)),
+    fc.array(fc.tuple(fc.nat(5), fc.anything(), fc.anything())).map((value) => pack([0, 0, value])),
+  );
+  const property = fc.asyncProperty(frames, async (frame) => {
+    const socket = new WebSocket(`ws://${bound}/text`);
+    await once(socket, 'open');
+    socket.send(frame);
+    socket.close();
+    await once(socket, 'close');
+  });
+  await fc.assert(property, { numRuns: 400, seed: 1 });
+  const echoed = new Promise((resolve) => {
+    link.onMessage = resolve;
+  });
+  link.send('a');
+  assert.equal(await echoed, 'echo a');
+});
