Let a reset follow an orderly end that is on its way

Loops of that file alone: 2 of 120 runs did not exit, at loads of 15 to 25 on 8 cores.

Cause: Node.js never closes a socket on which `resetAndDestroy` is called while its own end is being sent (EINVAL), and its process then loops for ever in the closing of handles: shown by the stack of one such process and by ten lines of JavaScript (end, then reset: no close event, no exit). The relay of the tests does that since, when it resets a side that it has just ended or that still connects.

Ruled out: what the tests leave open (all JavaScript had ended, signal handlers were gone); a worker thread that waits for memory (all were idle).

Change: `resetSocket` in link lets such a reset follow the end; used by the relay and by `PlatformClient`, the only place of the product that resets a connection.

--- a/packages/control/src/lib/PlatformClient.ts
+++ b/packages/control/src/lib/PlatformClient.ts
@@ -1,6 +1,6 @@
 import { request as startRequest, type ClientRequest, type IncomingMessage } from 'node:http';
 import { fail, type Failure, type Timer } from '@berylwood/base';
-import { splitAddress } from '@berylwood/link';
+import { resetSocket, splitAddress } from '@berylwood/link';
 import { platformListSchema, type PlatformInstance } from '@berylwood/schema';
 import { ok, type Result } from 'neverthrow';
 import { controlCodes } from './codes';
@@ -104,7 +104,7 @@
         resolve(fail(controlCodes.platformFailed, message, { notRun: notRun() }));
       const deadline = this.#timer.after(REQUEST_DEADLINE_MS, () => {
         failWith(`no answer within ${REQUEST_DEADLINE_MS} ms`);
-        request.socket?.resetAndDestroy();
+        if (request.socket) resetSocket(request.socket);
         request.destroy();
       });
       request.once('error', (error) => failWith(error.message));
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -7,4 +7,5 @@
 export { type LinkIdentity, type LinkOptions } from './lib/LinkOptions';
 export { parseAddress, splitAddress, type Address } from './lib/address';
 export { closeNow } from './lib/closeNow';
+export { resetSocket } from './lib/resetSocket';
 export { listenOn } from './lib/listenOn';
--- a/packages/testing/src/lib/Relay.ts
+++ b/packages/testing/src/lib/Relay.ts
@@ -1,5 +1,5 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
-import { listenOn, splitAddress } from '@berylwood/link';
+import { listenOn, resetSocket, splitAddress } from '@berylwood/link';
 
 /** What a relay does with connections and bytes. @public */
 export type RelayMode =
@@ -82,6 +82,11 @@
     return this.#pairs.size;
   }
 
+  /** Sockets of both sides that are not closed. */
+  get socketCount(): number {
+    return this.#sockets.size;
+  }
+
   /**
    * Lets the open connections fall silent for good, without a sign to either end, while new ones
    * work: as when something in between has lost track of them.
@@ -108,7 +113,7 @@
 
   #accept(near: Socket): void {
     if (this.#mode === 'refuse') {
-      near.resetAndDestroy();
+      resetSocket(near);
       return;
     }
     const { host, port } = splitAddress(this.#target);
@@ -180,8 +185,8 @@
 
 /** Passes the reset of one side on to the other. */
 function reset({ near, far }: Pair): void {
-  near.resetAndDestroy();
-  far.resetAndDestroy();
+  resetSocket(near);
+  resetSocket(far);
 }
 
 function pause(...sockets: Socket[]): void {
