--- a/packages/gateway/src/lib/EventScanner.ts
+++ b/packages/gateway/src/lib/EventScanner.ts
@@ -38,6 +38,13 @@
 
   #problem: string | undefined;
 
+  #eventCount = 0;
+
+  /** Number of events returned so far. */
+  get eventCount(): number {
+    return this.#eventCount;
+  }
+
   /** Why the stream holds bytes that are no part of it; undefined if it does not. */
   get problem(): string | undefined {
     return this.#problem;
@@ -98,6 +105,7 @@
     }
     // The caller may still read the complete events from the buffer, so the rest moves to another one.
     if (from > 0 || bytes === chunk) this.#keep(bytes.subarray(from));
+    this.#eventCount += parts.length;
     const whole = parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts);
     return { bytes: whole, lastId: this.lastId };
   }
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -344,6 +344,7 @@
     this.#hold?.[Symbol.dispose]();
     this.#deadlineTimer?.[Symbol.dispose]();
     this.#detector?.[Symbol.dispose]();
-    this.#report.ended(this.#resolved, this.#attempt, { status, code, reason });
+    const { eventCount: events } = this.#relay;
+    this.#report.ended(this.#resolved, this.#attempt, { status, code, reason, events });
   }
 }
--- a/packages/gateway/src/lib/RequestLog.ts
+++ b/packages/gateway/src/lib/RequestLog.ts
@@ -19,6 +19,8 @@
   /** Number of the result code of this system; undefined for a response of an endpoint. */
   readonly code: number | undefined;
   readonly reason: string | undefined;
+  /** Number of events relayed; undefined if the body was not read as a stream of events. */
+  readonly events: number | undefined;
   /** Number of endpoints that may have received bytes of the request. */
   readonly sends: number;
   /** Limit of the endpoint when the request was placed, in requests per second; undefined without one. */
--- a/packages/gateway/src/lib/RequestReport.ts
+++ b/packages/gateway/src/lib/RequestReport.ts
@@ -13,6 +13,8 @@
   readonly code: number | undefined;
   /** Undefined if the request was served. */
   readonly reason: string | undefined;
+  /** Number of events relayed; undefined if the body was not read as a stream of events. */
+  readonly events: number | undefined;
 }
 
 /** Collects what the log lines of one request state, and writes them. @internal */
@@ -49,7 +51,7 @@
   ended(
     resolved: ResolvedRequest | undefined,
     attempt: Attempt | undefined,
-    { status, code, reason }: RequestEnd,
+    { status, code, reason, events }: RequestEnd,
   ): void {
     const { log, timer } = this.#context;
     const { firstAt, longestPauseMs } = this.timing;
@@ -59,6 +61,7 @@
       status,
       code,
       reason,
+      events,
       sends: this.history.sends,
       limitPerS: attempt?.limitPerS,
       firstMs: firstAt && firstAt - this.arrivedAt,
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -75,6 +75,11 @@
     return this.status >= MIN_FAILURE_STATUS;
   }
 
+  /** Number of events accepted for the caller; undefined if the body is not read as a stream of events. */
+  get eventCount(): number | undefined {
+    return this.#scanner?.eventCount;
+  }
+
   /** Whether the response has a complete event. */
   get hasEvents(): boolean {
     return this.isEventStream && this.#forwardedBytes > 0;
