--- a/packages/gateway/src/lib/EventScanner.ts
+++ b/packages/event-stream/src/lib/EventScanner.ts
@@ -1,6 +1,6 @@
 import { decodeEvent } from './decodeEvent';
 
-/** Complete events found in the received bytes of a stream. @internal */
+/** Complete events found in the received bytes of a stream. @public */
 export interface ScannedEvents {
   /** Bytes of the complete events, in order; empty if there are none. */
   readonly bytes: Buffer;
@@ -23,7 +23,7 @@
  * event that the endpoint did not finish. Events that a resumed stream repeats are dropped. Nothing is read
  * after a block that is no event, or whose id does not increase. The cost is linear in the bytes received,
  * however an endpoint splits an event.
- * @internal
+ * @public
  */
 export class EventScanner {
   /** Buffer whose first `#partialBytes` bytes are the partial event. */
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http';
+import { EventScanner } from '@berylwood/event-stream';
 import type { ResponseHead } from './readResponseHead';
 import { bodilessStatuses } from './bodilessStatuses';
-import { EventScanner } from './EventScanner';
 import { RESPONSE_LIMITS, type ResponseLimits } from './responseLimits';
 import type { Wire } from './Wire';
 
