--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -3,7 +3,7 @@
 import { ResponseRelay } from './ResponseRelay';
 import { Arrival } from './Arrival';
 import type { Attempt, AttemptEnd, AttemptListener } from './Attempt';
-import type { ResponseHead } from './readResponseHead';
+import { ResponseReceiver } from './ResponseReceiver';
 import type { AttemptHistory } from './AttemptHistory';
 import { gatewayCodes } from './codes';
 import { ContentGuard } from './ContentGuard';
@@ -15,7 +15,6 @@
 import type { ResolvedRequest } from './resolveRequest';
 import { RequestReport } from './RequestReport';
 import { sendFailure } from './sendFailure';
-import type { StallDetector } from './StallDetector';
 import { startAttempt } from './startAttempt';
 import { startsTooLate } from './startsTooLate';
 
@@ -37,14 +36,12 @@
 
   #deadlineTimer: Disposable | undefined;
 
-  #detector: StallDetector | undefined;
-
   #guard: ContentGuard | undefined;
 
-  #attempt: Attempt | undefined;
-
   readonly #relay: ResponseRelay;
 
+  readonly #receiver: ResponseReceiver;
+
   /** Hold on a request that waits for the start of the instance or for an endpoint. */
   #hold: Disposable | undefined;
 
@@ -55,8 +52,8 @@
 
   /** Passes the events of an attempt on within the boundary. */
   readonly #listener: AttemptListener = {
-    onHead: this.#boundary.wrap((head) => this.#onHead(head)),
-    onData: (chunk) => this.#boundary.run(() => this.#onData(chunk)) ?? false,
+    onHead: this.#boundary.wrap((head) => this.#receiver.onHead(head)),
+    onData: (chunk) => this.#boundary.run(() => this.#receiver.onData(chunk)) ?? false,
     onEnd: this.#boundary.wrap((end) => this.#onEnd(end)),
   };
 
@@ -66,6 +63,12 @@
     this.#response = response;
     this.#report = new RequestReport(context);
     this.#relay = new ResponseRelay(response, context.wire);
+    const parts = { context, relay: this.#relay, report: this.#report, lifecycle: this.#lifecycle };
+    this.#receiver = new ResponseReceiver(parts);
+  }
+
+  get #attempt(): Attempt | undefined {
+    return this.#receiver.attempt;
   }
 
   get #history(): AttemptHistory {
@@ -102,38 +105,8 @@
     this.#deadlineTimer = this.#context.timer.after(this.#leftMs, onTimeout);
   }
 
-  #onHead(head: ResponseHead): void {
-    if (!head.isEventStream) this.#detector?.[Symbol.dispose]();
-    if (this.#relay.isHeadSent && !head.isEventStream) {
-      this.#attempt?.abort(`stream not resumed, status ${head.status}`);
-      return;
-    }
-    this.#relay.setHead(head, this.#context.isStopping());
-    if (!head.isEventStream) this.#answerBegan();
-  }
-
-  #onData(chunk: Buffer): boolean {
-    const answer = this.#relay;
-    const { hasEvents: hadEvents, forwardedBytes } = answer;
-    const isWritable = answer.push(chunk);
-    // Bytes of an incomplete event are no progress.
-    if (answer.forwardedBytes > forwardedBytes) {
-      this.#report.timing.mark(this.#context.timer.now());
-      this.#detector?.eventReceived();
-    }
-    if (answer.hasEvents && !hadEvents) {
-      this.#answerBegan();
-      this.#attempt?.prefillFinished();
-      this.#attempt?.endpoint.executionStarted(this.#parts.resolved.rank, this.#attempt.startedAt);
-    }
-    if (answer.isHeadSent && this.#lifecycle.can('answer')) this.#lifecycle.send('answer');
-    // The events before it are sound and were forwarded.
-    if (answer.problem !== undefined) this.#attempt?.abort(answer.problem);
-    return isWritable;
-  }
-
   #onEnd(end: AttemptEnd): void {
-    this.#detector?.[Symbol.dispose]();
+    this.#receiver[Symbol.dispose]();
     switch (end.type) {
       case 'complete':
         this.#onComplete();
@@ -208,8 +181,7 @@
       listener: this.#listener,
       onStall: this.#boundary.wrap((reason) => this.#onStall(reason)),
     });
-    this.#attempt = started.attempt;
-    this.#detector = started.detector;
+    this.#receiver.follow(started, resolved, this.#guard);
   }
 
   /** Waits until an endpoint accepts the request, or ends it. */
@@ -329,12 +301,6 @@
     this.#finish(failure.code.status, failure.code.number, failure.message);
   }
 
-  #answerBegan(): void {
-    const { context, resolved } = this.#parts;
-    context.countStartedRequest(resolved.workspace?.name);
-    this.#guard?.answered();
-  }
-
   #logAttemptFailure(type: string, reason: string): void {
     const cause = { type, reason, leftMs: this.#leftMs };
     this.#report.attemptFailed(this.#parts.resolved, this.#attempt, cause);
@@ -343,7 +309,7 @@
   #finish(status: number, code: number | undefined, reason: string | undefined): void {
     this.#hold?.[Symbol.dispose]();
     this.#deadlineTimer?.[Symbol.dispose]();
-    this.#detector?.[Symbol.dispose]();
+    this.#receiver[Symbol.dispose]();
     const { eventCount: events } = this.#relay;
     this.#report.ended(this.#resolved, this.#attempt, { status, code, reason, events });
   }
