--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -16,6 +16,7 @@
 export { createAuthority, type CertificateFiles } from './lib/createAuthority';
 export { renderMachine } from './lib/renderMachine';
 export { until } from './lib/until';
+export { readEventStream, type ReceivedEvent } from './lib/readEventStream';
 export { processorSeconds, residentMegabytes } from './lib/processUsage';
 export { contentDigest } from './lib/contentDigest';
 export { type Violation } from './lib/checks/Violation';
