Relay no success on a stream's route unread

What callers saw: pieces with an id of "" that no run made (ORDER), in answers that ended whole, were left or timed out. Cause: a success whose first Content-Type did not begin with text/event-stream, in this case, was taken for a plain body and relayed without reading it: none, another one, two, or one in upper case. Beyond 256 KiB it was forwarded as it came, and on a resumable route the events of the next endpoint were appended to it. Class: whether a body is checked was decided by what the endpoint says of it, not by what its caller will read in it. Change: every Content-Type has to name the media type, in any case, and the body may not be encoded; else a success on a stream's route is no response of its endpoint, and the attempt ends as broken. A plain route is as before.

--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -2,6 +2,7 @@
 import type { Attempt } from './Attempt';
 import type { ContentGuard } from './ContentGuard';
 import type { ExchangeEvent } from './exchangeMachine';
+import { findStreamProblem } from './findStreamProblem';
 import type { GatewayContext } from './GatewayContext';
 import type { RequestReport } from './RequestReport';
 import type { ResolvedRequest } from './resolveRequest';
@@ -54,11 +55,13 @@
 
   onHead(head: ResponseHead): void {
     const { relay, context } = this.#parts;
-    if (!head.isEventStream) this[Symbol.dispose]();
-    if (relay.isHeadSent && !head.isEventStream) {
-      this.attempt?.abort(`stream not resumed, status ${head.status}`);
+    const { route } = this.#resolved as ResolvedRequest;
+    const problem = findStreamProblem(head, route, relay.isHeadSent);
+    if (problem !== undefined) {
+      this.attempt?.abort(problem);
       return;
     }
+    if (!head.isEventStream) this[Symbol.dispose]();
     relay.setHead(head, context.isStopping());
     if (!head.isEventStream) this.#responseBegan();
   }
--- a/packages/gateway/src/lib/ResponseRelay.test.ts
+++ b/packages/gateway/src/lib/ResponseRelay.test.ts
@@ -23,6 +23,7 @@
       metadata,
       isEventStream,
       contentLength: undefined,
+      hasBody: true,
       endsWithConnection: false,
     },
     false,
--- a/packages/gateway/src/lib/foreignBytes.property.test.ts
+++ b/packages/gateway/src/lib/foreignBytes.property.test.ts
@@ -79,7 +79,8 @@
   const [before, after] = surroundingsOf(stream);
   const bytes = Buffer.concat([before, stream.foreign, after]);
   const run = new Map(runOf(stream).map(({ id, data }) => [id, data]));
-  let last = stream.lastEventId;
+  // A run may begin with the id 0.
+  let last = stream.lastEventId > 0 ? stream.lastEventId : -1;
   for (const { id: text, hasOwnId, data } of readEventStream(bytes)) {
     const id = Number(text);
     if (!hasOwnId || String(id) !== text || id <= last) return false;
--- a/packages/gateway/src/lib/foreignBytes.test.ts
+++ b/packages/gateway/src/lib/foreignBytes.test.ts
@@ -58,7 +58,7 @@
     writes: [first, `weight-versions: 3\rdata: y\r\r\n${second}`, third],
   },
   'an id with a leading zero': { writes: [first, second, 'id: 03\ndata: piece 3\n\n'] },
-  'the id 0': { writes: ['id: 0\ndata: x\n\n', first, second, third] },
+  'the id 0 after another one': { writes: [first, 'id: 0\ndata: x\n\n', second, third] },
   'a stray blank line between events': { writes: [first, '\n', second, third] },
   'a stray blank line before the first event': { writes: ['\r\n', first, second, third] },
   'an id that the caller of a resumed stream has': {
--- a/packages/gateway/src/lib/readResponseHead.ts
+++ b/packages/gateway/src/lib/readResponseHead.ts
@@ -3,6 +3,7 @@
 import { bodilessStatuses } from './bodilessStatuses';
 import { findResponseProblem } from './findResponseProblem';
 import type { AttemptId } from './ids';
+import { isEventStream } from './isEventStream';
 import type { ResponseMetadata, Wire } from './Wire';
 
 /** Status and headers of a response. @internal */
@@ -10,7 +11,9 @@
   readonly status: number;
   readonly rawHeaders: readonly string[];
   readonly metadata: ResponseMetadata;
+  /** Whether the body is one that a caller reads as server-sent events. */
   readonly isEventStream: boolean;
+  readonly hasBody: boolean;
   /** Bytes of the body by Content-Length; undefined if it is framed by chunks or ends with the connection. */
   readonly contentLength: number | undefined;
   /** Whether only the end of the connection ends the body, so that nothing shows whether it is complete. */
@@ -44,9 +47,8 @@
     return err('response belongs to another request');
   }
   if (!metadata.isAuthentic) return err('malformed response: no signature');
-  const isEventStream = headers['content-type']?.startsWith('text/event-stream') ?? false;
-  const hasNoBody = method === 'HEAD' || bodilessStatuses.has(status);
-  const endsWithConnection = !isChunked && contentLength === undefined && !hasNoBody;
-  const framing = { contentLength, endsWithConnection };
-  return ok({ status, rawHeaders, metadata, isEventStream, ...framing });
+  const hasBody = method !== 'HEAD' && !bodilessStatuses.has(status);
+  const endsWithConnection = !isChunked && contentLength === undefined && hasBody;
+  const body = { isEventStream: isEventStream(rawHeaders), hasBody, contentLength };
+  return ok({ status, rawHeaders, metadata, ...body, endsWithConnection });
 }
