Read a stream as its caller's reader does

What callers saw: a piece with an id of "" inside one of ours, ids that no run made, a blank block for an event (ORDER). CR alone ends a line there, so a CR inside what we took for data, a comment or a field began lines that were never checked; "id" without a colon empties the id; 07 is another id than 7; blank lines before an event were forwarded in front of it. Class: two readings of one text, of which only ours was checked. Which event may follow is decided by EventOrder, apart from the scanning. No event waits for the next one: an event ends with the CR of its blank line, and an LF right after it still passes.

--- a/packages/event-stream/src/lib/EventScanner.test.ts
+++ b/packages/event-stream/src/lib/EventScanner.test.ts
@@ -2,13 +2,14 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { EventScanner } from './EventScanner';
+import { IncreasingIds } from './IncreasingIds';
 
 function event(id: number): string {
   return `id: ${id}\ndata: text ${id}\n\n`;
 }
 
 test('only complete events are forwarded', () => {
-  const scanner = new EventScanner();
+  const scanner = new EventScanner(new IncreasingIds(undefined));
   const bytes = Buffer.from(event(1) + event(2));
   const first = scanner.push(bytes.subarray(0, 30));
   assert.equal(first.bytes.toString(), event(1));
@@ -22,14 +23,14 @@
 test('a stream split at any byte yields the same events', () => {
   const bytes = Buffer.from(event(1) + event(2) + event(3));
   for (let cut = 0; cut <= bytes.length; cut += 1) {
-    const scanner = new EventScanner();
+    const scanner = new EventScanner(new IncreasingIds(undefined));
     const parts = [scanner.push(bytes.subarray(0, cut)), scanner.push(bytes.subarray(cut))];
     assert.equal(Buffer.concat(parts.map((part) => part.bytes)).toString(), bytes.toString());
   }
 });
 
 test('a resumed stream skips events already forwarded and replaces the partial event', () => {
-  const scanner = new EventScanner();
+  const scanner = new EventScanner(new IncreasingIds(undefined));
   scanner.push(Buffer.from(`${event(1)}${event(2)}id: 3\nda`));
   scanner.resume();
   const resumed = scanner.push(Buffer.from(event(2) + event(3)));
@@ -37,7 +38,7 @@
 });
 
 test('an event that never ends costs time linear in its bytes', () => {
-  const scanner = new EventScanner();
+  const scanner = new EventScanner(new IncreasingIds(undefined));
   const chunk = Buffer.alloc(1024, 'x');
   const startedAt = performance.now();
   for (let count = 0; count < 16 * 1024; count += 1) scanner.push(chunk);
@@ -51,7 +52,7 @@
   const bytes = Buffer.from(text);
   fc.assert(
     fc.property(fc.array(fc.integer({ min: 1, max: 9 }), { maxLength: 60 }), (sizes) => {
-      const scanner = new EventScanner();
+      const scanner = new EventScanner(new IncreasingIds(undefined));
       let received = '';
       let from = 0;
       for (const size of [...sizes, bytes.length]) {
@@ -94,7 +95,7 @@
 test('all events of a sound stream are forwarded unchanged, however they are split', () => {
   const property = fc.property(soundStreams, fc.integer({ min: 1, max: 40 }), (items, size) => {
     const bytes = Buffer.from(items.map(({ event: text, comment }) => text + comment).join(''));
-    const scanner = new EventScanner();
+    const scanner = new EventScanner(new IncreasingIds(undefined));
     let received = '';
     for (let from = 0; from < bytes.length; from += size) {
       received += scanner.push(bytes.subarray(from, from + size)).bytes.toString();
@@ -119,7 +120,7 @@
     const events = items.map((item) => item.event).filter((text) => text.startsWith('id:'));
     const at = Math.min(position, events.length);
     const parts = [...events.slice(0, at), bytes, ...events.slice(at)];
-    const scanner = new EventScanner();
+    const scanner = new EventScanner(new IncreasingIds(undefined));
     const received = parts.map((part) => scanner.push(Buffer.from(part)).bytes.toString()).join('');
     const isSound = events.some((_, count) => received === events.slice(0, count + 1).join(''));
     assert.ok(received === '' || isSound, JSON.stringify(received));
@@ -128,7 +129,7 @@
 });
 
 test('an id that does not increase ends the stream, unless it is resumed', () => {
-  const scanner = new EventScanner();
+  const scanner = new EventScanner(new IncreasingIds(undefined));
   scanner.push(Buffer.from(event(1) + event(2)));
   assert.equal(scanner.push(Buffer.from(event(2))).bytes.length, 0);
   assert.match(scanner.problem ?? '', /id 2 after 2/);
@@ -139,7 +140,7 @@
 });
 
 test('blank lines at the end of a stream are no incomplete event', () => {
-  const scanner = new EventScanner();
+  const scanner = new EventScanner(new IncreasingIds(undefined));
   scanner.push(Buffer.from(`${event(1)}\r\n`));
   assert.equal(scanner.hasPartialEvent, false);
   scanner.push(Buffer.from('i'));
--- a/packages/event-stream/src/lib/EventScanner.ts
+++ b/packages/event-stream/src/lib/EventScanner.ts
@@ -1,4 +1,5 @@
 import { decodeEvent } from './decodeEvent';
+import type { EventOrder } from './EventOrder';
 
 /** Complete events found in the received bytes of a stream. @public */
 export interface ScannedEvents {
@@ -11,6 +12,10 @@
 const EMPTY = Buffer.alloc(0);
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const COLON = 0x3a;
+
+/** Mark at the start of a stream, which its reader drops. */
+const BYTE_ORDER_MARK = Buffer.from('\ufeff');
 
 /** Bytes at the end of a partial event that may begin the empty line after it. */
 const MAX_OVERLAP_BYTES = 2;
@@ -20,26 +25,34 @@
 
 /**
  * Splits a stream of server-sent events into complete events, so that a caller never receives part of an
- * event that the endpoint did not finish. Events that a resumed stream repeats are dropped. Nothing is read
- * after a block that is no event, or whose id does not increase. The cost is linear in the bytes received,
- * however an endpoint splits an event.
+ * event that the endpoint did not finish. Lines end as for a caller's reader: with LF, CR LF or CR. Blocks without
+ * an event and events that a resumed stream repeats are dropped. Nothing is read after a block that is no event, or
+ * that cannot follow the events before it. The cost is linear in the bytes received, however an endpoint splits an
+ * event.
  * @public
  */
 export class EventScanner {
+  readonly #order: EventOrder;
+
   /** Buffer whose first `#partialBytes` bytes are the partial event. */
   #buffer = EMPTY;
 
   #partialBytes = 0;
 
-  #lastId: number | undefined;
+  /** Whether no block of the endpoint's stream was read yet. */
+  #isAtStart = true;
 
-  /** Whether the stream may still repeat events that were forwarded before it was resumed. */
-  #mayRepeat = false;
+  /** Whether the last event was forwarded up to a CR, whose LF may follow. */
+  #endsWithCarriageReturn = false;
 
   #problem: string | undefined;
 
   #eventCount = 0;
 
+  constructor(order: EventOrder) {
+    this.#order = order;
+  }
+
   /** Number of events returned so far. */
   get eventCount(): number {
     return this.#eventCount;
@@ -55,21 +68,39 @@
     return this.#partialBytes;
   }
 
-  /** Whether there is an incomplete event; the ends of lines after an event are none. */
+  /** Whether there is an incomplete event; complete comments and the ends of lines after an event are none. */
   get hasPartialEvent(): boolean {
     const partial = this.#buffer.subarray(0, this.#partialBytes);
-    return partial.some((byte) => byte !== LINE_FEED && byte !== CARRIAGE_RETURN);
+    let isLineStart = true;
+    let isComment = false;
+    for (const byte of partial) {
+      const isLineEnd = byte === LINE_FEED || byte === CARRIAGE_RETURN;
+      if (isLineStart && !isLineEnd && byte !== COLON) return true;
+      if (isLineStart) isComment = byte === COLON;
+      isLineStart = isLineEnd;
+    }
+    return isComment && !isLineStart;
   }
 
   get lastId(): string | undefined {
-    return this.#lastId === undefined ? undefined : String(this.#lastId);
+    return this.#order.lastId;
   }
 
   /** Starts to read the stream of another endpoint, which sends the incomplete event again. */
   resume(): void {
     this.#dropPartialEvent();
     this.#problem = undefined;
-    this.#mayRepeat = true;
+    this.#isAtStart = true;
+    this.#endsWithCarriageReturn = false;
+    this.#order.resume();
+  }
+
+  /** Returns the LF that completes the end of the last event, if the received bytes begin with it. */
+  #takeLineFeed(chunk: Buffer): Buffer {
+    if (chunk.length === 0) return EMPTY;
+    const hasLineFeed = this.#endsWithCarriageReturn && chunk[0] === LINE_FEED;
+    this.#endsWithCarriageReturn = false;
+    return hasLineFeed ? chunk.subarray(0, 1) : EMPTY;
   }
 
   #dropPartialEvent(): void {
@@ -77,39 +108,48 @@
     this.#partialBytes = 0;
   }
 
-  push(chunk: Buffer): ScannedEvents {
+  push(received: Buffer): ScannedEvents {
     if (this.#problem !== undefined) return { bytes: EMPTY, lastId: this.lastId };
+    const lineFeed = this.#takeLineFeed(received);
+    const chunk = received.subarray(lineFeed.length);
     let searchFrom = Math.max(0, this.#partialBytes - MAX_OVERLAP_BYTES);
     const bytes = this.#partialBytes > 0 ? this.#append(chunk) : chunk;
     const parts: Buffer[] = [];
-    let idBeforeLast: number | undefined;
     let from = 0;
     for (
       let end = findEnd(bytes, searchFrom);
       end > 0 && this.#problem === undefined;
       end = findEnd(bytes, searchFrom)
     ) {
-      const event = bytes.subarray(from, end);
-      const idBefore = this.#lastId;
+      const event = withoutBlankLines(this.#withoutMark(bytes.subarray(from, end)));
       from = end;
       searchFrom = end;
-      if (this.#isNext(event)) {
-        parts.push(event);
-        idBeforeLast = idBefore;
-      }
+      const isNext = this.#isNext(event);
+      if (isNext) parts.push(event);
+      this.#endsWithCarriageReturn =
+        isNext && end === bytes.length && event.at(-1) === CARRIAGE_RETURN;
     }
     // Foreign bytes right after an event may have begun inside it.
     if (this.#problem !== undefined && parts.length > 0) {
       parts.pop();
-      this.#lastId = idBeforeLast;
+      this.#order.withdraw();
     }
     // The caller may still read the complete events from the buffer, so the rest moves to another one.
     if (from > 0 || bytes === chunk) this.#keep(bytes.subarray(from));
     this.#eventCount += parts.length;
+    if (lineFeed.length > 0) parts.unshift(lineFeed);
     const whole = parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts);
     return { bytes: whole, lastId: this.lastId };
   }
 
+  /** Drops the mark at the start of an endpoint's stream, which may be resumed within the caller's. */
+  #withoutMark(block: Buffer): Buffer {
+    if (!this.#isAtStart) return block;
+    this.#isAtStart = false;
+    const { length } = BYTE_ORDER_MARK;
+    return block.subarray(0, length).equals(BYTE_ORDER_MARK) ? block.subarray(length) : block;
+  }
+
   #keep(rest: Buffer): void {
     this.#dropPartialEvent();
     if (rest.length > 0) this.#append(rest);
@@ -136,20 +176,39 @@
       this.#problem = event.reason;
       return false;
     }
-    const isNew = this.#lastId === undefined || event.id > this.#lastId;
-    if (isNew) {
-      this.#lastId = event.id;
-      this.#mayRepeat = false;
-    } else if (!this.#mayRepeat) this.#problem = `id ${event.id} after ${this.#lastId}`;
-    return isNew;
+    const position = this.#order.place(event.id);
+    if (position.type === 'foreign') this.#problem = position.reason;
+    return position.type === 'next';
   }
 }
 
+/** Drops the blank lines before an event, which some readers take for the end of another one. */
+function withoutBlankLines(block: Buffer): Buffer {
+  const start = block.findIndex((byte) => byte !== LINE_FEED && byte !== CARRIAGE_RETURN);
+  return start > 0 ? block.subarray(start) : block;
+}
+
+/** Returns the position after the line end at a position. A CR at the end of the bytes counts as a whole one. */
+function skipLineEnd(bytes: Buffer, at: number): number {
+  return bytes[at] === CARRIAGE_RETURN && bytes[at + 1] === LINE_FEED ? at + 2 : at + 1;
+}
+
+/** Returns the position of the first of two bytes that occurs in a buffer, or -1. */
+function indexOfEither(bytes: Buffer, from: number): number {
+  const lineFeed = bytes.indexOf(LINE_FEED, from);
+  const searched = lineFeed < 0 ? bytes : bytes.subarray(0, lineFeed);
+  const carriageReturn = searched.indexOf(CARRIAGE_RETURN, from);
+  return carriageReturn < 0 ? lineFeed : carriageReturn;
+}
+
 /** Returns the position after the empty line that ends an event, or 0 if there is none. */
 function findEnd(bytes: Buffer, from: number): number {
-  for (let at = bytes.indexOf(LINE_FEED, from); at >= 0; at = bytes.indexOf(LINE_FEED, at + 1)) {
-    if (bytes[at + 1] === LINE_FEED) return at + 2;
-    if (bytes[at + 1] === CARRIAGE_RETURN && bytes[at + 2] === LINE_FEED) return at + 3;
+  for (let at = indexOfEither(bytes, from); at >= 0; at = indexOfEither(bytes, at)) {
+    const next = skipLineEnd(bytes, at);
+    if (bytes[next] === LINE_FEED || bytes[next] === CARRIAGE_RETURN)
+      return skipLineEnd(bytes, next);
+    if (next >= bytes.length) return 0;
+    at = next;
   }
   return 0;
 }
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import { EventScanner } from '@berylwood/event-stream';
+import { EventScanner, IncreasingIds } from '@berylwood/event-stream';
 import type { ResponseHead } from './readResponseHead';
 import { bodilessStatuses } from './bodilessStatuses';
 import { RESPONSE_LIMITS, type ResponseLimits } from './responseLimits';
@@ -120,7 +120,7 @@
     if (this.#isHeadSent) return;
     this.#head = head;
     this.#closesConnection = closesConnection;
-    if (head.isEventStream) this.#scanner ??= new EventScanner();
+    if (head.isEventStream) this.#scanner ??= new EventScanner(new IncreasingIds(undefined));
   }
 
   /** Adds a part of the body. Returns false if the caller reads too slowly. */
