Repeat no event that the caller of a resumed stream already has

Cause: the order of ids was checked within one response only; where the caller resumes, the ids before it are the caller's.

--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -55,14 +55,14 @@
 
   onHead(head: ResponseHead): void {
     const { relay, context } = this.#parts;
-    const { route } = this.#resolved as ResolvedRequest;
+    const { route, metadata } = this.#resolved as ResolvedRequest;
     const problem = findStreamProblem(head, route, relay.isHeadSent);
     if (problem !== undefined) {
       this.attempt?.abort(problem);
       return;
     }
     if (!head.isEventStream) this[Symbol.dispose]();
-    relay.setHead(head, context.isStopping());
+    relay.setHead(head, context.isStopping(), metadata.resumeAfter);
     if (!head.isEventStream) this.#responseBegan();
   }
 
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -115,12 +115,15 @@
     return this.#isHeadSent ? this.#scanner?.lastId : undefined;
   }
 
-  /** Sets the head of the response; a resumed stream keeps the head that was already sent. */
-  setHead(head: ResponseHead, closesConnection: boolean): void {
+  /**
+   * Sets the head of the response; a resumed stream keeps the head that was already sent.
+   * @param resumeAfter - id of the last event that the caller has from another response.
+   */
+  setHead(head: ResponseHead, closesConnection: boolean, resumeAfter?: string): void {
     if (this.#isHeadSent) return;
     this.#head = head;
     this.#closesConnection = closesConnection;
-    if (head.isEventStream) this.#scanner ??= new EventScanner(new IncreasingIds(undefined));
+    if (head.isEventStream) this.#scanner ??= new EventScanner(new IncreasingIds(resumeAfter));
   }
 
   /** Adds a part of the body. Returns false if the caller reads too slowly. */
