Remove the listener of each response from its kept connection

Seen: operators find "(node:12397) MaxListenersExceededWarning: Possible EventEmitter memory leak detected. 11 end listeners added to [Socket]." among the log lines of gateway processes. Callers see nothing of it.

Cause, shown by a run: detectReset adds a listener for the end of the endpoint's socket at the head of each response, and only the end of the connection removes it. 50 responses on one kept connection left 51 end listeners on it instead of 1, and the warning came at the eleventh; the closures of all earlier responses stayed until the connection closed. No other place was found that adds listeners of a request to an object that outlives it: read in gateway, platform, link, registry, entry and sidecar; run only for the gateway. The callers' and operators' connections and the one to the platform were clean before, too.

Now the listener is removed when the response has ended or is closed. Nothing later is asked of it: an attempt reads the result at the end of its response, which comes after the end of the socket if that ends the response.

--- a/packages/gateway/src/lib/Attempt.test.ts
+++ b/packages/gateway/src/lib/Attempt.test.ts
@@ -88,3 +88,23 @@
   }
   close();
 });
+
+// Guards against a reset that is missed once a connection has served an earlier response.
+test('a response on a kept connection is broken when data and a reset arrive together', async () => {
+  const { endpoint, connections, close } = await createRawEndpoint((socket, count) => {
+    if (count % 2 === 1) {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+      return;
+    }
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
+    socket.resetAndDestroy();
+  });
+  for (let round = 0; round < 50; round += 1) {
+    assert.equal((await send(endpoint)).end.type, 'complete', `round ${round}`);
+    // The agent gets the connection back after the end of the response.
+    await new Promise(setImmediate);
+    assert.equal((await send(endpoint)).end.type, 'broken', `round ${round}`);
+  }
+  assert.equal(connections(), 50);
+  close();
+});
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -230,7 +230,7 @@
       if (!this.#listener.onData(chunk)) answer.pause();
     });
     const { socket } = answer;
-    const wasReset = detectReset(socket);
+    const wasReset = detectReset(answer);
     this.#on(answer, 'end', () => {
       // The parser also treats a connection reset as the end of a response without a length.
       const hasEnded = socket.readableEnded && !wasReset();
