--- a/packages/gateway/src/lib/foreignBytes.property.test.ts
+++ b/packages/gateway/src/lib/foreignBytes.property.test.ts
@@ -170,24 +170,67 @@
   return [...problems, `whole without the events ${missing.join(', ')}`];
 }
 
-const READER_TOKENS = [
-  ...['\r', '\n', '\r\n', '\r\r', '\n\r', '\n\n', '\r\n\r\n', '\r\r\n', ':', ' ', '\0', '\ufeff'],
-  ...['id', 'id:', 'id: ', 'id: 07', 'id: 0', 'id: \0', 'data', 'data:', 'data: x', 'event: t'],
-  ...['retry: 9', ': c', 'weight-versions: 3', 'x', 'x\n\n', 'data: x\n\n', 'id\ndata: x\n\n'],
+const LINE_ENDS = ['\r', '\n', '\r\n'];
+
+/** Lines, and parts of lines, that mean something to a reader. */
+const READER_LINES = [
+  ...['', '', ':', ' ', 'id', 'id:', 'id: ', 'id: 07', 'id: 0', 'id: \0', '\0', '\ufeff', 'x'],
+  ...['data', 'data:', 'data: x', 'event: t', 'retry: 9', ': c', 'weight-versions: 3'],
 ];
 
-const anyForeign = fc
+const textBytes = (text: string): Buffer => Buffer.from(text);
+
+/** Lines with any ends, of which the first and the last may be parts of lines around them. */
+const foreignLines = fc
+  .tuple(
+    fc.array(fc.tuple(fc.constantFrom(...READER_LINES), fc.constantFrom('\r', ...LINE_ENDS)), {
+      minLength: 1,
+      maxLength: 6,
+    }),
+    fc.constantFrom('', '', ...READER_LINES),
+  )
+  .map(([lines, rest]) => textBytes(lines.map((parts) => parts.join('')).join('') + rest));
+
+const foreignTokens = fc
   .array(
     fc.oneof(
-      { arbitrary: fc.constantFrom(...READER_TOKENS).map((text) => Buffer.from(text)), weight: 8 },
+      {
+        arbitrary: fc.constantFrom(...LINE_ENDS, '\r\r', '\n\r', ...READER_LINES).map(textBytes),
+        weight: 8,
+      },
       { arbitrary: fc.uint8Array({ minLength: 1, maxLength: 12 }), weight: 1 },
     ),
     { minLength: 1, maxLength: 8 },
   )
   .map((parts) => Buffer.concat(parts));
 
-/** Streams with any foreign bytes in any place, under one of some heads. */
-function spoiledStreams(headers: fc.Arbitrary<readonly string[]>): fc.Arbitrary<SpoiledStream> {
+/** Foreign lines of the form of a field or comment, most of which end with CR. */
+const fieldLines = fc
+  .array(
+    fc.tuple(
+      fc.constantFrom('', '', 'id', 'id:', 'id: 07', 'data', 'data: x', ': c', 'event: t', 'x'),
+      fc.constantFrom('\r', '\r', ...LINE_ENDS),
+    ),
+    { minLength: 1, maxLength: 4 },
+  )
+  .map((lines) => textBytes(lines.map((parts) => parts.join('')).join('')));
+
+/** Foreign bytes, and their offset in an event. */
+interface Spoiling {
+  readonly foreign: fc.Arbitrary<Buffer>;
+  readonly offset: fc.Arbitrary<number>;
+}
+
+const anySpoiling: Spoiling = {
+  foreign: fc.oneof(foreignLines, foreignTokens),
+  offset: fc.oneof(fc.constant(0), fc.nat(24)),
+};
+
+/** Streams with foreign bytes in any of their events or between them, under one of some heads. */
+function spoiledStreams(
+  headers: fc.Arbitrary<readonly string[]>,
+  { foreign, offset }: Spoiling,
+): fc.Arbitrary<SpoiledStream> {
   const fraction = fc.integer({ min: 0, max: 100 }).map((percent) => percent / 100);
   return fc
     .record({
@@ -195,9 +238,9 @@
       lastEventId: fc.constantFrom(0, 0, 2, 9),
       steps: fc.array(fc.integer({ min: 1, max: 3 }), { minLength: 1, maxLength: 4 }),
       lineEnd: fc.constantFrom('\n', '\r\n'),
-      foreign: anyForeign,
+      foreign,
       position: fc.nat(4),
-      offset: fc.oneof(fc.constant(0), fc.nat(20)),
+      offset,
       isFramed: fc.oneof(
         { arbitrary: fc.constant(true), weight: 4 },
         { arbitrary: fc.constant(false), weight: 1 },
@@ -227,11 +270,11 @@
 
 async function check(
   t: TestContext,
-  headers: fc.Arbitrary<readonly string[]>,
+  streams: fc.Arbitrary<SpoiledStream>,
   numRuns: number,
 ): Promise<void> {
   const gateway = await startGateway(t);
-  const property = fc.asyncProperty(spoiledStreams(headers), async (stream) => {
+  const property = fc.asyncProperty(streams, async (stream) => {
     fc.pre(!isIndistinguishable(stream));
     const response = await play(gateway, stream);
     const problems = findProblems(stream, response);
@@ -242,7 +285,14 @@
 
 // Guards against pieces that no run made: a reader ends lines at CR, too, and takes blocks without an id for events.
 test('any bytes in any place of an event stream reach no reader as an event', async (t) => {
-  await check(t, fc.constant([EVENT_STREAM]), 1500);
+  await check(t, spoiledStreams(fc.constant([EVENT_STREAM]), anySpoiling), 2000);
+});
+
+// Guards against the same where the foreign bytes are lines whose ends only some readers know.
+test('lines with any ends in any place of an event stream reach no reader as an event', async (t) => {
+  const offset = fc.oneof(fc.constant(0), fc.integer({ min: 12, max: 21 }));
+  const streams = spoiledStreams(fc.constant([EVENT_STREAM]), { foreign: fieldLines, offset });
+  await check(t, streams, 1000);
 });
 
 /** Heads of a success; a caller of a stream reads events in the body of each. */
@@ -260,7 +310,7 @@
 
 // Guards against a body that is relayed unread since its head does not name an event stream.
 test('any bytes under any head of a success reach no reader as an event', async (t) => {
-  await check(t, successHeads, 700);
+  await check(t, spoiledStreams(successHeads, anySpoiling), 1000);
 });
 
 // Guards against events that the caller of a resumed stream has already received.
