Continue a stream only with a whole one of a success

Cause: on a resumption the type was asked for and not the status, since the caller keeps the first head; so a failure was not seen, and only a success needs a signature. Change: a stream is a 200 with a body of events, whether it begins or continues one.

--- a/packages/gateway/src/lib/findStreamProblem.ts
+++ b/packages/gateway/src/lib/findStreamProblem.ts
@@ -1,12 +1,13 @@
 import type { ResponseHead } from './readResponseHead';
 import type { Route } from './RoutingConfiguration';
 
-const MIN_SUCCESS_STATUS = 200;
+const OK_STATUS = 200;
 const MAX_SUCCESS_STATUS = 299;
 
 /**
  * Returns why the body after a head cannot be forwarded as a stream of events, or undefined. A success on a stream's
- * route whose body is not one of events is no response of the endpoint, as the caller may read events in it.
+ * route that does not hold a whole stream of events is no response of the endpoint, as the caller may read events in
+ * it; and only such a stream continues another one.
  * @param isResumed - whether the caller already has events of another endpoint in the same response.
  * @internal
  */
@@ -15,9 +16,10 @@
   { kind }: Pick<Route, 'kind'>,
   isResumed: boolean,
 ): string | undefined {
-  if (isEventStream) return undefined;
-  if (isResumed) return `stream not resumed, status ${status}`;
-  const isSuccess = status >= MIN_SUCCESS_STATUS && status <= MAX_SUCCESS_STATUS;
-  if (kind !== 'stream' || !isSuccess || !hasBody) return undefined;
-  return 'malformed response: not a stream of events';
+  const isStream = status === OK_STATUS && hasBody && isEventStream;
+  if (isResumed) return isStream ? undefined : `stream not resumed, status ${status}`;
+  if (kind !== 'stream' || status < OK_STATUS || status > MAX_SUCCESS_STATUS) return undefined;
+  // The response to a HEAD request has no body.
+  if (isStream || (status === OK_STATUS && !hasBody)) return undefined;
+  return `malformed response: status ${status} without a stream of events`;
 }
