Refuse a response in another transfer coding than chunked

Cause: any Transfer-Encoding was taken for chunks, while Node.js reads such a body to the end of the connection, at which a reset was then not asked for.

--- a/packages/gateway/src/lib/findResponseProblem.ts
+++ b/packages/gateway/src/lib/findResponseProblem.ts
@@ -1,5 +1,6 @@
 import { findMalformedHeader } from './findMalformedHeader';
 import { quoteForLog } from './quoteForLog';
+import { valuesOf } from './valuesOf';
 import type { RawHeaders } from './Wire';
 
 const MIN_STATUS = 200;
@@ -23,6 +24,9 @@
   const { status, rawHeaders, statesBody } = head;
   if (status < MIN_STATUS || status > MAX_STATUS) return `status ${status}`;
   if (status === NO_CONTENT && statesBody) return 'status 204 with a body';
+  const codings = valuesOf(rawHeaders, 'transfer-encoding');
+  // With any other coding the body is not what the parser passes on, nor is its end where the parser finds it.
+  if (codings.some((coding) => !/^chunked$/i.test(coding.trim()))) return 'a transfer encoding';
   const header = findMalformedHeader(rawHeaders);
   return header === undefined ? undefined : `header ${quoteForLog(header)}`;
 }
