Continue only a stream once its head was sent

Cause: whether a request may be repeated followed from its route alone, also after its caller had received part of a response that nothing can continue.

--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -221,7 +221,9 @@
   }
 
   #canRetry(isNotRun: boolean): boolean {
-    return this.#history.canRetry(this.#parts.resolved.route, this.#leftMs, isNotRun);
+    const { route } = this.#parts.resolved;
+    const isPossible = this.#history.canRetry(route, this.#leftMs, isNotRun);
+    return isPossible && this.#relay.canBeContinued;
   }
 
   /** Retries the request on another endpoint, or ends it with a code if that is not possible. */
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -62,6 +62,11 @@
     return this.#isHeadSent;
   }
 
+  /** Whether another endpoint can continue the response, or nothing of it was sent. */
+  get canBeContinued(): boolean {
+    return !this.#isHeadSent || this.isEventStream;
+  }
+
   get isEventStream(): boolean {
     return this.#head?.isEventStream ?? false;
   }
