Read events only on a stream's route

What callers saw: on a plain route a body of the type of streams lost its comments and blocks without data and was called whole (MIXED), or became 502. Cause: the type alone decided.

--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -53,9 +53,11 @@
     this.#guard = guard;
   }
 
-  onHead(head: ResponseHead): void {
+  onHead(received: ResponseHead): void {
     const { relay, context } = this.#parts;
     const { route, metadata } = this.#resolved as ResolvedRequest;
+    // On other routes a body is forwarded as it is, whatever its type.
+    const head = { ...received, isEventStream: received.isEventStream && route.kind === 'stream' };
     const problem = findStreamProblem(head, route, relay.isHeadSent);
     if (problem !== undefined) {
       this.attempt?.abort(problem);
