--- a/packages/gateway/src/lib/isEventStream.ts
+++ b/packages/gateway/src/lib/isEventStream.ts
@@ -1,24 +1,12 @@
+import { valuesOf } from './valuesOf';
 import type { RawHeaders } from './Wire';
 
-const MEDIA_TYPE = /^\s*text\/event-stream\s*(?:;|$)/i;
+/** The media type, whose only charset is UTF-8. A comma would begin another value of the header. */
+const MEDIA_TYPE =
+  /^\s*text\/event-stream\s*(?:;\s*charset\s*=\s*"?utf-8"?\s*|;(?!\s*charset)[^;,]*)*$/i;
 
-const IDENTITY = /^\s*identity\s*$/i;
-
-/**
- * Whether every reader of a response takes its body for server-sent events: each `Content-Type` names them, and
- * the body is not encoded.
- * @internal
- */
+/** Whether every reader of a response takes its body for server-sent events. @internal */
 export function isEventStream(headers: RawHeaders): boolean {
-  let hasType = false;
-  for (let at = 0; at + 1 < headers.length; at += 2) {
-    const name = headers[at]?.toLowerCase();
-    const value = headers[at + 1] ?? '';
-    if (name === 'content-encoding' && !IDENTITY.test(value)) return false;
-    if (name === 'content-type') {
-      if (!MEDIA_TYPE.test(value)) return false;
-      hasType = true;
-    }
-  }
-  return hasType;
+  const types = valuesOf(headers, 'content-type');
+  return types.length > 0 && types.every((type) => MEDIA_TYPE.test(type));
 }
--- a/packages/gateway/src/lib/readResponseHead.ts
+++ b/packages/gateway/src/lib/readResponseHead.ts
@@ -6,6 +6,9 @@
 import { isEventStream } from './isEventStream';
 import type { ResponseMetadata, Wire } from './Wire';
 
+const MIN_SUCCESS_STATUS = 200;
+const MAX_SUCCESS_STATUS = 299;
+
 /** Status and headers of a response. @internal */
 export interface ResponseHead {
   readonly status: number;
@@ -36,6 +39,8 @@
   { method, attempt }: AnsweredRequest,
   { statusCode: status = 0, rawHeaders, headers }: IncomingMessage,
 ): Result<ResponseHead, string> {
+  const isSuccess = status >= MIN_SUCCESS_STATUS && status <= MAX_SUCCESS_STATUS;
+  if (isSuccess && 'content-encoding' in headers) return err('malformed response: encoded body');
   const isChunked = 'transfer-encoding' in headers;
   const statedLength = headers['content-length'];
   const contentLength = statedLength === undefined || isChunked ? undefined : Number(statedLength);
