--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,3 +8,4 @@
 export { RoutingTable, chooseTarget } from './lib/RoutingTable';
 export { gatewayCodes } from './lib/codes';
 export { gatewayEvents } from './lib/events';
+export { valuesOf } from './lib/valuesOf';
