Fail on output of a process that is no log line

Cause: nobody read the output. Standard output was discarded, and standard error went to a file that is deleted after a run without violations. Log lines go to standard error, or to standard output with `output = true`.

A file instead of a pipe, since it is complete when the process has ended. Two kinds of lines are told apart: the last one of a run ended by SIGKILL, if it is the start of a log line, and a line that a test names in full (`data folder ... does not exist`, of a replica that must not start).

--- a/apps/berylwood/src/lib/startupSnapshot.process.test.ts
+++ b/apps/berylwood/src/lib/startupSnapshot.process.test.ts
@@ -1,15 +1,18 @@
 import assert from 'node:assert/strict';
-import { execFileSync, spawn } from 'node:child_process';
-import { once } from 'node:events';
+import { execFileSync } from 'node:child_process';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { after, before, test, type TestContext } from 'node:test';
+import { after, afterEach, before, test } from 'node:test';
 import { SETTINGS_VARIABLE } from '@berylwood/platform';
+import { ChildProcess, closeProcesses, until } from '@berylwood/testing';
 
 const directory = mkdtempSync(join(tmpdir(), 'berylwood-snapshot-'));
 const settings = join(directory, 'settings.toml');
 
+/** Processes that the current test has started. */
+const gateways: ChildProcess[] = [];
+
 /** Settings of a gateway whose ports the kernel chooses. */
 const SETTINGS = `
 [process]
@@ -46,23 +49,25 @@
   writeFileSync(settings, SETTINGS);
 });
 
+afterEach(() => closeProcesses(gateways.splice(0)));
+
 after(() => rmSync(directory, { recursive: true }));
 
 /** Starts a gateway from the snapshot and resolves with its incarnation once it has started. */
-async function startGateway(t: TestContext) {
-  const blob = join(directory, 'gateway.blob');
-  const child = spawn(process.execPath, ['--snapshot-blob', blob, ...flagsOf('run')], {
-    env: { ...process.env, [SETTINGS_VARIABLE]: settings },
-    stdio: ['ignore', 'pipe', 'inherit'],
+async function startGateway(name: string) {
+  const log = join(directory, `${name}.log`);
+  const child = new ChildProcess({
+    name,
+    binary: process.execPath,
+    args: ['--snapshot-blob', join(directory, 'gateway.blob'), ...flagsOf('run')],
+    env: { [SETTINGS_VARIABLE]: settings },
+    log,
   });
-  t.after(() => child.kill('SIGKILL'));
-  let log = '';
-  for await (const chunk of child.stdout) {
-    log += String(chunk);
-    if (log.includes('processStarted')) break;
-  }
-  const incarnation = /"incarnation":"([^"]+)"/.exec(log)?.[1];
-  assert.ok(incarnation, 'the gateway did not start');
+  gateways.push(child);
+  child.start();
+  const readLog = (): string => readFileSync(log, 'utf8');
+  await until('the gateway has started', () => readLog().includes('processStarted'));
+  const incarnation = /"incarnation":"([^"]+)"/.exec(readLog())?.[1];
   return { child, incarnation };
 }
 
@@ -71,16 +76,15 @@
   assert.deepEqual(flagsOf('build'), flagsOf('run'));
 });
 
-test('a gateway starts from its snapshot, survives SIGHUP and stops on SIGTERM', async (t) => {
-  const { child } = await startGateway(t);
-  child.kill('SIGHUP');
-  child.kill('SIGTERM');
-  const [code] = (await once(child, 'exit')) as [number | null];
-  assert.equal(code, 0);
+test('a gateway starts from its snapshot, survives SIGHUP and stops on SIGTERM', async () => {
+  const { child } = await startGateway('stopped');
+  child.signal('SIGHUP');
+  assert.equal((await child.stop())?.code, 0);
 });
 
-test('two starts from one snapshot are different incarnations', async (t) => {
-  const first = await startGateway(t);
-  const second = await startGateway(t);
+test('two starts from one snapshot are different incarnations', async () => {
+  const first = await startGateway('first');
+  const second = await startGateway('second');
+  assert.ok(first.incarnation && second.incarnation);
   assert.notEqual(first.incarnation, second.incarnation);
 });
--- a/packages/control/src/lib/Control.process.test.ts
+++ b/packages/control/src/lib/Control.process.test.ts
@@ -223,10 +223,12 @@
     await deployment.operate('backup', backup);
     await assert.rejects(deployment.operate('restore', backup), /3050/);
     await child.kill();
-    rmSync(join(deployment.folder, 'control-1'), { recursive: true });
+    const folder = join(deployment.folder, 'control-1');
+    rmSync(folder, { recursive: true });
     child.start();
     await until('the process has ended', () => !child.isRunning);
     assert.deepEqual(await child.kill(), { code: 5, signal: null });
+    child.expectLine(`data folder ${folder} does not exist`);
   } finally {
     await group.deployment.close();
   }
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -10,6 +10,7 @@
 export { expectedAnswer, promptMark, answerToken } from './lib/engine/answer';
 export { Relay, type RelayMode } from './lib/Relay';
 export { ChildProcess, type ChildOptions, type Exit } from './lib/ChildProcess';
+export { closeProcesses } from './lib/closeProcesses';
 export { Deployment } from './lib/Deployment';
 export { type DeploymentPlan, type EndpointPlan } from './lib/DeploymentPlan';
 export { callCompletion, type Call, type Reply } from './lib/callCompletion';
--- a/packages/testing/src/lib/ChildProcess.ts
+++ b/packages/testing/src/lib/ChildProcess.ts
@@ -1,12 +1,15 @@
 import { spawn, type ChildProcess as NodeChild } from 'node:child_process';
-import { createWriteStream } from 'node:fs';
+import { closeSync, fstatSync, openSync, readFileSync } from 'node:fs';
+import { findUnstructuredLines } from './findUnstructuredLines';
 
 /** Options of a process under test. @public */
 export interface ChildOptions {
   readonly name: string;
   readonly binary: string;
   readonly args: readonly string[];
-  /** File that gets the process's log. */
+  /** Variables of the environment besides those of this process. */
+  readonly env?: Readonly<Record<string, string>>;
+  /** File to which standard output and standard error are appended. */
   readonly log: string;
 }
 
@@ -16,13 +19,22 @@
   readonly signal: NodeJS.Signals | null;
 }
 
+/** One run of a process. */
+interface Run {
+  readonly child: NodeChild;
+  /** Position in the file at which its output begins. */
+  readonly outputStart: number;
+}
+
 /** A process under test that can be killed, frozen and started again. @public */
 export class ChildProcess {
   readonly name: string;
 
   readonly #options: ChildOptions;
 
-  #child: NodeChild | undefined;
+  readonly #runs: Run[] = [];
+
+  readonly #expectedLines: string[] = [];
 
   #exit: Promise<Exit> | undefined;
 
@@ -31,8 +43,13 @@
     this.#options = options;
   }
 
+  get #child(): NodeChild | undefined {
+    return this.#runs.at(-1)?.child;
+  }
+
   get isRunning(): boolean {
-    return this.#child !== undefined && this.#child.exitCode === null && !this.#child.signalCode;
+    const child = this.#child;
+    return child !== undefined && child.exitCode === null && !child.signalCode;
   }
 
   get pid(): number | undefined {
@@ -40,10 +57,16 @@
   }
 
   start(): void {
-    const { binary, args, log } = this.#options;
-    const child = spawn(binary, args, { stdio: ['ignore', 'ignore', 'pipe'] });
-    child.stderr.pipe(createWriteStream(log, { flags: 'a' }));
-    this.#child = child;
+    const { binary, args, env, log } = this.#options;
+    const output = openSync(log, 'a');
+    const outputStart = fstatSync(output).size;
+    const child = spawn(binary, args, {
+      env: { ...process.env, ...env },
+      // A file holds the whole output once the process has ended, unlike a pipe.
+      stdio: ['ignore', output, output],
+    });
+    closeSync(output);
+    this.#runs.push({ child, outputStart });
     this.#exit = new Promise((resolve) => {
       child.once('exit', (code, signal) => resolve({ code, signal }));
     });
@@ -54,6 +77,11 @@
     this.#child?.kill(signal);
   }
 
+  /** Waits until the process has ended by itself. */
+  async waitForExit(): Promise<Exit | undefined> {
+    return this.#exit;
+  }
+
   /** Ends the process without warning and waits for its end. */
   async kill(): Promise<Exit | undefined> {
     if (this.isRunning) this.signal('SIGKILL');
@@ -66,6 +94,27 @@
     return this.#exit;
   }
 
+  /** Expects one line that is no log line, such as the command line's reason not to start a process. */
+  expectLine(line: string): void {
+    this.#expectedLines.push(line);
+  }
+
+  /** Returns the lines of the output of all runs, which must have ended, that are neither log lines nor expected. */
+  findUnexpectedLines(): string[] {
+    if (this.#runs.length === 0) return [];
+    const output = readFileSync(this.#options.log);
+    const lines = this.#runs.flatMap(({ child, outputStart }, at) => {
+      const text = output.subarray(outputStart, this.#runs[at + 1]?.outputStart).toString();
+      return findUnstructuredLines(text, child.signalCode === 'SIGKILL');
+    });
+    for (const line of this.#expectedLines) {
+      const at = lines.indexOf(line);
+      if (at < 0) lines.push(`missing: ${line}`);
+      else lines.splice(at, 1);
+    }
+    return lines;
+  }
+
   freeze(): void {
     this.signal('SIGSTOP');
   }
--- a/packages/testing/src/lib/Deployment.ts
+++ b/packages/testing/src/lib/Deployment.ts
@@ -4,6 +4,7 @@
 import { join, resolve } from 'node:path';
 import { promisify } from 'node:util';
 import { ChildProcess } from './ChildProcess';
+import { closeProcesses } from './closeProcesses';
 import type { EndpointHistories } from './checks/Run';
 import { PORTS, type DeploymentPlan } from './DeploymentPlan';
 import type { HistoryRecord } from './History';
@@ -64,12 +65,17 @@
     });
   }
 
-  /** Ends all processes and removes the folder. */
+  /**
+   * Ends all processes and removes the folder.
+   * @throws if a process has written anything but log lines.
+   */
   async close(): Promise<void> {
-    for (const child of this.processes.values()) child.thaw();
-    await Promise.all([...this.processes.values()].map((child) => child.kill()));
-    await Promise.all([...this.relays.values()].map((relay) => relay.close()));
-    rmSync(this.folder, { recursive: true, force: true });
+    try {
+      await closeProcesses(this.processes.values());
+    } finally {
+      await Promise.all([...this.relays.values()].map((relay) => relay.close()));
+      rmSync(this.folder, { recursive: true, force: true });
+    }
   }
 
   process(name: string): ChildProcess {
