Forward only whole events of a run from the sidecar

Seen by callers of the roles entry and sidecar: the sidecar passed an engine's stream on unread. Foreign bytes between two events or inside one reached the caller as events of their own, swallowed an event of the run, or counted as tokens, after which a resumption left out as many. A success without a stream of events came as 200, and an answer of another status to a resumption went into the stream. A body that ended in order, but early, was a whole answer. UsageReader ended events at LF LF only, so a stream with CR or CR LF counted as no token, and a token with the text [DONE] as none.

Cause: no part of the sidecar read the events, and the part that counted them had an idea of its own of where one ends.

The sidecar now reads streams with the EventScanner that the gateway uses (CompletionStream), and counts what that accepts. Events of this wire form have no id: UnnumberedEvents refuses one, as neither the OpenAI form nor the calls of the engine in docs/operators/load.md have any, and a stream is resumed by the number of tokens. As such events can't be told by their ids, their data is checked: JSON with the `id` of the run, which is the x-stream-id that the engine was given, or [DONE]. So an event that noise cut or made up isn't forwarded, wherever it stands and however it is split. A comment or field that swallowed an event is found by that id. Foreign bytes end the read like a broken connection, and the run is resumed after its last token; a resumption has to be a stream too. Whatever follows [DONE], the answer is whole; without it the stream counts as broken. An event is at most 1 MiB (MAX_EVENT_BYTES, for RESPONSE_LIMITS of the gateway to use too). The length of a stream isn't forwarded, as comments and foreign bytes are dropped.

Reverse: each end of a line, comments, a mark at the start, data over several lines, data without a colon among them, pass whole and at once. An event with nothing but empty data is refused: no client of this wire form can read it as JSON.

Ruled out: taking the id of the first event for that of the run (a foreign first event would make all others foreign); counting events in the forwarded bytes (a second notion of an event). Not told from the run: noise without the end of a line inside a text, a comment, `event` or `retry` line in an event, a whole chunk with the id of the run, a whole early [DONE]. The bodies of plain services pass unread.

--- a/packages/event-stream/src/index.ts
+++ b/packages/event-stream/src/index.ts
@@ -2,3 +2,7 @@
 export { EventOrder, type EventPosition } from './lib/EventOrder';
 export { EventScanner, type ScannedEvents } from './lib/EventScanner';
 export { IncreasingIds } from './lib/IncreasingIds';
+export { UnnumberedEvents } from './lib/UnnumberedEvents';
+export { MAX_EVENT_BYTES } from './lib/eventLimits';
+export { isEventStream } from './lib/isEventStream';
+export { readData } from './lib/readData';
--- a/packages/sidecar/src/lib/EngineRun.test.ts
+++ b/packages/sidecar/src/lib/EngineRun.test.ts
@@ -1,49 +1,127 @@
 import assert from 'node:assert/strict';
-import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
-import { test } from 'node:test';
-import type { Dispatch } from '@berylwood/schema';
-import { Pool } from 'undici';
-import { EngineRun } from './EngineRun';
-
-const EVENT = 'data: piece 1\n\n';
-
-// Guards against a failure of an engine that is appended to the stream it fails to resume.
-test('a stream is not continued with the body of a failure', async (t) => {
-  const server = createServer((request, response) => {
-    if (request.method === 'POST') {
-      response.writeHead(200, { 'content-type': 'text/event-stream' });
-      response.write(EVENT, () => setTimeout(() => response.destroy(), 20));
-    } else {
-      response.writeHead(500, { 'content-type': 'text/plain' });
-      response.end('data: x\n\n');
+import test from 'node:test';
+import {
+  SinkRecord,
+  TEST_TIMEOUT,
+  assertWhole,
+  createEngine,
+  createToken,
+  encode,
+  soundResponse,
+  valuesOf,
+  type Script,
+} from '../fixtures/scriptedRun';
+import { EndpointError } from './Endpoint';
+
+test('each event is forwarded as soon as its blank line arrived', TEST_TIMEOUT, async (t) => {
+  const { run } = await createEngine(t);
+  for (const lineEnd of ['\n', '\r\n', '\r']) {
+    const sink = new SinkRecord();
+    const texts = ['a', 'b'];
+    let forwardedAt = 0;
+    sink.onData = () => {
+      forwardedAt ||= performance.now();
+    };
+    const startedAt = performance.now();
+    // The engine falls silent after its first event, so the rest comes only once the stream has stalled.
+    const outcome = await run(
+      (stream, offset, calls) =>
+        calls === 1
+          ? { parts: [encode(createToken(stream, 'a'), lineEnd)], ending: 'silent' }
+          : soundResponse(stream, texts, offset),
+      { sink },
+    );
+    assertWhole(outcome, texts);
+    assert.ok(forwardedAt - startedAt < 1000, `${forwardedAt - startedAt} ms`);
+  }
+});
+
+test('a stream that breaks between its last events is resumed without repetition', async (t) => {
+  const { run } = await createEngine(t);
+  const texts = ['a', 'b'];
+  const whole = Buffer.concat(valuesOf('run-0', texts).map((value) => encode(value)));
+  for (let cutAt = 0; cutAt <= whole.length; cutAt += 1) {
+    const outcome = await run((stream, offset, calls) => {
+      if (calls > 1) return soundResponse(stream, texts, offset);
+      const bytes = Buffer.concat(valuesOf(stream, texts).map((value) => encode(value)));
+      return { parts: [bytes.subarray(0, cutAt)], ending: 'cut' };
+    });
+    assertWhole(outcome, texts);
+  }
+});
+
+test('a stream that ends in order before its end marker is resumed', async (t) => {
+  const { run } = await createEngine(t);
+  const texts = ['a', 'b'];
+  const outcome = await run((stream, offset, calls) =>
+    calls === 1
+      ? { parts: [encode(createToken(stream, 'a'))] }
+      : soundResponse(stream, texts, offset),
+  );
+  assertWhole(outcome, texts);
+});
+
+// Guards against a body of another kind that reached the caller of a stream.
+test('a success that is no stream of events fails a run that asked for one', async (t) => {
+  const { run } = await createEngine(t);
+  const types: Record<string, string>[] = [
+    {},
+    { 'content-type': 'text/plain' },
+    { 'content-type': 'application/json' },
+    { 'content-type': 'text/event-streamx' },
+    { 'content-type': 'text/event-stream', 'content-encoding': 'gzip' },
+  ];
+  for (const headers of types) {
+    for (const ending of ['complete', 'cut', 'silent'] as const) {
+      const parts = [Buffer.from('data: x\n\n')];
+      const { sink, error } = await run(() => ({ headers, parts, ending }));
+      assert.ok(error instanceof EndpointError, JSON.stringify(headers));
+      assert.deepEqual([sink.status, sink.bytes.length], [0, 0]);
     }
+  }
+});
+
+test('the type of a stream is read in any case, and its length is not forwarded', async (t) => {
+  const { run } = await createEngine(t);
+  const outcome = await run((stream) => {
+    const parts = [Buffer.from('\ufeff'), ...soundResponse(stream, ['a'], 0).parts];
+    const { length } = Buffer.concat(parts);
+    const headers = {
+      'content-type': 'Text/Event-Stream; charset=utf-8',
+      'content-length': `${length}`,
+    };
+    return { headers, parts };
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-  const pool = new Pool(`http://${address}`);
-  t.after(async () => {
-    await pool.destroy();
-    server.close();
-  });
-  const parts: Uint8Array[] = [];
-  const sink = {
-    head: () => {},
-    data: (bytes: Uint8Array) => {
-      parts.push(Buffer.from(bytes));
-      return undefined;
-    },
-  };
-  const engine = { pool, address, restarts: 0, load: async () => {} };
-  const dispatch = { path: '/v1/chat/completions', headers: {}, body: Buffer.from('{}') };
-  const run = new EngineRun(
-    engine,
-    { ...dispatch, attempt: 'a-1', tier: 0 } as unknown as Dispatch,
-    sink,
-    AbortSignal.timeout(3000),
+  assertWhole(outcome, ['a']);
+  assert.equal(outcome.sink.headers['content-length'], undefined);
+});
+
+test('a response that is no stream passes unchanged where none was asked for', async (t) => {
+  const { run } = await createEngine(t);
+  const text = '{"choices":[],"usage":{"prompt_tokens":3,"completion_tokens":2}}';
+  const headers = { 'content-type': 'application/json', 'content-length': `${text.length}` };
+  const script: Script = () => ({ headers, parts: [Buffer.from(text)] });
+  const { sink, work } = await run(script, { body: '{"messages":[]}' });
+  assert.deepEqual([sink.bytes.toString(), sink.headers], [text, headers]);
+  assert.deepEqual(work, { inputTokens: 3, outputTokens: 2, cachedTokens: 0 });
+});
+
+test('an error of an engine passes unchanged to a caller that asked for a stream', async (t) => {
+  const { run } = await createEngine(t);
+  const headers = { 'content-type': 'application/json' };
+  const parts = [Buffer.from('{"error":"no such model"}')];
+  const { sink, error } = await run(() => ({ status: 400, headers, parts }));
+  assert.equal(error, undefined);
+  assert.deepEqual([sink.status, sink.bytes], [400, parts[0]]);
+});
+
+// Guards against the memory that an event without an end would take.
+test('an event that never ends fails the run', TEST_TIMEOUT, async (t) => {
+  const { run } = await createEngine(t);
+  const parts = Array.from({ length: 80 }, () => Buffer.alloc(16 * 1024, 'data: x\n'));
+  const { sink, error } = await run((_, __, calls) =>
+    calls === 1 ? { parts, ending: 'silent' } : { status: 404, parts: [] },
   );
-  await run.run().catch(() => {});
-  assert.equal(Buffer.concat(parts).toString(), EVENT);
+  assert.match(String(error), /maxEventBytes|no such stream/);
+  assert.equal(sink.bytes.length, 0);
 });
--- a/packages/sidecar/src/lib/EngineRun.ts
+++ b/packages/sidecar/src/lib/EngineRun.ts
@@ -1,8 +1,9 @@
 import { Client, type Dispatcher, type Pool } from 'undici';
-import { noWork, type Dispatch, type Work } from '@berylwood/schema';
+import type { Dispatch, Work } from '@berylwood/schema';
 import { CONNECT_TIMEOUT_MS, isNotListening, isUnreached } from './connection';
+import { CompletionStream } from './CompletionStream';
 import { EndpointError, type ResponseSink, type EndpointFault } from './Endpoint';
-import { filterResponseHeaders } from './headers';
+import { describesEventStream, filterResponseHeaders, filterStreamHeaders } from './headers';
 import { UsageReader } from './UsageReader';
 
 type EngineResponse = Dispatcher.ResponseData;
@@ -19,6 +20,7 @@
 /** Consecutive resumptions without a new token after which the run fails. */
 const MAX_IDLE_RESUMPTIONS = 20;
 
+const OK = 200;
 const NOT_FOUND = 404;
 
 /** The engine no longer has the stream, because it restarted or discarded the stream. */
@@ -49,12 +51,13 @@
 
   readonly #signal: AbortSignal;
 
-  #reader: UsageReader | undefined;
+  #hasHead = false;
 
-  /** Bytes at the start of a resumed stream that were already received and are skipped. */
-  #bytesToSkip = 0;
+  /** The response, if it is a stream of events. */
+  #stream: CompletionStream | undefined;
 
-  #isStream = false;
+  /** Reader of a response that is no stream of events. */
+  readonly #usage = new UsageReader();
 
   constructor(engine: Engine, dispatch: Dispatch, sink: ResponseSink, signal: AbortSignal) {
     this.#engine = engine;
@@ -70,7 +73,11 @@
     } catch (error) {
       await this.#recover(error);
     }
-    return this.#reader?.work ?? noWork;
+    return this.#work;
+  }
+
+  get #work(): Work {
+    return this.#stream?.work ?? this.#usage.work;
   }
 
   async #start(): Promise<void> {
@@ -88,45 +95,62 @@
       headersTimeout: 0,
       bodyTimeout: STALL_TIMEOUT_MS,
     });
-    this.#sink.head(answer.statusCode, filterResponseHeaders(answer.headers));
-    const contentType = String(answer.headers['content-type'] ?? '');
-    this.#isStream = contentType.startsWith('text/event-stream');
-    this.#reader = new UsageReader(contentType);
-    await this.#read(answer);
+    const { statusCode, headers, body } = answer;
+    this.#hasHead = true;
+    const isSuccess = statusCode >= 200 && statusCode < 300;
+    if (isSuccess && describesEventStream(headers)) {
+      this.#stream = new CompletionStream(dispatch.attempt);
+      this.#sink.head(statusCode, filterStreamHeaders(headers));
+      await this.#readStream(this.#stream, body);
+    } else if (isSuccess && requestsStream(dispatch)) {
+      discard(body);
+      throw new Error('the response is no stream of events');
+    } else {
+      this.#sink.head(statusCode, filterResponseHeaders(headers));
+      await this.#readWhole(body);
+    }
   }
 
-  async #read(answer: EngineResponse): Promise<void> {
-    for await (const data of answer.body) {
-      const chunk = this.#dropReceivedBytes(data as Buffer);
-      if (chunk.length === 0) continue;
-      this.#reader?.read(chunk);
-      const isFull = this.#sink.data(chunk, this.#reader?.tokens ?? 0);
+  async #readWhole(body: EngineResponse['body']): Promise<void> {
+    for await (const data of body) {
+      const chunk = data as Buffer;
+      this.#usage.read(chunk);
+      const isFull = this.#sink.data(chunk, 0);
       if (isFull) await isFull;
     }
   }
 
-  #dropReceivedBytes(chunk: Buffer): Buffer {
-    if (this.#bytesToSkip === 0) return chunk;
-    const skipped = Math.min(this.#bytesToSkip, chunk.length);
-    this.#bytesToSkip -= skipped;
-    return chunk.subarray(skipped);
+  /** Forwards the events of the run. Foreign bytes end the connection like any other break. */
+  async #readStream(stream: CompletionStream, body: EngineResponse['body']): Promise<void> {
+    try {
+      for await (const data of body) {
+        const events = stream.read(data as Buffer);
+        const isFull = events.length > 0 && this.#sink.data(events, stream.tokens);
+        if (isFull) await isFull;
+        if (stream.problem !== undefined) throw new Error(stream.problem);
+      }
+    } catch (error) {
+      // Whatever follows the end marker, the response is complete.
+      if (!stream.hasEnded) throw error;
+    }
+    if (!stream.hasEnded) throw new Error('the stream ended before its end marker');
   }
 
   async #recover(first: unknown): Promise<void> {
     let error = first;
     for (let idle = 0; idle < MAX_IDLE_RESUMPTIONS; idle += 1) {
       const fault = await this.#classifyError(error);
-      if (fault) throw new EndpointError(fault, this.#reader?.work ?? noWork, error);
-      const before = this.#reader?.tokens;
+      if (fault) throw new EndpointError(fault, this.#work, error);
+      const before = this.#stream?.tokens;
       try {
         await this.#resume(Math.min(MAX_STALL_TIMEOUT_MS, STALL_TIMEOUT_MS * 2 ** idle));
         return;
       } catch (next) {
         error = next;
       }
-      if (this.#reader?.tokens !== before) idle = -1;
+      if (this.#stream?.tokens !== before) idle = -1;
     }
-    throw new EndpointError('failed', this.#reader?.work ?? noWork, error);
+    throw new EndpointError('failed', this.#work, error);
   }
 
   /** Returns the fault that ends the run, or undefined if the stream can be resumed. */
@@ -134,9 +158,9 @@
     if (this.#signal.aborted) return 'failed';
     if (error instanceof StreamLostError)
       return (await this.#hasRestarted()) ? 'crashed' : 'failed';
-    if (!this.#reader && isUnreached(error)) return 'unreached';
+    if (!this.#hasHead && isUnreached(error)) return 'unreached';
     if (await isNotListening(this.#engine.address)) return 'crashed';
-    return this.#isStream ? undefined : 'failed';
+    return this.#stream ? undefined : 'failed';
   }
 
   async #hasRestarted(): Promise<boolean> {
@@ -145,24 +169,44 @@
   }
 
   async #resume(stallTimeoutMs: number): Promise<void> {
-    const { tokens = 0, bytesAfterToken = 0 } = this.#reader ?? {};
-    this.#bytesToSkip = bytesAfterToken;
+    const stream = this.#stream;
+    if (!stream) throw new StreamLostError('no stream');
     const form = this.#dispatch.path.includes('/chat/') ? 'chat' : 'text';
     const client = new Client(`http://${this.#engine.address}`, {
       connect: { timeout: CONNECT_TIMEOUT_MS },
     });
     try {
-      const answer = await client.request({
+      const { statusCode, headers, body } = await client.request({
         method: 'GET',
-        path: `/v1/streams/${this.#dispatch.attempt}?offset=${tokens}&form=${form}`,
+        path: `/v1/streams/${this.#dispatch.attempt}?offset=${stream.tokens}&form=${form}`,
         signal: this.#signal,
         headersTimeout: STALL_TIMEOUT_MS,
         bodyTimeout: stallTimeoutMs,
       });
-      if (answer.statusCode === NOT_FOUND) throw new StreamLostError('no such stream');
-      await this.#read(answer);
+      if (statusCode !== OK || !describesEventStream(headers)) {
+        discard(body);
+        if (statusCode === NOT_FOUND) throw new StreamLostError('no such stream');
+        throw new Error(`the resumption got no stream of events, but ${statusCode}`);
+      }
+      stream.resume();
+      await this.#readStream(stream, body);
     } finally {
       client.destroy().catch(() => {});
     }
   }
 }
+
+/** Closes the connection of a response that is not read. */
+function discard(body: EngineResponse['body']): void {
+  body.on('error', () => {}).destroy();
+}
+
+/** Whether the body of a request asks for a stream of events. */
+function requestsStream({ body }: Dispatch): boolean {
+  try {
+    const request = JSON.parse(Buffer.from(body).toString('utf8')) as { stream?: unknown };
+    return request.stream === true;
+  } catch {
+    return false;
+  }
+}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -4,6 +4,11 @@
 export { Batch, type BatchOptions, type Generation } from './lib/engine/Batch';
 export { EngineServer } from './lib/engine/EngineServer';
 export { type EngineOptions } from './lib/engine/EngineOptions';
+export {
+  ScriptedEngine,
+  type ScriptedCall,
+  type ScriptedResponse,
+} from './lib/engine/ScriptedEngine';
 export { type ExportedStream } from './lib/engine/EngineStream';
 export { ServiceServer, type ServiceOptions } from './lib/ServiceServer';
 export { PlatformServer, type PlatformOptions } from './lib/platform/PlatformServer';
