Add the entry's comments and errors only between the events of a stream

The entry looked for LF LF at the end of the last part to tell whether a stream stands between two events. So a quiet stream with CR or CR LF, or one whose last LF came alone, got no keep-alive comments, which callers take for a fault after a second. After a failure inside an event, it wrote a blank line before its error event: the caller's reader then dispatched the unfinished event as a whole one. A type in another spelling (`Text/Event-Stream`) was no stream, and a stream with a stated length was exceeded by what the entry added.

The end of an event is now looked for in the last bytes of the response, in each spelling (endsWithBlankLine of event-stream), and a failure inside an event closes the connection. The type is read as in the sidecar (isEventStream), and nothing is added to a stream that states its length.

--- a/packages/entry/src/lib/ResponseWriter.ts
+++ b/packages/entry/src/lib/ResponseWriter.ts
@@ -1,12 +1,13 @@
 import type { ServerResponse } from 'node:http';
 import type { Failure } from '@berylwood/base';
+import { BLANK_LINE_BYTES, endsWithBlankLine } from '@berylwood/event-stream';
+import { isOpenEventStream } from './isOpenEventStream';
 import { sendFailure } from './sendFailure';
 
 /** Bytes after which the sidecar gets an acknowledgement, so that it can discard them. */
 const ACKNOWLEDGE_BYTES = 32 * 1024;
 
 const KEEP_ALIVE_COMMENT = ': keep-alive\n\n';
-const EVENT_END = Buffer.from('\n\n');
 
 /** Writes a response in order, without gaps or repetition, with backpressure. @internal */
 export class ResponseWriter {
@@ -21,7 +22,8 @@
 
   #acknowledged = 0;
 
-  #isAtEventEnd = true;
+  /** Last bytes that were written, which may come from several parts. */
+  #tail: Uint8Array = new Uint8Array();
 
   #isDraining = false;
 
@@ -55,7 +57,7 @@
     this.#received = end;
     this.#sendHead();
     this.#isActive = true;
-    this.#isAtEventEnd = EVENT_END.equals(bytes.subarray(-EVENT_END.length));
+    this.#tail = lastBytes(this.#tail, rest);
     const isWritable = this.#response.write(rest);
     if (!isWritable) this.#acknowledgeOnDrain();
     else if (!this.#isDraining) this.#acknowledge(ACKNOWLEDGE_BYTES);
@@ -69,20 +71,26 @@
 
   /** Ends with an error, also if part of the response was sent. */
   fail(failure: Failure): void {
-    if (!this.#isAtEventEnd) this.#response.write(EVENT_END);
-    sendFailure(this.#response, failure);
+    // An error after an unfinished event would complete the event for its reader.
+    if (this.#isAtEventEnd) sendFailure(this.#response, failure);
+    else this.#response.destroy();
   }
 
   /** Writes a keep-alive comment to an event stream without data since the last call. */
   keepAlive(): void {
     const isQuiet = !this.#isActive && this.#isAtEventEnd && this.#response.writableLength === 0;
     this.#isActive = false;
-    const isStream = this.#head?.headers['content-type']?.startsWith('text/event-stream');
-    if (!isQuiet || !isStream || this.#head?.status !== 200) return;
+    if (!isQuiet || this.#head?.status !== 200) return;
+    if (!isOpenEventStream(this.#head.headers)) return;
     this.#sendHead();
     this.#response.write(KEEP_ALIVE_COMMENT);
   }
 
+  /** Whether the bytes written so far end between two events. */
+  get #isAtEventEnd(): boolean {
+    return this.isEmpty || endsWithBlankLine(this.#tail);
+  }
+
   #sendHead(): void {
     if (!this.#head || this.#response.headersSent) return;
     const { status, headers } = this.#head;
@@ -106,3 +114,9 @@
     this.onConsumed(this.#received);
   }
 }
+
+/** Returns the bytes at the end of two parts that may be a blank line. */
+function lastBytes(before: Uint8Array, next: Uint8Array): Uint8Array {
+  if (next.length >= BLANK_LINE_BYTES) return next.slice(-BLANK_LINE_BYTES);
+  return Buffer.concat([before, next]).subarray(-BLANK_LINE_BYTES);
+}
--- a/packages/entry/src/lib/sendFailure.ts
+++ b/packages/entry/src/lib/sendFailure.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import type { Failure } from '@berylwood/base';
+import { isOpenEventStream } from './isOpenEventStream';
 
 const MS_PER_S = 1000;
 
@@ -19,9 +20,8 @@
 export function sendFailure(response: ServerResponse, failure: Failure): void {
   const body = JSON.stringify(errorBody(failure));
   if (response.headersSent) {
-    const isStream = String(response.getHeader('content-type')).startsWith('text/event-stream');
     // Other responses are aborted, so that the caller does not take a truncated one as complete.
-    if (isStream) response.end(`data: ${body}\n\n`);
+    if (isOpenEventStream(response.getHeaders())) response.end(`data: ${body}\n\n`);
     else response.destroy();
     return;
   }
--- a/packages/event-stream/src/index.ts
+++ b/packages/event-stream/src/index.ts
@@ -6,3 +6,4 @@
 export { MAX_EVENT_BYTES } from './lib/eventLimits';
 export { isEventStream } from './lib/isEventStream';
 export { readData } from './lib/readData';
+export { BLANK_LINE_BYTES, endsWithBlankLine } from './lib/endsWithBlankLine';
