Keep one reading of a response's type for all roles

The gateway's copy moves to event-stream, where the sidecar and the entry use it; its limits share the size of an event.

--- a/packages/event-stream/src/lib/isEventStream.ts
+++ b/packages/event-stream/src/lib/isEventStream.ts
@@ -1,4 +1,6 @@
-const MEDIA_TYPE = /^\s*text\/event-stream\s*(?:;|$)/i;
+/** The media type, whose only charset is UTF-8. A comma would begin another value of the header. */
+const MEDIA_TYPE =
+  /^\s*text\/event-stream\s*(?:;\s*charset\s*=\s*"?utf-8"?\s*|;(?!\s*charset)[^;,]*)*$/i;
 
 const IDENTITY = /^\s*identity\s*$/i;
 
--- a/packages/gateway/src/lib/readResponseHead.ts
+++ b/packages/gateway/src/lib/readResponseHead.ts
@@ -1,9 +1,10 @@
 import type { IncomingMessage } from 'node:http';
+import { isEventStream } from '@berylwood/event-stream';
 import { err, ok, type Result } from 'neverthrow';
 import { bodilessStatuses } from './bodilessStatuses';
 import { findResponseProblem } from './findResponseProblem';
 import type { AttemptId } from './ids';
-import { isEventStream } from './isEventStream';
+
 import type { ResponseMetadata, Wire } from './Wire';
 
 const MIN_SUCCESS_STATUS = 200;
--- a/packages/gateway/src/lib/responseLimits.ts
+++ b/packages/gateway/src/lib/responseLimits.ts
@@ -1,3 +1,5 @@
+import { MAX_EVENT_BYTES } from '@berylwood/event-stream';
+
 /**
  * Limits on what an endpoint may send. An endpoint in trouble may send bytes without end before a head, in
  * an event or in a body; over a limit the attempt ends as broken and its connection is closed.
@@ -21,7 +23,7 @@
 /** @public */
 export const RESPONSE_LIMITS: ResponseLimits = {
   maxHeadBytes: 64 * 1024,
-  maxEventBytes: 1024 * 1024,
+  maxEventBytes: MAX_EVENT_BYTES,
   maxBodyBytes: 64 * 1024 * 1024,
   maxBufferedBytes: 4 * 1024 * 1024,
   maxDiscardedBytes: 16 * 1024,
