--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,7 +4,7 @@
 export * from './lib/RoutingConfiguration';
 export * from './lib/Wire';
 export { isFieldValue } from './lib/isFieldValue';
-export { addressSchema, endpointIdSchema } from './lib/endpointSchemas';
+export { addressSchema, endpointIdSchema, softwareVersionSchema } from './lib/endpointSchemas';
 export { RoutingTable, chooseTarget } from './lib/RoutingTable';
 export { gatewayCodes } from './lib/codes';
 export { gatewayEvents } from './lib/events';
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -8,7 +8,7 @@
 import { FaultBoundary } from './FaultBoundary';
 import type { FaultLog } from './FaultLog';
 import { detectReset } from './detectReset';
-import type { AttemptId } from './ids';
+import type { AttemptId, SoftwareVersion } from './ids';
 import { CONNECT_TIMEOUT_MS } from './probeConnection';
 import { readResponseHead, type ResponseHead } from './readResponseHead';
 import { RESPONSE_LIMITS } from './responseLimits';
@@ -58,6 +58,9 @@
 export class Attempt {
   readonly endpoint: Endpoint;
 
+  /** Software version of the endpoint when the attempt was started. */
+  readonly softwareVersion: SoftwareVersion | undefined;
+
   readonly startedAt: number;
 
   /** Limit that the endpoint was known to state, in requests per second; undefined without one. */
@@ -95,6 +98,7 @@
     parts: { readonly wire: Wire; readonly timer: Timer; readonly faults: FaultLog },
   ) {
     this.endpoint = endpoint;
+    this.softwareVersion = endpoint.listed.softwareVersion;
     this.#outgoing = outgoing;
     this.#listener = listener;
     this.#wire = parts.wire;
--- a/packages/gateway/src/lib/RequestLog.ts
+++ b/packages/gateway/src/lib/RequestLog.ts
@@ -9,12 +9,15 @@
 /** Fields of the log line that is written at the end of a request. @internal */
 export interface RequestRecord {
   readonly request: string | undefined;
+  /** The caller's attempt whose stream it resumes. */
+  readonly resumes: string | undefined;
   readonly route: string | undefined;
   readonly workspace: string | undefined;
   readonly pool: string | undefined;
   /** Rank that was sent to the endpoint; 0 is the most urgent. */
   readonly rank: number | undefined;
   readonly endpoint: string | undefined;
+  readonly softwareVersion: string | undefined;
   readonly status: number;
   /** Number of the result code of this system; undefined for a response of an endpoint. */
   readonly code: number | undefined;
--- a/packages/gateway/src/lib/RequestReport.ts
+++ b/packages/gateway/src/lib/RequestReport.ts
@@ -58,6 +58,7 @@
     const record = {
       ...describeRequest(this.#context, resolved),
       endpoint: attempt?.endpoint.listed.id,
+      softwareVersion: attempt?.softwareVersion,
       status,
       code,
       reason,
--- a/packages/gateway/src/lib/Wire.ts
+++ b/packages/gateway/src/lib/Wire.ts
@@ -1,7 +1,7 @@
 import type { Failure } from '@berylwood/base';
 import type { Address } from '@berylwood/link';
 import type { Result } from 'neverthrow';
-import type { AttemptId, EndpointId, PoolName, WorkspaceName } from './ids';
+import type { AttemptId, EndpointId, PoolName, SoftwareVersion, WorkspaceName } from './ids';
 import type { RoutingConfiguration } from './RoutingConfiguration';
 
 /** A part of a prompt; several requests may share it. @public */
@@ -26,6 +26,8 @@
   readonly expectedTokens: number | undefined;
   /** Id of the event after which the caller wants the stream to resume. */
   readonly resumeAfter: string | undefined;
+  /** The caller's attempt that brought the first event of the stream that the caller wants to resume. */
+  readonly resumes: AttemptId | undefined;
 }
 
 /** Fields that the gateway adds to a request when it forwards it to an endpoint. @public */
@@ -85,6 +87,8 @@
   readonly dataCentre: string;
   readonly slots: number;
   readonly isDraining: boolean;
+  /** Missing if an instance that publishes the list does not know it. */
+  readonly softwareVersion?: SoftwareVersion;
 }
 
 /** One page of the list of endpoints, without the entries that cannot be decoded. @public */
--- a/packages/gateway/src/lib/decodeListedEndpoints.ts
+++ b/packages/gateway/src/lib/decodeListedEndpoints.ts
@@ -1,7 +1,7 @@
 import { asId } from '@berylwood/base';
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
-import { addressSchema, endpointIdSchema } from './endpointSchemas';
+import { addressSchema, endpointIdSchema, softwareVersionSchema } from './endpointSchemas';
 import type { EndpointListPage } from './Wire';
 
 const entrySchema = z.object({
@@ -14,6 +14,7 @@
   dataCentre: z.string(),
   slots: z.number().positive(),
   isDraining: z.boolean(),
+  softwareVersion: softwareVersionSchema.optional(),
 });
 
 /**
--- a/packages/gateway/src/lib/describeRequest.ts
+++ b/packages/gateway/src/lib/describeRequest.ts
@@ -5,6 +5,7 @@
 type Description = Pick<
   RequestRecord,
   | 'request'
+  | 'resumes'
   | 'route'
   | 'workspace'
   | 'pool'
@@ -26,6 +27,7 @@
 ): Description {
   return {
     request: resolved?.metadata.attempt,
+    resumes: resolved?.metadata.resumes,
     route: resolved?.route.name,
     workspace: resolved?.workspace?.name,
     pool: resolved?.target,
--- a/packages/gateway/src/lib/endpointSchemas.ts
+++ b/packages/gateway/src/lib/endpointSchemas.ts
@@ -9,6 +9,16 @@
   .refine(isFieldValue, 'expected text that a header can carry')
   .transform(asId<'endpoint'>);
 
+/** Longest name of a software version, in UTF-16 code units. */
+const MAX_VERSION_LENGTH = 128;
+
+/** Schema of the software version of an endpoint. @public */
+export const softwareVersionSchema = z
+  .string()
+  .min(1)
+  .max(MAX_VERSION_LENGTH)
+  .transform(asId<'softwareVersion'>);
+
 /** Schema of an address that can be dialled, `IP:PORT`. @public */
 export const addressSchema = z.string().transform((text, context) => {
   const address = parseAddress(text);
--- a/packages/gateway/src/lib/ids.ts
+++ b/packages/gateway/src/lib/ids.ts
@@ -12,5 +12,8 @@
 /** Identifies one incarnation of an endpoint. @public */
 export type EndpointId = Id<'endpoint'>;
 
+/** Version of the software of an endpoint; what two versions write does not fit together. @public */
+export type SoftwareVersion = Id<'softwareVersion'>;
+
 /** Name of a route. @public */
 export type RouteName = Id<'route'>;
