Store the version that began each stream on the disks of several instances

Entries are written once and copied to the disks of the instances that hold a replica; a write counts once tolerance + 1 of them have synced it. No safety depends on a write: an origin that is not found means that the stream is not continued. Messages go only to instances whose status has holdsOrigins, as earlier versions drop a link with an unknown message.

Nothing calls record or find yet.

--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -11,6 +11,7 @@
 export { Transport } from './lib/Transport';
 export { Disk } from './lib/Disk';
 export { FileDisk } from './lib/FileDisk';
+export { decodeFrame, encodeFrame, type Frame } from './lib/frame';
 export { EntryKind, type Entry } from './lib/Entry';
 export type { Admission, Member, MemberKind, Membership } from './lib/Membership';
 export type {
--- a/packages/consensus/src/lib/frame.ts
+++ b/packages/consensus/src/lib/frame.ts
@@ -10,7 +10,7 @@
 const BODY_CHECKSUM_OFFSET = 12;
 const HEADER_CHECKSUM_OFFSET = 16;
 
-/** A versioned and checksummed record in a file. @internal */
+/** A versioned and checksummed record in a file. @public */
 export interface Frame {
   readonly version: number;
   readonly body: Buffer;
@@ -18,7 +18,7 @@
   readonly end: number;
 }
 
-/** Encodes a body with its version and checksums. @internal */
+/** Encodes a body with its version and checksums. @public */
 export function encodeFrame(version: number, body: Uint8Array): Buffer {
   const frame = Buffer.alloc(HEADER_BYTES + body.byteLength);
   frame.writeUInt32BE(MAGIC, 0);
@@ -31,7 +31,7 @@
   return frame;
 }
 
-/** Decodes the frame at an offset; undefined if it is incomplete or corrupt. @internal */
+/** Decodes the frame at an offset; undefined if it is incomplete or corrupt. @public */
 export function decodeFrame(bytes: Uint8Array, offset: number): Frame | undefined {
   const rest = Buffer.from(bytes.buffer, bytes.byteOffset + offset, bytes.byteLength - offset);
   if (rest.byteLength < HEADER_BYTES || rest.readUInt32BE(0) !== MAGIC) return undefined;
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -1,3 +1,4 @@
+import { join } from 'node:path';
 import { inflateRawSync } from 'node:zlib';
 import { Random, Task, type Journal, type Metrics, type Timer } from '@berylwood/base';
 import { LinkServer } from '@berylwood/link';
@@ -126,10 +127,13 @@
       source: this.#usageSource,
       seeds: () => this.#seeds,
       registry: this.#registry,
+      originDirectory: settings.data === undefined ? undefined : join(settings.data, 'origins'),
+      tolerance: settings.tolerance,
       clock: this.#clock,
       usage: this.#usage,
       timer,
       journal,
+      metrics,
     });
     this.#mesh.onConfiguration = (configuration) => this.#applyConfiguration(configuration);
     const quarantine = this.#quarantine;
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -4,6 +4,7 @@
 import { registryCodes } from './codes';
 import { registryEvents } from './events';
 import { handleMeshCall } from './handleMeshCall';
+import { createStreamOrigins } from './createStreamOrigins';
 import { AddressBook } from './AddressBook';
 import { CALL_TIMEOUT_MS, ConfigurationFetcher } from './ConfigurationFetcher';
 import {
@@ -19,6 +20,7 @@
 import { KEEP_ALIVE_INTERVAL_MS, MESH_PATH, Peers, SILENCE_TIMEOUT_MS, type Peer } from './Peers';
 import { ReportTimes } from './ReportTimes';
 import type { ConfigureOutcome, StoredConfiguration } from './RegistryMachine';
+import type { StreamOrigins } from './StreamOrigins';
 import type { WorkAttachments } from './WorkAttachments';
 import { WorkDistributor, type InstanceLink } from './WorkDistributor';
 
@@ -52,6 +54,9 @@
   /** Returns all suspicions, for a new link. */
   suspicions: () => readonly unknown[] = () => [];
 
+  /** Versions that began streams, stored on the disks of several instances. */
+  readonly origins: StreamOrigins;
+
   readonly #options: MeshOptions;
 
   readonly #work = new WorkDistributor();
@@ -83,6 +88,7 @@
     const leader = () => this.#peers.leader;
     this.#addressBook = new AddressBook(options);
     this.#peers = new Peers(timer, journal, (peer, link) => this.#handleOpen(peer, link));
+    this.origins = this.#store.add(createStreamOrigins(options, this.#peers));
     this.#reports = this.#store.add(new LeaderReports({ ...options, leader }));
     this.#fetcher = new ConfigurationFetcher(journal, (newer) => this.#applyConfiguration(newer));
     if (registry) {
@@ -122,6 +128,7 @@
   /** Starts dialing. The cached configuration applies until a newer one arrives. */
   async open(): Promise<void> {
     this.#peers.setTargets(this.#addressBook.dialTargets);
+    this.origins.log.open();
     const cached = await this.#options.registry?.readCachedConfiguration();
     if (cached) this.#applyConfiguration(cached);
   }
@@ -220,7 +227,10 @@
         if (message.suspicions) this.onSuspicions(message.suspicions);
       }
     };
-    link.onCall = (message) => handleMeshCall(this.#options.registry, this.#configuration, message);
+    link.onCall = (message) => {
+      const applied = this.#configuration;
+      return handleMeshCall({ ...this.#options, applied, originLog: this.origins.log }, message);
+    };
     link.send({ ...this.#createStatus(), suspicions: this.suspicions() });
   }
 
@@ -260,6 +270,7 @@
       instances: isLeader ? this.#instanceCount : 0,
       closedWindow: registry?.stateMachine.lastClosedWindow ?? -1,
       timeMs: isLeader ? clock.now() : 0,
+      holdsOrigins: this.origins.log.isDurable,
     };
   }
 
--- a/packages/registry/src/lib/MeshMessage.ts
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { isPackedOrigin, isStreamKey, type PackedOrigin, type StreamKey } from './StreamOrigin';
 import type { WindowCounts } from './UsageLedger';
 
 /** Periodic report of an instance to the leader. @internal */
@@ -59,8 +60,28 @@
   readonly members: readonly string[];
 }
 
+/** Origins in one message. @internal */
+export const MAX_RECORDED_ORIGINS = 1024;
+
+/** Asks the receiver to store origins of streams; the reply has an `AppendOutcome` for each. */
+interface RecordOrigins {
+  readonly type: 'recordOrigins';
+  readonly origins: readonly PackedOrigin[];
+}
+
+/** Asks for the version that began a stream; the reply is null if it is not known. */
+interface FindOrigin extends StreamKey {
+  readonly type: 'findOrigin';
+}
+
+/**
+ * Message about origins of streams. Earlier versions of the software drop a link on which it arrives,
+ * so it is sent only to instances whose status has `holdsOrigins`.
+ */
+type OriginMessage = RecordOrigins | FindOrigin;
+
 /** Message of the instance that has dialled the link. @internal */
-export type DialerMessage = Hello | Report | Fetch | Configure | ReadNewest | Work;
+export type DialerMessage = Hello | Report | Fetch | Configure | ReadNewest | Work | OriginMessage;
 
 /** Value that the leader broadcasts to all instances; opaque to the mesh. */
 interface Notice {
@@ -86,6 +107,8 @@
   readonly closedWindow: number;
   /** Fleet time of the leader, in milliseconds since the Unix epoch; 0 from other instances. */
   readonly timeMs: number;
+  /** Whether the sender stores origins of streams on a disk; missing from earlier versions. */
+  readonly holdsOrigins?: boolean;
 }
 
 const isRecord = (value: unknown): value is Record<string, unknown> =>
@@ -120,6 +143,9 @@
   );
 }
 
+const areOrigins = ({ origins }: Record<string, unknown>): boolean =>
+  Array.isArray(origins) && origins.length <= MAX_RECORDED_ORIGINS && origins.every(isPackedOrigin);
+
 /** @internal */
 export const dialerMessageSchema = z.custom<DialerMessage>((value) => {
   if (!isRecord(value)) return false;
@@ -132,6 +158,10 @@
       return isWork(value);
     case 'hello':
       return isStringArray(value.members);
+    case 'recordOrigins':
+      return areOrigins(value);
+    case 'findOrigin':
+      return isStreamKey(value);
     default:
       return value.type === 'fetch' || value.type === 'readNewest';
   }
--- a/packages/registry/src/lib/MeshOptions.ts
+++ b/packages/registry/src/lib/MeshOptions.ts
@@ -1,4 +1,4 @@
-import type { Journal, Timer } from '@berylwood/base';
+import type { Journal, Metrics, Timer } from '@berylwood/base';
 import type { FleetClock } from './FleetClock';
 import type { Registry } from './Registry';
 import type { UsageLedger } from './UsageLedger';
@@ -13,8 +13,13 @@
   readonly seeds: () => readonly string[];
   /** Replica of this instance; undefined on an instance without a disk. */
   readonly registry: Registry | undefined;
+  /** Directory of the origins of streams; undefined on an instance without a disk. */
+  readonly originDirectory: string | undefined;
+  /** Number of disks that may be lost at the same time. */
+  readonly tolerance: number;
   readonly clock: FleetClock;
   readonly usage: UsageLedger;
   readonly timer: Timer;
   readonly journal: Journal;
+  readonly metrics: Metrics;
 }
--- a/packages/registry/src/lib/Peers.ts
+++ b/packages/registry/src/lib/Peers.ts
@@ -66,6 +66,18 @@
     return this.#peers.get(address)?.dialer.link !== undefined;
   }
 
+  /** Links to instances that store origins of streams on a disk. */
+  get originHolders(): Link<DialerMessage, AcceptorMessage>[] {
+    return [...this.#peers.values()].flatMap(({ dialer, status }) =>
+      dialer.link && status?.holdsOrigins === true ? dialer.link : [],
+    );
+  }
+
+  /** Whether all instances that this one dials are connected and have sent their status. */
+  get areAllKnown(): boolean {
+    return [...this.#peers.values()].every(({ dialer, status }) => dialer.link && status);
+  }
+
   /** Open links. */
   get links(): Link<DialerMessage, AcceptorMessage>[] {
     return [...this.#peers.values()].flatMap(({ dialer }) => dialer.link ?? []);
--- a/packages/registry/src/lib/events.ts
+++ b/packages/registry/src/lib/events.ts
@@ -56,4 +56,34 @@
     meaning: 'The configuration cache file could not be read or written.',
     action: 'None: the configuration is loaded from the replicas. Check the disk.',
   },
+  originsUnavailable: {
+    number: 9209,
+    level: 'warn',
+    meaning: 'The version of new streams is not stored on enough disks; take-ups may be refused.',
+    action: 'Check the disks of the replicas, and the links to them.',
+  },
+  originsAvailable: {
+    number: 9210,
+    level: 'info',
+    meaning: 'The version of new streams is stored on enough disks again.',
+    action: 'none',
+  },
+  originFileDamaged: {
+    number: 9211,
+    level: 'warn',
+    meaning: 'Part of a file of stream origins is damaged or unreadable and was skipped.',
+    action: 'None after a loss of power. Check the disk otherwise.',
+  },
+  originDiskFailed: {
+    number: 9212,
+    level: 'warn',
+    meaning: 'Stream origins can not be written to the disk of this instance; they are in memory.',
+    action: 'Check the disk: it is full, stalled or damaged.',
+  },
+  originDiskRecovered: {
+    number: 9213,
+    level: 'info',
+    meaning: 'Stream origins are written to the disk of this instance again.',
+    action: 'none',
+  },
 });
--- a/packages/registry/src/lib/handleMeshCall.ts
+++ b/packages/registry/src/lib/handleMeshCall.ts
@@ -4,11 +4,20 @@
 import type { DialerMessage } from './MeshMessage';
 import type { Registry } from './Registry';
 import type { StoredConfiguration } from './RegistryMachine';
+import { unpackOrigin } from './StreamOrigin';
+import type { StreamOriginLog } from './StreamOriginLog';
+
+/** What an instance has to reply to calls. @internal */
+export interface CallContext {
+  readonly registry: Registry | undefined;
+  /** The configuration that the instance has applied. */
+  readonly applied: StoredConfiguration | undefined;
+  readonly originLog: StreamOriginLog;
+}
 
 /** Replies to a call of another instance; fails if it needs a replica that this instance lacks. @internal */
 export async function handleMeshCall(
-  registry: Registry | undefined,
-  applied: StoredConfiguration | undefined,
+  { registry, applied, originLog }: CallContext,
   message: DialerMessage,
 ): Promise<Result<unknown, Failure>> {
   switch (message.type) {
@@ -20,6 +29,10 @@
     case 'readNewest':
       if (!registry) break;
       return (await registry.readNewest()).map((configuration) => configuration ?? null);
+    case 'recordOrigins':
+      return ok(await originLog.append(message.origins.map(unpackOrigin)));
+    case 'findOrigin':
+      return ok((await originLog.search(message)) ?? null);
     default:
   }
   return fail(registryCodes.replicaClosed, 'this instance has no replica');
