Check that a failing disk is left alone for a while, and that an interrupted write reports nothing

The pause after a failed write is checked by a count of all operations, and by entries that keep coming while the disk works again: without the check of the pause in StreamOriginLog each of them would put the next try off.

--- a/packages/registry/src/lib/StreamOriginLog.test.ts
+++ b/packages/registry/src/lib/StreamOriginLog.test.ts
@@ -112,8 +112,12 @@
           synced.push(...streams.filter((_, i) => outcomes[i] === 'synced'));
         }
         files.setStalled(true);
-        log.append([createOrigin(`unsynced ${life}`)]);
+        let interrupted = 'pending';
+        log.append([createOrigin(`unsynced ${life}`)]).then(([outcome = '']) => {
+          interrupted = outcome;
+        });
         await settle();
+        assert.equal(interrupted, 'pending');
         files.crash((bytes) => {
           const part = Buffer.from(bytes.subarray(0, Math.round(keep * bytes.byteLength)));
           // eslint-disable-next-line no-bitwise -- flips one bit
@@ -188,11 +192,11 @@
   files.error = new Error('ENOSPC');
   assert.deepEqual(await log.append([createOrigin('a')]), ['held']);
   assert.equal(findIn(log, 'a'), 'v1');
-  const { appends } = files;
+  const { operations } = files;
   for (let i = 0; i < 100; i += 1) {
     assert.deepEqual(await log.append([createOrigin(`b ${i}`)]), ['held']);
   }
-  assert.equal(files.appends, appends, 'no write is tried until some time has passed');
+  assert.equal(files.operations, operations, 'no write is tried until some time has passed');
   files.error = undefined;
   timer.advance(300);
   assert.deepEqual(await log.append([createOrigin('a'), createOrigin('c')]), ['synced', 'synced']);
@@ -205,6 +209,20 @@
   assert.deepEqual(events(), ['originDiskFailed', 'originDiskRecovered']);
 });
 
+test('a disk that works again is used again although entries kept coming', async () => {
+  const files = new FakeFiles();
+  const { log, timer } = createLog(files);
+  files.error = new Error('ENOSPC');
+  const outcomes: (string | undefined)[] = [];
+  for (let i = 0; i < 100; i += 1) {
+    if (i === 20) files.error = undefined;
+    outcomes.push((await log.append([createOrigin(`a ${i}`)]))[0]);
+    timer.advance(10);
+  }
+  assert.equal(outcomes.at(-1), 'synced');
+  assert.ok(outcomes.indexOf('synced') <= 50, `first synced: ${outcomes.indexOf('synced')}`);
+});
+
 test('entries are read later if the disk fails at the start', async () => {
   const files = new FakeFiles();
   await createLog(files).log.append([createOrigin('a')]);
--- a/packages/registry/src/lib/StreamOrigins.ts
+++ b/packages/registry/src/lib/StreamOrigins.ts
@@ -190,7 +190,7 @@
     const rank = ({ peer }: OriginHolder): number => (this.#avoidUntil.has(peer) ? 1 : 0);
     return peers.originHolders
       .filter(({ bufferedBytes }) => bufferedBytes <= MAX_BUFFERED_BYTES)
-      .sort((a, b) => rank(a) - rank(b) || a.peer.localeCompare(b.peer))
+      .sort((a, b) => rank(a) - rank(b) || (a.peer < b.peer ? -1 : 1))
       .slice(0, 2 * tolerance + 1 - (log.isDurable ? 1 : 0));
   }
 
