Continue a stream only at the software version that began it

Cause: nothing bound a stream to the version that made it; a take-up, and our own resumption, were placed like any request. Class: work that continues earlier work was placed without the state on which the earlier work depends. Ruled out: an address that serves another version, by itself: the engine of another id answers 421. Change: before the caller can have the first event of a resumable stream, its version is recorded on tolerance + 1 disks, bounded by 60 ms; a take-up is placed only at endpoints of the version that is found for Resumes, at any instance; else it is rejected at once as not run (9019, Retry-After 0), so that the caller can begin anew. The same holds for the resumption inside a response, for retries, stalls and waiting: what can't be served now keeps its place in the queue and holds up nothing (UrgencyQueue.take, FairQueue.peekWhere).

--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -17,6 +17,7 @@
 import { sendFailure } from './sendFailure';
 import { startAttempt } from './startAttempt';
 import { startsTooLate } from './startsTooLate';
+import { StreamBinding } from './StreamBinding';
 
 /** One attempt of a caller, from its arrival to the end of its response. @internal */
 export class Exchange {
@@ -38,6 +39,8 @@
 
   #guard: ContentGuard | undefined;
 
+  #binding: StreamBinding | undefined;
+
   readonly #relay: ResponseRelay;
 
   readonly #receiver: ResponseReceiver;
@@ -54,7 +57,7 @@
   readonly #listener: AttemptListener = {
     onHead: this.#boundary.wrap((head) => this.#receiver.onHead(head)),
     onData: (chunk) => this.#boundary.run(() => this.#receiver.onData(chunk)) ?? false,
-    onEnd: this.#boundary.wrap((end) => this.#onEnd(end)),
+    onEnd: this.#boundary.wrap((end) => this.#receiver.end(() => this.#onEnd(end))),
   };
 
   constructor(context: GatewayContext, request: IncomingMessage, response: ServerResponse) {
@@ -63,8 +66,13 @@
     this.#response = response;
     this.#report = new RequestReport(context);
     this.#relay = new ResponseRelay(response, context.wire);
-    const parts = { context, relay: this.#relay, report: this.#report, lifecycle: this.#lifecycle };
-    this.#receiver = new ResponseReceiver(parts);
+    this.#receiver = new ResponseReceiver({
+      context,
+      relay: this.#relay,
+      report: this.#report,
+      lifecycle: this.#lifecycle,
+      boundary: this.#boundary,
+    });
   }
 
   get #attempt(): Attempt | undefined {
@@ -148,6 +156,18 @@
     this.#body = body;
     this.#guard = new ContentGuard(context, resolved, this.#request, body);
     this.#lifecycle.send('read');
+    this.#binding = new StreamBinding(context, resolved);
+    if (this.#binding.isResumption) this.#resume(this.#binding).catch(this.#onFault);
+    else this.#placeAndSend();
+  }
+
+  /** Places a request that resumes the stream of an earlier one at the version that began it. */
+  async #resume(binding: StreamBinding): Promise<void> {
+    const startedAt = this.#context.timer.now();
+    const pool = await binding.find();
+    this.#report.originSettled(pool === undefined ? 'unknown' : 'found', startedAt);
+    if (this.#lifecycle.isFinal) return;
+    if (pool !== undefined) this.#resolved = { ...this.#parts.resolved, target: pool };
     this.#placeAndSend();
   }
 
@@ -158,7 +178,13 @@
       this.#abort(gatewayCodes.quarantined, `quarantined content ${quarantined}`);
       return;
     }
-    const placement = placeRequest(context, resolved, this.#history.triedEndpoints);
+    const binding = this.#binding as StreamBinding;
+    const { triedEndpoints: tried } = this.#history;
+    if (!binding.hasEndpoint(new Set())) {
+      this.#abort(gatewayCodes.versionUnavailable, binding.describe());
+      return;
+    }
+    const placement = placeRequest(context, resolved, { tried, binding });
     if (placement === undefined) {
       this.#holdBack();
       return;
@@ -181,7 +207,7 @@
       listener: this.#listener,
       onStall: this.#boundary.wrap((reason) => this.#onStall(reason)),
     });
-    this.#receiver.follow(started, resolved, this.#guard);
+    this.#receiver.follow(started, { resolved, binding, guard: this.#guard });
   }
 
   /** Waits until an endpoint accepts the request, or ends it. */
@@ -190,6 +216,7 @@
       resolved: this.#parts.resolved,
       leftMs: this.#leftMs,
       triedEndpoints: this.#history.triedEndpoints,
+      allows: (endpoint) => this.#binding?.allows(endpoint) ?? true,
       onTurn: this.#boundary.wrap(() => this.#placeAndSend()),
       onRejected: this.#boundary.wrap(({ code, message, retryAfterMs }) =>
         this.#abort(code, message, retryAfterMs),
@@ -223,7 +250,8 @@
   #canRetry(isNotRun: boolean): boolean {
     const { route } = this.#parts.resolved;
     const isPossible = this.#history.canRetry(route, this.#leftMs, isNotRun);
-    return isPossible && this.#relay.canBeContinued;
+    const hasEndpoint = this.#binding?.hasEndpoint(this.#history.triedEndpoints) ?? true;
+    return isPossible && hasEndpoint && this.#relay.canBeContinued;
   }
 
   /** Retries the request on another endpoint, or ends it with a code if that is not possible. */
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -264,6 +264,7 @@
       directory: this.#directory,
       startGate: this.#startGate,
       held: this.#held,
+      origins: this.#mesh.origins,
       budgets: new RetryBudgets(bounds, () => this.#instances),
       quarantine: this.#quarantine,
       dataCentre: settings.dataCentre,
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -1,5 +1,6 @@
 import type { Journal, Metrics, Random, Timer } from '@berylwood/base';
 import type { ContentQuarantine } from '@berylwood/policy';
+import type { StreamOrigins } from '@berylwood/registry';
 import type { EndpointDirectory } from './EndpointDirectory';
 import type { FaultLog } from './FaultLog';
 import type { HeldRequests } from './HeldRequests';
@@ -22,6 +23,8 @@
   readonly directory: EndpointDirectory;
   readonly budgets: RetryBudgets;
   readonly held: HeldRequests;
+  /** Versions that began streams, known to all instances. */
+  readonly origins: Pick<StreamOrigins, 'record' | 'find'>;
   readonly quarantine: ContentQuarantine;
   readonly dataCentre: string;
   readonly startGate: StartGate;
--- a/packages/gateway/src/lib/HeldRequests.test.ts
+++ b/packages/gateway/src/lib/HeldRequests.test.ts
@@ -53,7 +53,8 @@
     };
     const onRejected = (failure: Failure): unknown => rejected.push(failure);
     const resolved = createRequest(workspace, rank);
-    return held.hold({ resolved, leftMs: 10_000, triedEndpoints, onTurn, onRejected });
+    const allows = (): boolean => true;
+    return held.hold({ resolved, leftMs: 10_000, triedEndpoints, allows, onTurn, onRejected });
   };
   const grant = (count: number): void => statements.permits.grant(count, timer.now());
   return { timer, held, hold, grant, placed, rejected };
--- a/packages/gateway/src/lib/HeldRequests.ts
+++ b/packages/gateway/src/lib/HeldRequests.ts
@@ -47,6 +47,8 @@
   readonly leftMs: number;
   /** Ids of endpoints that the request does not go to again. */
   readonly triedEndpoints: ReadonlySet<string>;
+  /** Whether an endpoint may serve the request at all. */
+  readonly allows: (endpoint: Endpoint) => boolean;
   /** Called when an endpoint accepts a request and it is this one's turn. */
   readonly onTurn: () => void;
   /** Called if the request would wait, or has waited, too long. */
@@ -56,6 +58,8 @@
 interface WaitingItem extends RankedItem {
   readonly hold: DisposableStore;
   readonly onTurn: () => void;
+  /** Whether an endpoint accepts the request now. */
+  readonly isAccepted: () => boolean;
 }
 
 /** Demand for the limited endpoints of one pool. */
@@ -67,6 +71,12 @@
   takenAt: number[];
 }
 
+/** Requests per second that endpoints accept by their limits; a paused one without a limit counts as none. */
+function sumLimits(endpoints: readonly Endpoint[]): number {
+  const limits = endpoints.map(({ statements }) => statements.requestsPerS);
+  return limits.filter(Number.isFinite).reduce((sum, limit) => sum + limit, 0);
+}
+
 /** @internal */
 export interface HeldRequestsOptions {
   readonly directory: EndpointDirectory;
@@ -143,15 +153,18 @@
 
   /** Holds a request until an endpoint accepts it; disposing of the result removes it. */
   hold(request: HeldRequest): Disposable {
-    const { resolved, leftMs, triedEndpoints, onTurn } = request;
+    const { resolved, leftMs, triedEndpoints, allows, onTurn } = request;
     const { target, rank, workspace, route } = resolved;
-    if (!this.#restricted(target).some(({ listed }) => !triedEndpoints.has(listed.id))) {
+    const mayUse = (endpoint: Endpoint): boolean =>
+      !triedEndpoints.has(endpoint.listed.id) && allows(endpoint);
+    const restricted = this.#restricted(target);
+    if (!restricted.some(mayUse)) {
       request.onRejected(new Failure(gatewayCodes.noEndpoint, 'no endpoint available'));
       return { [Symbol.dispose]: () => {} };
     }
     const { queue } = this.#poolOf(target);
     const ahead = queue.countAhead(rank);
-    const expectedMs = this.#expectedWaitMs(target, ahead);
+    const expectedMs = this.#expectedWaitMs(target, ahead, allows);
     const waitMs = Math.max(MIN_WAIT_MS, route.objectiveMs * WAIT_OBJECTIVES);
     const maxWaitMs = Math.min(waitMs, leftMs * MAX_WAIT_SHARE);
     const isAdmitted = expectedMs <= maxWaitMs;
@@ -164,6 +177,7 @@
     const item: WaitingItem = {
       hold,
       onTurn,
+      isAccepted: () => this.#acceptsRequest(target, mayUse),
       rank,
       workspace: asId(workspace?.name ?? ''),
       share: 1,
@@ -193,7 +207,9 @@
     for (const [pool, { queue }] of this.#pools) {
       // Each item is considered once, since one that has tried the accepting endpoint waits again.
       for (let left = queue.countAhead(Infinity); left > 0; left -= 1) {
-        const item = this.#acceptsRequest(pool) ? queue.take(now) : undefined;
+        const item = this.#acceptsRequest(pool)
+          ? queue.take(now, ({ isAccepted }) => isAccepted())
+          : undefined;
         if (!item) break;
         this.#store.release(item.hold);
         this.#held.inc({ outcome: 'placed' });
@@ -206,20 +222,28 @@
     this.#dispatch = undefined;
   }
 
-  #acceptsRequest(pool: PoolName): boolean {
+  #acceptsRequest(pool: PoolName, mayUse: (endpoint: Endpoint) => boolean = () => true): boolean {
     const endpoints = this.#options.directory.endpointsOf(pool);
-    return endpoints.some((endpoint) => endpoint.isInService && endpoint.acceptsRequest);
+    return endpoints.some(
+      (endpoint) => endpoint.isInService && endpoint.acceptsRequest && mayUse(endpoint),
+    );
   }
 
-  /** Expected time until a request of a pool is placed behind others, in milliseconds. */
-  #expectedWaitMs(pool: PoolName, ahead: number): number {
-    const restricted = this.#restricted(pool);
+  /**
+   * Expected time until a request of a pool is placed behind others, in milliseconds. Those ahead of one that
+   * only some endpoints may serve are expected to use the others as well, by their limits.
+   */
+  #expectedWaitMs(pool: PoolName, ahead: number, allows: (endpoint: Endpoint) => boolean): number {
+    const all = this.#restricted(pool);
+    const restricted = all.filter(allows);
     const pauses = restricted.map(({ statements }) => statements.pausedMs).filter((ms) => ms > 0);
     const limits = restricted.filter(({ statements: { pausedMs } }) => pausedMs === 0);
-    const limitPerS = limits.reduce((sum, { statements }) => sum + statements.requestsPerS, 0);
+    const limitPerS = sumLimits(limits);
+    const openLimits = all.filter(({ statements: { pausedMs } }) => pausedMs === 0);
+    const share = limitPerS === 0 ? 1 : limitPerS / sumLimits(openLimits);
     const evenShare = limitPerS / this.#options.directory.instances();
     const measured = (this.#poolOf(pool).takenAt.length * SECOND_MS) / RATE_WINDOW_MS;
-    const permitMs = ((ahead + 1) * SECOND_MS) / Math.max(evenShare, measured);
+    const permitMs = ((ahead * share + 1) * SECOND_MS) / Math.max(evenShare, measured * share);
     return Math.min(permitMs, ...pauses);
   }
 
--- a/packages/gateway/src/lib/RequestLog.ts
+++ b/packages/gateway/src/lib/RequestLog.ts
@@ -1,4 +1,5 @@
 import type { Journal, Metrics, Timer } from '@berylwood/base';
+import type { RecordOutcome } from '@berylwood/registry';
 import { gatewayEvents } from './events';
 
 /** Maximum lines of served requests per second; lines of failed requests are always written. */
@@ -18,6 +19,13 @@
   readonly rank: number | undefined;
   readonly endpoint: string | undefined;
   readonly softwareVersion: string | undefined;
+  /**
+   * For a stream that began here, whether its version was recorded before its caller had an event; for one that is
+   * resumed, whether its version was found. Undefined for other requests.
+   */
+  readonly origin: RecordOutcome | 'found' | 'unknown' | undefined;
+  /** Time that this took, in milliseconds. */
+  readonly originMs: number | undefined;
   readonly status: number;
   /** Number of the result code of this system; undefined for a response of an endpoint. */
   readonly code: number | undefined;
--- a/packages/gateway/src/lib/RequestReport.ts
+++ b/packages/gateway/src/lib/RequestReport.ts
@@ -3,6 +3,7 @@
 import { describeRequest } from './describeRequest';
 import type { GatewayContext } from './GatewayContext';
 import { logAttemptFailure } from './logAttemptFailure';
+import type { RequestRecord } from './RequestLog';
 import type { ResolvedRequest } from './resolveRequest';
 import { ResponseTiming } from './ResponseTiming';
 
@@ -26,6 +27,9 @@
   /** Expected time until the end of the prefill, as of the latest placement, in milliseconds. */
   expectedPrefillMs = 0;
 
+  /** What became of the record or the search of the stream's version. */
+  #origin: Pick<RequestRecord, 'origin' | 'originMs'> = { origin: undefined, originMs: undefined };
+
   /** Time of the request's arrival, in milliseconds. */
   readonly arrivedAt: number;
 
@@ -36,6 +40,11 @@
     this.arrivedAt = context.timer.now();
   }
 
+  /** Notes what became of the record or the search of the stream's version. */
+  originSettled(origin: RequestRecord['origin'], startedAt: number): void {
+    this.#origin = { origin, originMs: this.#context.timer.now() - startedAt };
+  }
+
   /** Writes the line of an attempt that produced no usable response. */
   attemptFailed(
     resolved: ResolvedRequest,
@@ -62,6 +71,7 @@
       status,
       code,
       reason,
+      ...this.#origin,
       events,
       sends: this.history.sends,
       limitPerS: attempt?.limitPerS,
--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -1,7 +1,9 @@
 import type { Lifecycle } from '@berylwood/base';
+import type { RecordOutcome } from '@berylwood/registry';
 import type { Attempt } from './Attempt';
 import type { ContentGuard } from './ContentGuard';
 import type { ExchangeEvent } from './exchangeMachine';
+import type { FaultBoundary } from './FaultBoundary';
 import { findStreamProblem } from './findStreamProblem';
 import type { GatewayContext } from './GatewayContext';
 import type { RequestReport } from './RequestReport';
@@ -10,6 +12,7 @@
 import type { ResponseRelay } from './ResponseRelay';
 import type { StallDetector } from './StallDetector';
 import type { StartedAttempt } from './startAttempt';
+import type { StreamBinding } from './StreamBinding';
 
 /** The parts of an exchange that take note of its response. @internal */
 export interface ResponseReceiverParts {
@@ -17,17 +20,33 @@
   readonly relay: ResponseRelay;
   readonly report: RequestReport;
   readonly lifecycle: Lifecycle<ExchangeEvent, undefined>;
+  readonly boundary: FaultBoundary;
 }
 
-/** Receives the response of the latest attempt of a request and passes it to the relay. @internal */
+/** The request to which a response belongs. @internal */
+export interface AnsweredRequest {
+  readonly resolved: ResolvedRequest;
+  readonly binding: StreamBinding;
+  readonly guard: ContentGuard | undefined;
+}
+
+/**
+ * Receives the response of the latest attempt of a request and passes it to the relay. The first event of a
+ * stream is held until its caller can resume it.
+ * @internal
+ */
 export class ResponseReceiver implements Disposable {
   readonly #parts: ResponseReceiverParts;
 
   #started: StartedAttempt | undefined;
 
-  #guard: ContentGuard | undefined;
+  #answered: AnsweredRequest | undefined;
 
-  #resolved: ResolvedRequest | undefined;
+  /** Whether the first event is held. */
+  #isHolding = false;
+
+  /** Handles the end of the attempt, which came while the first event was held. */
+  #heldEnd: (() => void) | undefined;
 
   constructor(parts: ResponseReceiverParts) {
     this.#parts = parts;
@@ -43,19 +62,15 @@
   }
 
   /** Follows another attempt, whose response continues that of the one before. */
-  follow(
-    started: StartedAttempt,
-    resolved: ResolvedRequest,
-    guard: ContentGuard | undefined,
-  ): void {
+  follow(started: StartedAttempt, answered: AnsweredRequest): void {
     this.#started = started;
-    this.#resolved = resolved;
-    this.#guard = guard;
+    this.#answered = answered;
   }
 
   onHead(received: ResponseHead): void {
     const { relay, context } = this.#parts;
-    const { route, metadata } = this.#resolved as ResolvedRequest;
+    const { resolved, binding } = this.#answered as AnsweredRequest;
+    const { route } = resolved;
     // On other routes a body is forwarded as it is, whatever its type.
     const head = { ...received, isEventStream: received.isEventStream && route.kind === 'stream' };
     const problem = findStreamProblem(head, route, relay.isHeadSent);
@@ -64,45 +79,82 @@
       return;
     }
     if (!head.isEventStream) this[Symbol.dispose]();
-    relay.setHead(head, context.isStopping(), metadata.resumeAfter);
+    relay.setHead(head, context.isStopping(), resolved.metadata.resumeAfter);
     if (!head.isEventStream) this.#responseBegan();
+    else if (!binding.isBound) relay.hold();
   }
 
-  /** Passes a part of the body on. Returns false if the caller reads too slowly. */
+  /** Passes a part of the body on. Returns false if the response has to pause. */
   onData(chunk: Buffer): boolean {
-    const { relay, context, report, lifecycle } = this.#parts;
+    const { relay } = this.#parts;
     const { hasEvents: hadEvents, forwardedBytes } = relay;
-    const isWritable = relay.push(chunk);
+    let isWritable = relay.push(chunk);
     // Bytes of an incomplete event are no progress.
-    if (relay.forwardedBytes > forwardedBytes) {
-      report.timing.mark(context.timer.now());
-      this.#detector?.eventReceived();
-    }
-    if (relay.hasEvents && !hadEvents) {
-      this.#responseBegan();
-      this.attempt?.prefillFinished();
-      this.#executionStarted();
-    }
-    if (relay.isHeadSent && lifecycle.can('answer')) lifecycle.send('answer');
+    const hasProgress = relay.forwardedBytes > forwardedBytes;
+    if (hasProgress) this.#detector?.eventReceived();
+    if (relay.hasEvents && !hadEvents) isWritable = this.#streamBegan();
+    if (hasProgress && !this.#isHolding) this.#forwarded();
     // The events before it are sound and were forwarded.
     if (relay.problem !== undefined) this.attempt?.abort(relay.problem);
     return isWritable;
   }
 
+  /** Handles the end of the attempt, once nothing of its response is held. */
+  end(handle: () => void): void {
+    if (this.#isHolding) this.#heldEnd = handle;
+    else handle();
+  }
+
   /** Stops to watch the attempt for a stall. */
   [Symbol.dispose](): void {
     this.#detector?.[Symbol.dispose]();
   }
 
-  #executionStarted(): void {
+  /** Takes note of the first event. Returns false if the response has to pause. */
+  #streamBegan(): boolean {
+    const { relay, boundary, report, context } = this.#parts;
     const { attempt } = this;
-    if (attempt && this.#resolved) {
-      attempt.endpoint.executionStarted(this.#resolved.rank, attempt.startedAt);
+    const { resolved, binding } = this.#answered as AnsweredRequest;
+    this.#responseBegan();
+    if (!attempt) return relay.release();
+    attempt.prefillFinished();
+    attempt.endpoint.executionStarted(resolved.rank, attempt.startedAt);
+    const recorded = binding.begin(attempt);
+    if (!recorded) return relay.release();
+    this.#isHolding = true;
+    const startedAt = context.timer.now();
+    const onRecorded = boundary.wrap((outcome: RecordOutcome) => {
+      report.originSettled(outcome, startedAt);
+      this.#release(attempt);
+    });
+    recorded.then(onRecorded);
+    return false;
+  }
+
+  #release(attempt: Attempt): void {
+    const { relay, lifecycle } = this.#parts;
+    const handleEnd = this.#heldEnd;
+    this.#isHolding = false;
+    this.#heldEnd = undefined;
+    if (lifecycle.isFinal) {
+      if (handleEnd) attempt.endpoint.abandoned();
+      return;
     }
+    const isWritable = relay.release();
+    this.#forwarded();
+    if (handleEnd) handleEnd();
+    else if (isWritable) attempt.resume();
+  }
+
+  #forwarded(): void {
+    const { relay, report, context, lifecycle } = this.#parts;
+    report.timing.mark(context.timer.now());
+    if (relay.isHeadSent && lifecycle.can('answer')) lifecycle.send('answer');
   }
 
   #responseBegan(): void {
-    this.#parts.context.countStartedRequest(this.#resolved?.workspace?.name);
-    this.#guard?.answered();
+    const { resolved, guard } = this.#answered as AnsweredRequest;
+    this.#parts.context.countStartedRequest(resolved.workspace?.name);
+    guard?.answered();
   }
 }
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -43,6 +43,9 @@
 
   #closesConnection = false;
 
+  /** Whether nothing may reach the caller yet. */
+  #isHeld = false;
+
   /** Whether the caller's version of HTTP has chunked transfer encoding. */
   readonly #readsChunks: boolean;
 
@@ -145,12 +148,25 @@
   reset(): void {
     this.#takeBuffered();
     this.#bodyBytes = 0;
+    this.#isHeld = false;
     this.#scanner?.resume();
     if (this.#isHeadSent) return;
     this.#scanner = undefined;
     this.#forwardedBytes = 0;
   }
 
+  /** Keeps what arrives from the caller until `release`. */
+  hold(): void {
+    this.#isHeld = !this.#isHeadSent;
+  }
+
+  /** Sends what was held to the caller. Returns false if the caller reads too slowly. */
+  release(): boolean {
+    this.#isHeld = false;
+    if (this.#isHeadSent || this.#bufferedBytes === 0 || !this.#canDelimit) return true;
+    return this.#sendBuffered();
+  }
+
   /** Ends a complete response. */
   finish(): void {
     const body = Buffer.concat(this.#takeBuffered());
@@ -169,7 +185,12 @@
     if (this.#isHeadSent) return this.#response.write(bytes);
     this.#buffered.push(bytes);
     this.#bufferedBytes += bytes.length;
+    if (this.#isHeld) return false;
     if (this.#bufferedBytes <= maxBufferedBytes || !this.#canDelimit) return true;
+    return this.#sendBuffered();
+  }
+
+  #sendBuffered(): boolean {
     this.#sendHead(undefined);
     return this.#response.write(Buffer.concat(this.#takeBuffered()));
   }
--- a/packages/gateway/src/lib/codes.ts
+++ b/packages/gateway/src/lib/codes.ts
@@ -128,4 +128,12 @@
     meaning: 'An unexpected exception ended the request.',
     remedy: 'Retry if the request is idempotent, and report it.',
   },
+  versionUnavailable: {
+    number: 9019,
+    status: 503,
+    notRun: true,
+    meaning:
+      'The stream can be resumed only at the software version that began it, which is unknown or out of service.',
+    remedy: 'Begin the stream anew at once, without Last-Event-Id and Resumes.',
+  },
 });
--- a/packages/gateway/src/lib/placeRequest.ts
+++ b/packages/gateway/src/lib/placeRequest.ts
@@ -2,6 +2,7 @@
 import type { Endpoint } from './Endpoint';
 import type { GatewayContext } from './GatewayContext';
 import type { ResolvedRequest } from './resolveRequest';
+import type { StreamBinding } from './StreamBinding';
 import type { RequestMetadata } from './Wire';
 
 /** An endpoint chosen for a request, with its expected prefill work. @internal */
@@ -13,6 +14,13 @@
   readonly prefillMs: number;
 }
 
+/** Which endpoints a request may go to. @internal */
+export interface EndpointChoice {
+  /** Ids of endpoints that the request does not go to again. */
+  readonly tried: ReadonlySet<string>;
+  readonly binding: Pick<StreamBinding, 'allows'>;
+}
+
 /** Assumes that only the last part of a prompt is specific to the request, and the one before it shared. */
 function promptCostOf({ prompt, promptTokens, ...metadata }: RequestMetadata): PromptCost {
   const shared = prompt.at(-2);
@@ -31,14 +39,15 @@
 export function placeRequest(
   context: GatewayContext,
   resolved: ResolvedRequest,
-  tried: ReadonlySet<string>,
+  { tried, binding }: EndpointChoice,
 ): Placement | undefined {
   const { directory, random, dataCentre } = context;
   const { route, metadata, target, table, rank } = resolved;
   const endpoints = directory.endpointsOf(target);
   if (endpoints.some(({ statements }) => statements.isLimited)) context.held.recordDemand(resolved);
   const untried = endpoints.filter(
-    (endpoint) => !tried.has(endpoint.listed.id) && endpoint.acceptsRequest,
+    (endpoint) =>
+      !tried.has(endpoint.listed.id) && binding.allows(endpoint) && endpoint.acceptsRequest,
   );
   const usable = untried.filter(({ isUsable }) => isUsable);
   const candidates =
--- a/packages/gateway/src/lib/retryAfterOf.ts
+++ b/packages/gateway/src/lib/retryAfterOf.ts
@@ -1,5 +1,6 @@
 import type { Failure, Random } from '@berylwood/base';
 import { retryAfterMs } from '@berylwood/policy';
+import { gatewayCodes } from './codes';
 
 /** Default of the expected time until capacity is free again, in milliseconds: about one response of an engine. */
 const RETRY_AFTER_BASE_MS = 600;
@@ -14,5 +15,6 @@
   random: Random,
 ): number | undefined {
   if (code.status !== 503) return undefined;
+  if (code === gatewayCodes.versionUnavailable) return 0;
   return retryAfterMs(expectedMs, Math.max(0, leftMs), random);
 }
--- a/packages/policy/src/lib/queue/FairQueue.ts
+++ b/packages/policy/src/lib/queue/FairQueue.ts
@@ -109,6 +109,23 @@
     return chosen && (FairQueue.#onTimeHead(chosen, now) ?? FairQueue.#lateHead(chosen));
   }
 
+  /** The item to serve next among those that can be served; the others keep their places. */
+  peekWhere(now: number, canBeServed: (item: T) => boolean): T | undefined {
+    const first = this.peek(now);
+    if (!first || canBeServed(first)) return first;
+    const heads = this.#active.flatMap((flow) => {
+      const items = flow.arrivals.filter((item) => item.isWaiting && canBeServed(item));
+      const onTime = items.filter(({ startBy }) => startBy >= now);
+      const [item] = onTime.sort((a, b) => a.startBy - b.startBy).concat(items);
+      return item ? [{ flow, item, isOnTime: onTime.length > 0 }] : [];
+    });
+    const byShare = heads.sort((a, b) => a.flow.virtualTime - b.flow.virtualTime);
+    const onTime = byShare.find(({ isOnTime }) => isOnTime);
+    const late = byShare.find(({ isOnTime }) => !isOnTime);
+    const isLateFirst = late && (!onTime || this.#exceedsMaxLag(late.flow, onTime.flow));
+    return (isLateFirst ? late : onTime)?.item;
+  }
+
   /** All items that can no longer start in time. */
   listLate(now: number): T[] {
     return this.#active.flatMap((flow) => {
--- a/packages/policy/src/lib/queue/UrgencyQueue.ts
+++ b/packages/policy/src/lib/queue/UrgencyQueue.ts
@@ -36,13 +36,19 @@
     this.#queues[item.rank]?.remove(item);
   }
 
-  /** Removes the item to serve next and returns it; undefined if none is waiting. */
-  take(now: number): T | undefined {
-    const queue = this.#queues.find(({ waiting }) => waiting > 0);
-    const item = queue?.peek(now);
-    if (!queue || !item) return undefined;
-    this.remove(item);
-    queue.charge(item.workspace, item.share, item.work);
-    return item;
+  /**
+   * Removes the item to serve next and returns it; undefined if none is waiting that can be served. One that can't
+   * be served now keeps its place and does not hold up the others.
+   */
+  take(now: number, canBeServed: (item: T) => boolean = () => true): T | undefined {
+    for (const queue of this.#queues) {
+      const item = queue.waiting > 0 ? queue.peekWhere(now, canBeServed) : undefined;
+      if (item) {
+        this.remove(item);
+        queue.charge(item.workspace, item.share, item.work);
+        return item;
+      }
+    }
+    return undefined;
   }
 }
