End only the request whose record fails by an exception

`ResponseReceiver` waits for the record of a stream's first event without a handler of its rejection: an exception in it ended the whole process as an unhandled rejection, with all other requests. It now ends its own request, as the boundary of the request does with every other exception.

--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -1,5 +1,4 @@
 import type { Lifecycle } from '@berylwood/base';
-import type { RecordOutcome } from '@berylwood/registry';
 import type { Attempt } from './Attempt';
 import type { ContentGuard } from './ContentGuard';
 import type { ExchangeEvent } from './exchangeMachine';
@@ -123,11 +122,14 @@
     if (!recorded) return relay.release();
     this.#isHolding = true;
     const startedAt = context.timer.now();
-    const onRecorded = boundary.wrap((outcome: RecordOutcome) => {
-      report.originSettled(outcome, startedAt);
-      this.#release(attempt);
-    });
-    recorded.then(onRecorded);
+    recorded
+      .then((outcome) => report.originSettled(outcome, startedAt))
+      .catch((error: unknown) =>
+        boundary.run(() => {
+          throw error;
+        }),
+      )
+      .then(boundary.wrap(() => this.#release(attempt)));
     return false;
   }
 
--- a/packages/gateway/src/lib/heldEvent.test.ts
+++ b/packages/gateway/src/lib/heldEvent.test.ts
@@ -30,6 +30,7 @@
 interface PendingRecord {
   readonly origin: StreamOrigin;
   readonly resolve: (outcome: RecordOutcome) => void;
+  readonly reject: (error: Error) => void;
 }
 
 /** Origins whose records end when a test says so. */
@@ -45,8 +46,8 @@
   }
 
   record(origin: StreamOrigin): Promise<RecordOutcome> {
-    return new Promise((resolve) => {
-      this.records.push({ origin, resolve });
+    return new Promise((resolve, reject) => {
+      this.records.push({ origin, resolve, reject });
     });
   }
 }
@@ -276,3 +277,17 @@
     assert.deepEqual(caller.ids, ALL_IDS);
   });
 }
+
+// Guards against a fault of the record that ends more than its request.
+test('a record that fails by an exception leaves no caller without an answer', async (t) => {
+  const { gateway, origins } = await createGateway(t);
+  gateway.play(createScript({ writes: [eventOf(1)], ending: 'silent' }));
+  const caller = call(gateway);
+  t.after(() => caller.leave());
+  await waitForRecord(origins);
+  origins.only.reject(new Error('a fault of the record'));
+  await until('an answer', () => caller.status > 0, LIMIT_MS);
+  assert.equal(caller.status, 500);
+  assert.deepEqual(caller.ids, []);
+  await until('nothing is in flight', () => gateway.inFlight === 0, LIMIT_MS);
+});
