--- a/packages/registry/src/lib/StreamOrigins.test.ts
+++ b/packages/registry/src/lib/StreamOrigins.test.ts
@@ -1,14 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Metrics, VirtualTimer, createSilentJournal, fail, type Failure } from '@berylwood/base';
-import { linkCodes } from '@berylwood/link';
-import { ok, type Result } from 'neverthrow';
+import { Metrics, VirtualTimer, createSilentJournal } from '@berylwood/base';
+import { ok } from 'neverthrow';
 import { FakeDisk, FakeFiles } from '../fixtures/FakeDisk';
+import { FakeHolder } from '../fixtures/FakeHolder';
 import { createOrigin, settle } from '../fixtures/originLog';
-import type { DialerMessage } from './MeshMessage';
 import type { RecordOutcome } from './OriginBatch';
-import type { OriginHolder } from './OriginPeers';
-import { unpackOrigin } from './StreamOrigin';
 import { StreamOriginLog } from './StreamOriginLog';
 import { StreamOrigins } from './StreamOrigins';
 
@@ -16,48 +13,6 @@
 const RECORD_BOUND_MS = 60;
 const SEARCH_BOUND_MS = 250;
 
-/** A holder with a disk, reached over a link that may be silent. */
-class FakeHolder implements OriginHolder {
-  readonly peer: string;
-
-  bufferedBytes = 0;
-
-  isSilent = false;
-
-  readonly files = new FakeFiles();
-
-  readonly log: StreamOriginLog;
-
-  readonly received: DialerMessage[] = [];
-
-  readonly #timer: VirtualTimer;
-
-  constructor(peer: string, timer: VirtualTimer) {
-    this.peer = peer;
-    this.#timer = timer;
-    const openDisk = async () => new FakeDisk(this.files);
-    this.log = new StreamOriginLog({ openDisk, timer, journal: createSilentJournal(timer) });
-  }
-
-  call<Reply>(message: DialerMessage, timeoutMs: number): Promise<Result<Reply, Failure>> {
-    this.received.push(message);
-    return new Promise((resolve) => {
-      const { linkLost } = linkCodes;
-      this.#timer.after(timeoutMs, () => resolve(fail(linkLost, 'no reply')));
-      if (this.isSilent) return;
-      this.#reply(message).then((value) => resolve(ok(value as Reply)));
-    });
-  }
-
-  async #reply(message: DialerMessage): Promise<unknown> {
-    if (message.type === 'recordOrigins') {
-      return this.log.append(message.origins.map(unpackOrigin));
-    }
-    if (message.type === 'findOrigin') return (await this.log.search(message)) ?? null;
-    throw new Error(`unexpected ${message.type}`);
-  }
-}
-
 interface Setup {
   readonly holders?: number;
   readonly hasDisk?: boolean;
