--- a/packages/gateway/src/lib/readResponseHead.ts
+++ b/packages/gateway/src/lib/readResponseHead.ts
@@ -41,7 +41,7 @@
   { statusCode: status = 0, rawHeaders, headers }: IncomingMessage,
 ): Result<ResponseHead, string> {
   const isSuccess = status >= MIN_SUCCESS_STATUS && status <= MAX_SUCCESS_STATUS;
-  if (isSuccess && 'content-encoding' in headers) return err('malformed response: encoded body');
+  if (isSuccess && 'content-encoding' in headers) return err('malformed response: an encoded body');
   const isChunked = 'transfer-encoding' in headers;
   const statedLength = headers['content-length'];
   const contentLength = statedLength === undefined || isChunked ? undefined : Number(statedLength);
