Serve late requests in the order of their times beside some that can't be served

`FairQueue.peekWhere` took the late items of a workspace in the order of their arrival once the first item couldn't be served; `peek` takes them in the order in which their times passed. A request thus lost its turn to one with a later start time because of a take-up that waits beside it. The items of the property have equal work, as those of held requests have.

--- a/packages/policy/src/lib/queue/FairQueue.ts
+++ b/packages/policy/src/lib/queue/FairQueue.ts
@@ -114,9 +114,13 @@
     const first = this.peek(now);
     if (!first || canBeServed(first)) return first;
     const heads = this.#active.flatMap((flow) => {
-      const items = flow.arrivals.filter((item) => item.isWaiting && canBeServed(item));
-      const onTime = items.filter(({ startBy }) => startBy >= now);
-      const [item] = onTime.sort((a, b) => a.startBy - b.startBy).concat(items);
+      // Moves the items that are late now to the late list.
+      FairQueue.#onTimeHead(flow, now);
+      const isNext = (item: T): boolean => item.isWaiting && canBeServed(item);
+      const onTime = flow.arrivals
+        .filter((item) => item.startBy >= now && isNext(item))
+        .sort((a, b) => a.startBy - b.startBy);
+      const item = onTime[0] ?? flow.late.slice(flow.lateHead).find(isNext);
       return item ? [{ flow, item, isOnTime: onTime.length > 0 }] : [];
     });
     const byShare = heads.sort((a, b) => a.flow.virtualTime - b.flow.virtualTime);
--- a/packages/policy/src/lib/queue/unservableItems.test.ts
+++ b/packages/policy/src/lib/queue/unservableItems.test.ts
@@ -3,12 +3,16 @@
 import { asId } from '@berylwood/base';
 import fc from 'fast-check';
 import { UrgencyQueue, type RankedItem } from './UrgencyQueue';
+import { FairQueue } from './FairQueue';
 
 interface Item extends RankedItem {
   readonly number: number;
   readonly canBeServed: boolean;
 }
 
+/** Work served to each workspace before, so that no two are served equally. */
+const SERVED_BEFORE = { a: 0.13, b: 0.37, c: 0.21 } as const;
+
 const WORKSPACES = ['a', 'b', 'c'] as const;
 
 const SHARES = { a: 1, b: 2, c: 1 } as const;
@@ -53,6 +57,34 @@
 /** Time of a take, which lets more and more items be late. */
 const timeOf = (takes: number, paceMs: number): number => takes * paceMs;
 
+/** Numbers of the items of one rank in the order in which they are served. */
+function serveFairly(all: readonly Item[], paceMs: number): number[] {
+  const queue = new FairQueue<Item>();
+  for (const name of WORKSPACES) queue.charge(asId(name), 1, SERVED_BEFORE[name]);
+  for (const item of all) queue.add(item);
+  const served: number[] = [];
+  for (;;) {
+    const item = queue.peekWhere(timeOf(served.length, paceMs), canBeServed);
+    if (!item) return served;
+    item.isWaiting = false;
+    queue.remove(item);
+    queue.charge(item.workspace, item.share, item.work);
+    served.push(item.number);
+  }
+}
+
+// Guards against items that change the order of others although they can't be served.
+test('skipping the items that can not be served gives the order without them', () => {
+  fc.assert(
+    fc.property(items, fc.nat(40), (drawn, paceMs) => {
+      const skipped = serveFairly(createItems(drawn), paceMs);
+      const removed = serveFairly(createItems(drawn).filter(canBeServed), paceMs);
+      assert.deepEqual(skipped, removed);
+    }),
+    { seed: 39, numRuns: 2000 },
+  );
+});
+
 // Guards against items that are lost or served twice as others leave and come between the takes.
 test('each item that can be served is taken once, the most urgent rank first, and the others stay', () => {
   fc.assert(
