Look at each waiting request once in a dispatch

With 2,000 waiting requests, half of them take-ups of a version whose 20 endpoints accept nothing, a dispatch that placed 40 took 62 ms (median of 11), three times its interval of 20 ms: each of the 41 takes asked all endpoints for all requests. A request that was refused is now not asked for again in the same dispatch, and within a workspace the search ends at the first request that can be served. 6.5 ms, by the test that failed before.

--- a/packages/gateway/src/lib/HeldRequests.ts
+++ b/packages/gateway/src/lib/HeldRequests.ts
@@ -205,11 +205,17 @@
     const now = this.#options.timer.now();
     let waiting = 0;
     for (const [pool, { queue }] of this.#pools) {
+      // No endpoint accepts a request in a turn of the event loop that it did not accept before in it.
+      const refused = new Set<WaitingItem>();
+      const canBeServed = (item: WaitingItem): boolean => {
+        if (refused.has(item)) return false;
+        const isAccepted = item.isAccepted();
+        if (!isAccepted) refused.add(item);
+        return isAccepted;
+      };
       // Each item is considered once, since one that has tried the accepting endpoint waits again.
       for (let left = queue.countAhead(Infinity); left > 0; left -= 1) {
-        const item = this.#acceptsRequest(pool)
-          ? queue.take(now, ({ isAccepted }) => isAccepted())
-          : undefined;
+        const item = this.#acceptsRequest(pool) ? queue.take(now, canBeServed) : undefined;
         if (!item) break;
         this.#store.release(item.hold);
         this.#held.inc({ outcome: 'placed' });
--- a/packages/gateway/src/lib/heldTakeUps.test.ts
+++ b/packages/gateway/src/lib/heldTakeUps.test.ts
@@ -211,3 +211,28 @@
     assert.deepEqual(placed, ['take-up at e-1']);
   });
 }
+
+// Guards against a dispatch that takes longer than its interval while many take-ups wait for one version.
+test('a tick with 2,000 waiting requests, half of them take-ups, ends within its interval', (t) => {
+  const conditions = Array.from({ length: 40 }, (_, number) => ({
+    version: number < 20 ? 'v1' : 'v2',
+    requestsPerS: 1_000_000,
+  }));
+  const { timer, held, send, grant, placed } = createPool(conditions);
+  for (let number = 0; number < 2000; number += 1) {
+    const workspace = `w-${number % 20}`;
+    const isTakeUp = number % 2 === 0;
+    send({ name: `${number}`, rank: 0, workspace, ...(isTakeUp && { version: 'v1' }) });
+  }
+  assert.equal(held.size, 2000);
+  const times = Array.from({ length: 11 }, () => {
+    for (let number = 20; number < 40; number += 1) grant(number, 2);
+    const startedAt = performance.now();
+    timer.advance(TICK_MS);
+    return performance.now() - startedAt;
+  }).sort((a, b) => a - b);
+  const [median = 0] = times.slice(5);
+  t.diagnostic(`${placed.length} placed in 11 ticks, ${median.toFixed(2)} ms a tick (median)`);
+  assert.equal(placed.length, 440);
+  assert.ok(median < TICK_MS, `${median} ms`);
+});
--- a/packages/policy/src/lib/queue/FairQueue.ts
+++ b/packages/policy/src/lib/queue/FairQueue.ts
@@ -116,12 +116,13 @@
     const heads = this.#active.flatMap((flow) => {
       // Moves the items that are late now to the late list.
       FairQueue.#onTimeHead(flow, now);
-      const isNext = (item: T): boolean => item.isWaiting && canBeServed(item);
       const onTime = flow.arrivals
-        .filter((item) => item.startBy >= now && isNext(item))
-        .sort((a, b) => a.startBy - b.startBy);
-      const item = onTime[0] ?? flow.late.slice(flow.lateHead).find(isNext);
-      return item ? [{ flow, item, isOnTime: onTime.length > 0 }] : [];
+        .filter(({ isWaiting, startBy }) => isWaiting && startBy >= now)
+        .sort((a, b) => a.startBy - b.startBy)
+        .find(canBeServed);
+      const late = flow.late.slice(flow.lateHead);
+      const item = onTime ?? late.find((other) => other.isWaiting && canBeServed(other));
+      return item ? [{ flow, item, isOnTime: onTime !== undefined }] : [];
     });
     const byShare = heads.sort((a, b) => a.flow.virtualTime - b.flow.virtualTime);
     const onTime = byShare.find(({ isOnTime }) => isOnTime);
