Expect no place of endpoints that all pause by what others accept

While all endpoints that may serve a take-up paused, its wait was expected by the permits that the pool used at other endpoints: with a pause of 3 s and 20 permits used elsewhere, it was expected at 100 ms, held, and rejected after half its objective. Endpoints that pause have no share of the permits: it is rejected at once, with the end of the pause.

--- a/packages/gateway/src/lib/HeldRequests.ts
+++ b/packages/gateway/src/lib/HeldRequests.ts
@@ -246,7 +246,7 @@
     const limits = restricted.filter(({ statements: { pausedMs } }) => pausedMs === 0);
     const limitPerS = sumLimits(limits);
     const openLimits = all.filter(({ statements: { pausedMs } }) => pausedMs === 0);
-    const share = limitPerS === 0 ? 1 : limitPerS / sumLimits(openLimits);
+    const share = limitPerS === 0 ? 0 : limitPerS / sumLimits(openLimits);
     const evenShare = limitPerS / this.#options.directory.instances();
     const measured = (this.#poolOf(pool).takenAt.length * SECOND_MS) / RATE_WINDOW_MS;
     const permitMs = ((ahead * share + 1) * SECOND_MS) / Math.max(evenShare, measured * share);
--- a/packages/gateway/src/lib/heldTakeUps.test.ts
+++ b/packages/gateway/src/lib/heldTakeUps.test.ts
@@ -180,6 +180,20 @@
   assert.equal(Math.round(rejected.get('late take-up')?.retryAfterMs ?? 0), 560);
 });
 
+// Guards against an expectation by the permits that other endpoints use.
+test('a take-up whose endpoints all pause is rejected at once with the end of the pause', () => {
+  const { timer, send, grant, placed, rejected } = createPool([
+    { version: 'v1', pauseMs: 3000 },
+    { version: 'v2', requestsPerS: 100 },
+  ]);
+  grant(1, 20);
+  for (let number = 0; number < 20; number += 1) send({ name: `other ${number}` });
+  timer.advance(TICK_MS);
+  assert.equal(placed.length, 20);
+  send({ name: 'take-up', version: 'v1' });
+  assert.equal(Math.round(rejected.get('take-up')?.retryAfterMs ?? 0), 3000 - TICK_MS);
+});
+
 for (const state of ['isDraining', 'isLeaving'] as const) {
   // Guards against a departing endpoint that counts as one that may still continue a stream.
   test(`a take-up neither uses nor waits for an endpoint of its version that ${state}`, () => {
