Pass on no event of an endpoint that changed its version before it

A stream that goes on, in a take-up or after a break, was passed on from an endpoint that the list has named with another version since the attempt was placed: only the endpoint of a new stream's first event was looked up again. The attempt now ends as broken, so that another endpoint of the version goes on, or the caller is told.

--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -41,6 +41,9 @@
 
   #answered: AnsweredRequest | undefined;
 
+  /** Whether the latest attempt has brought an event. */
+  #hasProgress = false;
+
   /** Whether the first event is held. */
   #isHolding = false;
 
@@ -64,6 +67,7 @@
   follow(started: StartedAttempt, answered: AnsweredRequest): void {
     this.#started = started;
     this.#answered = answered;
+    this.#hasProgress = false;
   }
 
   onHead(received: ResponseHead): void {
@@ -86,11 +90,18 @@
   /** Passes a part of the body on. Returns false if the response has to pause. */
   onData(chunk: Buffer): boolean {
     const { relay } = this.#parts;
+    if (this.#isReplaced) {
+      this.attempt?.abort('the endpoint is listed with another software version');
+      return true;
+    }
     const { hasEvents: hadEvents, forwardedBytes } = relay;
     let isWritable = relay.push(chunk);
     // Bytes of an incomplete event are no progress.
     const hasProgress = relay.forwardedBytes > forwardedBytes;
-    if (hasProgress) this.#detector?.eventReceived();
+    if (hasProgress) {
+      this.#hasProgress = true;
+      this.#detector?.eventReceived();
+    }
     if (relay.hasEvents && !hadEvents) isWritable = this.#streamBegan();
     if (hasProgress && !this.#isHolding) this.#forwarded();
     // The events before it are sound and were forwarded.
@@ -109,6 +120,14 @@
     this.#detector?.[Symbol.dispose]();
   }
 
+  /** Whether another version than that of a bound stream may answer the attempt, whose first event is still to come. */
+  get #isReplaced(): boolean {
+    const { attempt } = this;
+    const { binding } = this.#answered as AnsweredRequest;
+    if (this.#hasProgress || !attempt || !this.#parts.relay.isEventStream) return false;
+    return binding.isBound && binding.isReplaced(attempt);
+  }
+
   /** Takes note of the first event. Returns false if the response has to pause. */
   #streamBegan(): boolean {
     const { relay, boundary, report, context } = this.#parts;
--- a/packages/gateway/src/lib/StreamBinding.ts
+++ b/packages/gateway/src/lib/StreamBinding.ts
@@ -99,6 +99,12 @@
     return this.#context.origins.record({ stream, pool: target, version, keepMs });
   }
 
+  /** Whether the list has named another version for the endpoint of an attempt since it was started. */
+  isReplaced({ endpoint, softwareVersion }: Attempt): boolean {
+    const listed = this.#context.directory.find(endpoint.key)?.listed;
+    return listed !== undefined && listed.softwareVersion !== softwareVersion;
+  }
+
   async #search(stream: string, pool: PoolName): Promise<StreamBeginning | undefined> {
     const version = await this.#context.origins.find({ stream, pool });
     return version === undefined
@@ -106,10 +112,8 @@
       : { pool, softwareVersion: version as SoftwareVersion };
   }
 
-  /** Version that ran the attempt; undefined if the list has named another one for its endpoint meanwhile. */
-  #versionOf({ endpoint, softwareVersion }: Attempt): SoftwareVersion | undefined {
-    const listed = this.#context.directory.find(endpoint.key)?.listed;
-    const isReplaced = listed !== undefined && listed.softwareVersion !== softwareVersion;
-    return isReplaced ? undefined : softwareVersion;
+  /** Version that ran the attempt; undefined if it can't be known. */
+  #versionOf(attempt: Attempt): SoftwareVersion | undefined {
+    return this.isReplaced(attempt) ? undefined : attempt.softwareVersion;
   }
 }
--- a/packages/gateway/src/lib/heldTakeUps.test.ts
+++ b/packages/gateway/src/lib/heldTakeUps.test.ts
@@ -180,6 +180,18 @@
   assert.equal(Math.round(rejected.get('late take-up')?.retryAfterMs ?? 0), 560);
 });
 
+// Guards against an expectation that takes the work of other take-ups of the version for that of all endpoints.
+test('the expectation of a take-up counts all take-ups of its version ahead', () => {
+  const { send, rejected } = createPool([
+    { version: 'v1', requestsPerS: 10 },
+    { version: 'v2', requestsPerS: 90 },
+  ]);
+  for (let number = 0; number < 12; number += 1) send({ name: `${number}`, version: 'v1' });
+  // The first four wait 100 to 400 ms, the fifth half the objective.
+  assert.deepEqual([...rejected.keys()], ['5', '6', '7', '8', '9', '10', '11']);
+  assert.equal(rejected.get('5')?.retryAfterMs, 600);
+});
+
 // Guards against an expectation by the permits that other endpoints use.
 test('a take-up whose endpoints all pause is rejected at once with the end of the pause', () => {
   const { timer, send, grant, placed, rejected } = createPool([
--- a/packages/gateway/src/lib/narrowChoice.test.ts
+++ b/packages/gateway/src/lib/narrowChoice.test.ts
@@ -19,6 +19,8 @@
 /** Time after which a running stream without events counts as lost on the routes of the fixture, in milliseconds. */
 const LOST_MS = 2000;
 
+const SETTLE_MS = 60;
+
 const eventOf = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
 
 async function createGateway(t: TestContext, versions: readonly string[]): Promise<StreamGateway> {
@@ -91,6 +93,25 @@
   return { script, answer: () => answer(), countRequests: () => requests };
 }
 
+// Guards against a take-up that begins at an endpoint of its version and is answered by its successor.
+test('a take-up has no event of an endpoint that is listed with another version before it', async (t) => {
+  const gateway = await createGateway(t, ['v1', 'v1']);
+  const { script, answer, countRequests } = createWaitingScript();
+  gateway.play(script);
+  const caller = call(t, gateway, {
+    'Attempt-Id': 'a-2',
+    Resumes: 'a-1',
+    'Last-Event-Id': '1',
+  });
+  await until('the request', () => countRequests() > 0, LIMIT_MS);
+  gateway.listVersions(['v2', 'v2']);
+  answer();
+  await sleep(SETTLE_MS);
+  assert.deepEqual(caller.ids, []);
+  await until('the answer', () => caller.status > 0, LIMIT_MS);
+  assert.equal(caller.status >= 500, true);
+});
+
 // Guards against a new stream that its caller does not get because its version can't be known.
 test('a new stream begins at an endpoint that is listed with another version before its first event', async (t) => {
   const gateway = await createGateway(t, ['v1', 'v1']);
