Expect a take-up behind the others that wait for its version

The expected wait of a take-up counted every request ahead by the share of its endpoints, also the take-ups that only these may serve: with 10 and 90 requests a second, 12 take-ups of the first version were all held, and those beyond the fifth were rejected late, after half their objective. Waiting requests are now counted by the endpoints that may serve them, so that the sixth is rejected at once with its expected 600 ms.

--- a/packages/gateway/src/lib/HeldRequests.ts
+++ b/packages/gateway/src/lib/HeldRequests.ts
@@ -13,6 +13,7 @@
 import { gatewayEvents } from './events';
 import type { PoolName } from './ids';
 import type { ResolvedRequest } from './resolveRequest';
+import { shareOf, sumOpenLimits } from './shareOf';
 
 /** Fraction of the objective that a request may wait for an endpoint. */
 const WAIT_OBJECTIVES = 0.5;
@@ -62,21 +63,24 @@
   readonly isAccepted: () => boolean;
 }
 
+/** Waiting requests that only the same part of a pool's restricted endpoints may serve. */
+interface NarrowDemand {
+  readonly endpoints: readonly Endpoint[];
+  /** By rank, the number of waiting requests. */
+  readonly waiting: number[];
+}
+
 /** Demand for the limited endpoints of one pool. */
 interface PoolDemand {
   readonly queue: UrgencyQueue<WaitingItem>;
+  /** By the ids of their endpoints. */
+  readonly narrow: Map<string, NarrowDemand>;
   /** By rank, recent requests that could have used a permit. */
   recent: number[];
   /** Times at which permits were used, in milliseconds. */
   takenAt: number[];
 }
 
-/** Requests per second that endpoints accept by their limits; a paused one without a limit counts as none. */
-function sumLimits(endpoints: readonly Endpoint[]): number {
-  const limits = endpoints.map(({ statements }) => statements.requestsPerS);
-  return limits.filter(Number.isFinite).reduce((sum, limit) => sum + limit, 0);
-}
-
 /** @internal */
 export interface HeldRequestsOptions {
   readonly directory: EndpointDirectory;
@@ -164,7 +168,7 @@
     }
     const { queue } = this.#poolOf(target);
     const ahead = queue.countAhead(rank);
-    const expectedMs = this.#expectedWaitMs(target, ahead, allows);
+    const expectedMs = this.#expectedWaitMs(resolved, allows);
     const waitMs = Math.max(MIN_WAIT_MS, route.objectiveMs * WAIT_OBJECTIVES);
     const maxWaitMs = Math.min(waitMs, leftMs * MAX_WAIT_SHARE);
     const isAdmitted = expectedMs <= maxWaitMs;
@@ -186,6 +190,7 @@
       isWaiting: true,
     };
     hold.defer(() => queue.remove(item));
+    hold.add(this.#countNarrow(resolved, restricted.filter(allows), restricted.length));
     const onExpired = (): void => {
       this.#store.release(hold);
       this.#reject(request, expectedMs, 'expired');
@@ -235,24 +240,58 @@
     );
   }
 
-  /**
-   * Expected time until a request of a pool is placed behind others, in milliseconds. Those ahead of one that
-   * only some endpoints may serve are expected to use the others as well, by their limits.
-   */
-  #expectedWaitMs(pool: PoolName, ahead: number, allows: (endpoint: Endpoint) => boolean): number {
+  /** Expected time until a request is placed behind others, in milliseconds. */
+  #expectedWaitMs(resolved: ResolvedRequest, allows: (endpoint: Endpoint) => boolean): number {
+    const { target: pool } = resolved;
     const all = this.#restricted(pool);
     const restricted = all.filter(allows);
     const pauses = restricted.map(({ statements }) => statements.pausedMs).filter((ms) => ms > 0);
-    const limits = restricted.filter(({ statements: { pausedMs } }) => pausedMs === 0);
-    const limitPerS = sumLimits(limits);
-    const openLimits = all.filter(({ statements: { pausedMs } }) => pausedMs === 0);
-    const share = limitPerS === 0 ? 0 : limitPerS / sumLimits(openLimits);
-    const evenShare = limitPerS / this.#options.directory.instances();
+    const evenShare = sumOpenLimits(restricted) / this.#options.directory.instances();
     const measured = (this.#poolOf(pool).takenAt.length * SECOND_MS) / RATE_WINDOW_MS;
-    const permitMs = ((ahead * share + 1) * SECOND_MS) / Math.max(evenShare, measured * share);
+    const places = this.#placesAhead(resolved, allows) + 1;
+    const permitMs = (places * SECOND_MS) / Math.max(evenShare, measured * shareOf(all, allows));
     return Math.min(permitMs, ...pauses);
   }
 
+  /**
+   * Places that requests ahead of another one are expected to take at the endpoints that it may use; they use all
+   * endpoints that may serve them, by their limits.
+   */
+  #placesAhead({ target, rank }: ResolvedRequest, allows: (endpoint: Endpoint) => boolean): number {
+    const { queue, narrow } = this.#poolOf(target);
+    let others = queue.countAhead(rank);
+    let places = 0;
+    for (const { endpoints, waiting } of narrow.values()) {
+      const ahead = waiting.slice(0, rank + 1).reduce((sum, count) => sum + count, 0);
+      others -= ahead;
+      places += ahead * shareOf(endpoints, allows);
+    }
+    return places + others * shareOf(this.#restricted(target), allows);
+  }
+
+  /** Counts a waiting request that not all of the restricted endpoints may serve; disposing of the result ends it. */
+  #countNarrow(
+    { target, rank }: ResolvedRequest,
+    endpoints: readonly Endpoint[],
+    restricted: number,
+  ): Disposable {
+    if (endpoints.length === restricted) return { [Symbol.dispose]: () => {} };
+    const { narrow } = this.#poolOf(target);
+    const key = endpoints.map(({ listed }) => listed.id).join(' ');
+    const demand = narrow.get(key) ?? { endpoints, waiting: [] };
+    const count = (change: number): void => {
+      demand.waiting[rank] = (demand.waiting[rank] ?? 0) + change;
+    };
+    narrow.set(key, demand);
+    count(1);
+    return {
+      [Symbol.dispose]: () => {
+        count(-1);
+        if (demand.waiting.every((waiting) => waiting === 0)) narrow.delete(key);
+      },
+    };
+  }
+
   /** Endpoints in service that have a limit or have asked for a pause. */
   #restricted(pool: PoolName): Endpoint[] {
     const endpoints = this.#options.directory.endpointsOf(pool);
@@ -293,7 +332,12 @@
   #poolOf(pool: PoolName): PoolDemand {
     const known = this.#pools.get(pool);
     if (known) return known;
-    const demand = { queue: new UrgencyQueue<WaitingItem>(), recent: [], takenAt: [] };
+    const demand = {
+      queue: new UrgencyQueue<WaitingItem>(),
+      narrow: new Map(),
+      recent: [],
+      takenAt: [],
+    };
     this.#pools.set(pool, demand);
     return demand;
   }
