Go on with a stream whose caller names no attempt while one version serves and has served

Cause: their origin was looked for by the attempt that they don't name. Change: the holders know which versions began the streams of a pool whose entries are kept. If more disks than may be lost agree on one and the list names no other, it is the version of every such stream. With two versions such a take-up is refused as before. Evidence: StreamBinding.test and StreamOrigins.test; the case with one version failed before.

--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -24,7 +24,7 @@
   readonly budgets: RetryBudgets;
   readonly held: HeldRequests;
   /** Versions that began streams, known to all instances. */
-  readonly origins: Pick<StreamOrigins, 'record' | 'find'>;
+  readonly origins: Pick<StreamOrigins, 'record' | 'find' | 'findOnlyVersion'>;
   readonly quarantine: ContentQuarantine;
   readonly dataCentre: string;
   readonly startGate: StartGate;
--- a/packages/gateway/src/lib/StreamBinding.test.ts
+++ b/packages/gateway/src/lib/StreamBinding.test.ts
@@ -26,12 +26,14 @@
   readonly listed: readonly Listed[];
   /** By pool and stream, what was recorded. */
   readonly recorded?: Readonly<Record<string, string>>;
+  /** The only version that began streams of late, if there is one. */
+  readonly onlyVersion?: string;
   readonly resumes?: string;
   readonly attempt?: string | undefined;
 }
 
 /** Creates the binding of a request to a route with two pools, the first of which was drawn. */
-function createBinding({ listed, recorded = {}, resumes, attempt = 'a-1' }: Setup) {
+function createBinding({ listed, recorded = {}, onlyVersion, resumes, attempt = 'a-1' }: Setup) {
   const timer = new VirtualTimer();
   const directory = new EndpointDirectory(timer, createSilentJournal(timer), new Random(1));
   const replace = (items: readonly Listed[]): void => {
@@ -59,6 +61,7 @@
       searches.push(key);
       return recorded[`${key.pool}/${key.stream}`];
     },
+    findOnlyVersion: async (pool) => (pool === FIRST_POOL ? onlyVersion : undefined),
   };
   const resolved = {
     route: {
@@ -127,6 +130,33 @@
   });
 }
 
+// Guards against a refusal where the caller names no attempt and nothing but one version can have begun its stream.
+test('a take-up that names no attempt goes on where one version serves and has served', async () => {
+  const onlyV1 = TWO_VERSIONS.slice(0, 2);
+  const known = createBinding({ listed: onlyV1, onlyVersion: 'v1' });
+  assert.equal(await known.binding.find(), FIRST_POOL);
+  assert.deepEqual(known.allowed(), ['a', 'b']);
+});
+
+// Guards against another version that goes on with a stream whose caller names no attempt.
+test('a take-up that names no attempt goes on nowhere if two versions serve or have served', async () => {
+  const draining = { id: 'd', version: 'v2', isDraining: true };
+  for (const { listed, onlyVersion } of [
+    { listed: TWO_VERSIONS, onlyVersion: 'v1' },
+    { listed: [...TWO_VERSIONS.slice(0, 2), draining], onlyVersion: 'v1' },
+    { listed: TWO_VERSIONS.slice(0, 2), onlyVersion: 'v0' },
+    { listed: [{ id: 'a' }], onlyVersion: 'v1' },
+    { listed: TWO_VERSIONS.slice(0, 2) },
+  ] satisfies { listed: Listed[]; onlyVersion?: string }[]) {
+    const { binding, allowed } = createBinding({
+      listed,
+      ...(onlyVersion !== undefined && { onlyVersion }),
+    });
+    assert.equal(await binding.find(), undefined);
+    assert.deepEqual(allowed(), []);
+  }
+});
+
 // Guards against a search in the pool that the weights drew this time.
 test('a take-up goes on in the pool in which its stream began', async () => {
   const { binding, allowed, searches } = createBinding({
--- a/packages/gateway/src/lib/StreamBinding.ts
+++ b/packages/gateway/src/lib/StreamBinding.ts
@@ -72,12 +72,9 @@
 
   /** Finds where the stream began that the caller resumes, and binds the request to it. */
   async find(): Promise<PoolName | undefined> {
-    const { route, metadata } = this.#resolved;
-    const { resumes: stream } = metadata;
+    const { resumes } = this.#resolved.metadata;
     this.#isBound = true;
-    if (stream === undefined) return undefined;
-    const searches = route.targets.map(async ({ pool }) => this.#search(stream, pool));
-    const found = (await Promise.all(searches)).find((beginning) => beginning !== undefined);
+    const found = resumes === undefined ? await this.#findOnly() : await this.#search(resumes);
     this.#softwareVersion = found?.softwareVersion;
     this.#pool = found?.pool ?? this.#pool;
     return found?.pool;
@@ -105,11 +102,26 @@
     return listed !== undefined && listed.softwareVersion !== softwareVersion;
   }
 
-  async #search(stream: string, pool: PoolName): Promise<StreamBeginning | undefined> {
-    const version = await this.#context.origins.find({ stream, pool });
-    return version === undefined
-      ? undefined
-      : { pool, softwareVersion: version as SoftwareVersion };
+  /** The beginning of a stream that the caller names, in whichever pool of the route it was. */
+  async #search(stream: string): Promise<StreamBeginning | undefined> {
+    const { origins } = this.#context;
+    const searches = this.#resolved.route.targets.map(async ({ pool }) => ({
+      pool,
+      softwareVersion: (await origins.find({ stream, pool })) as SoftwareVersion | undefined,
+    }));
+    const isFound = (item: Partial<StreamBeginning>): item is StreamBeginning =>
+      item.softwareVersion !== undefined;
+    return (await Promise.all(searches)).find(isFound);
+  }
+
+  /** The beginning of a stream that the caller does not name: known while one version serves and has served. */
+  async #findOnly(): Promise<StreamBeginning | undefined> {
+    const { target: pool } = this.#resolved;
+    const version = await this.#context.origins.findOnlyVersion(pool);
+    const endpoints = this.#context.directory.endpointsOf(pool);
+    const isOnly = endpoints.every(({ listed }) => listed.softwareVersion === version);
+    if (version === undefined || !isOnly) return undefined;
+    return { pool, softwareVersion: version as SoftwareVersion };
   }
 
   /** Version that ran the attempt; undefined if it can't be known. */
--- a/packages/gateway/src/lib/heldEvent.test.ts
+++ b/packages/gateway/src/lib/heldEvent.test.ts
@@ -39,6 +39,8 @@
 
   readonly find = async (): Promise<string> => 'v1';
 
+  readonly findOnlyVersion = this.find;
+
   /** Settles the only record. */
   get only(): PendingRecord {
     assert.equal(this.records.length, 1);
--- a/packages/registry/src/lib/MeshMessage.ts
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -74,11 +74,17 @@
   readonly type: 'findOrigin';
 }
 
+/** Asks for the versions that began the streams of a pool; the reply is a list. */
+interface FindVersions {
+  readonly type: 'findVersions';
+  readonly pool: string;
+}
+
 /**
  * Message about origins of streams. Earlier versions of the software drop a link on which it arrives,
  * so it is sent only to instances whose status has `holdsOrigins`.
  */
-type OriginMessage = RecordOrigins | FindOrigin;
+type OriginMessage = RecordOrigins | FindOrigin | FindVersions;
 
 /** Message of the instance that has dialled the link. @internal */
 export type DialerMessage = Hello | Report | Fetch | Configure | ReadNewest | Work | OriginMessage;
@@ -162,6 +168,8 @@
       return areOrigins(value);
     case 'findOrigin':
       return isStreamKey(value);
+    case 'findVersions':
+      return typeof value.pool === 'string';
     default:
       return value.type === 'fetch' || value.type === 'readNewest';
   }
--- a/packages/registry/src/lib/OriginBatch.ts
+++ b/packages/registry/src/lib/OriginBatch.ts
@@ -1,5 +1,5 @@
 import type { StreamOrigin } from './StreamOrigin';
-import type { AppendOutcome } from './StreamOriginLog';
+import type { AppendOutcome } from './AppendOutcome';
 
 /**
  * What became of the record of a stream's origin: on more disks than may be lost, on some disk, or
--- a/packages/registry/src/lib/OriginTable.ts
+++ b/packages/registry/src/lib/OriginTable.ts
@@ -19,6 +19,9 @@
   /** In the order of their addition. */
   readonly #origins = new Map<string, HeldOrigin>();
 
+  /** By pool and version, the time until which an entry of the version is kept. */
+  readonly #versions = new Map<string, Map<string, number>>();
+
   constructor(maxEntries: number) {
     this.#maxEntries = maxEntries;
   }
@@ -32,6 +35,12 @@
     return held && held.expiresAt > now ? held.version : undefined;
   }
 
+  /** Versions that began the streams of a pool whose entries are kept. */
+  versionsOf(pool: string, now: number): string[] {
+    const versions = [...(this.#versions.get(pool) ?? [])];
+    return versions.flatMap(([version, expiresAt]) => (expiresAt > now ? [version] : []));
+  }
+
   /** Adds an origin, unless the stream has one; returns the one that the stream has now. */
   add(origin: StreamOrigin, now: number): HeldOrigin {
     const key = tableKey(origin);
@@ -41,10 +50,18 @@
     const held = { version, expiresAt: now + keepMs, isSynced: false };
     this.#origins.delete(key);
     this.#origins.set(key, held);
+    this.#keepVersion(origin, held.expiresAt, now);
     this.#trim(now);
     return held;
   }
 
+  #keepVersion({ pool, version }: StreamOrigin, expiresAt: number, now: number): void {
+    const versions = this.#versions.get(pool) ?? new Map<string, number>();
+    for (const [other, until] of versions) if (until <= now) versions.delete(other);
+    versions.set(version, Math.max(expiresAt, versions.get(version) ?? -Infinity));
+    this.#versions.set(pool, versions);
+  }
+
   #trim(now: number): void {
     for (const [key, { expiresAt }] of this.#origins) {
       if (expiresAt > now && this.#origins.size <= this.#maxEntries) return;
--- a/packages/registry/src/lib/StreamOriginLog.ts
+++ b/packages/registry/src/lib/StreamOriginLog.ts
@@ -1,5 +1,6 @@
 import type { Journal, Timer } from '@berylwood/base';
 import type { Disk } from '@berylwood/consensus';
+import type { AppendOutcome } from './AppendOutcome';
 import { registryEvents } from './events';
 import { decodeOrigins, encodeOrigins } from './originFrames';
 import { OriginTable, type HeldOrigin } from './OriginTable';
@@ -37,12 +38,6 @@
   expiresAt: number;
 }
 
-/**
- * What became of an entry: on the disk, in memory only, or refused as the stream has another version.
- * @internal
- */
-export type AppendOutcome = 'synced' | 'held' | 'conflict';
-
 /** Entries of one call that wait for their write. */
 interface QueuedWrite {
   readonly origins: readonly StreamOrigin[];
@@ -134,11 +129,15 @@
     return this.#table.find(key, this.#options.timer.now());
   }
 
+  /** Versions that began the streams of a pool, once the entries on disk have been read if they can be. */
+  async versionsOf(pool: string): Promise<string[]> {
+    if (this.isDurable && !this.#isLoaded) await this.open();
+    return this.#table.versionsOf(pool, this.#options.timer.now());
+  }
+
   /** Like `find`, once the entries on disk have been read if they can be. */
   async search(key: StreamKey): Promise<string | undefined> {
-    const found = this.find(key);
-    if (found !== undefined || !this.isDurable || this.#isLoaded) return found;
-    await this.open();
+    if (this.isDurable && !this.#isLoaded) await this.open();
     return this.find(key);
   }
 
--- a/packages/registry/src/lib/StreamOrigins.test.ts
+++ b/packages/registry/src/lib/StreamOrigins.test.ts
@@ -279,3 +279,39 @@
   assert.equal(collected.value, 'unavailable');
   assert.equal(late.value, 'unavailable');
 });
+
+test('the only version of a pool is found as long as an entry of it is kept', async () => {
+  const { origins, advance } = createOrigins();
+  const find = async (pool: string): Promise<unknown> => {
+    const found = follow(origins.findOnlyVersion(pool));
+    await advance(0);
+    return found.value;
+  };
+  assert.equal(await find('pool'), undefined);
+  origins.record({ ...createOrigin('a'), keepMs: 1000 });
+  await advance(COLLECT_MS);
+  assert.equal(await find('pool'), 'v1');
+  assert.equal(await find('other'), undefined);
+  origins.record({ ...createOrigin('b'), version: 'v2', keepMs: 5000 });
+  await advance(COLLECT_MS);
+  assert.equal(await find('pool'), undefined);
+  await advance(1000);
+  assert.equal(await find('pool'), 'v2');
+});
+
+// Guards against a version that only the disks know which have not replied.
+test('no version is the only one while too few disks have replied', async () => {
+  const { origins, peers, advance } = createOrigins({ hasDisk: false });
+  origins.record(createOrigin('a'));
+  await advance(COLLECT_MS);
+  for (const [silent, expected] of [
+    [0, 'v1'],
+    [1, undefined],
+    [2, undefined],
+  ] as const) {
+    peers.originHolders.forEach((holder, at) => Object.assign(holder, { isSilent: at < silent }));
+    const found = follow(origins.findOnlyVersion('pool'));
+    await advance(SEARCH_BOUND_MS);
+    assert.equal(found.value, expected, `${silent} silent`);
+  }
+});
--- a/packages/registry/src/lib/StreamOrigins.ts
+++ b/packages/registry/src/lib/StreamOrigins.ts
@@ -12,6 +12,7 @@
   type StreamOrigin,
 } from './StreamOrigin';
 import type { StreamOriginLog } from './StreamOriginLog';
+import { VersionSearch } from './VersionSearch';
 
 /** Time for which entries are collected before they are sent together, in milliseconds. */
 const COLLECT_MS = 2;
@@ -100,6 +101,17 @@
     return version;
   }
 
+  /**
+   * Finds the version that began all streams of a pool whose origins are kept; resolves to undefined if there are
+   * several, or if too few holders have replied within 250 ms to know of each.
+   */
+  async findOnlyVersion(pool: string): Promise<string | undefined> {
+    const { log, peers, timer, tolerance } = this.#options;
+    const replies = await new VersionSearch({ log, peers, timer }, pool).run();
+    const versions = new Set(replies.flat());
+    return replies.length > tolerance && versions.size === 1 ? [...versions][0] : undefined;
+  }
+
   [Symbol.dispose](): void {
     this.#store[Symbol.dispose]();
     this.log[Symbol.dispose]();
--- a/packages/registry/src/lib/createStreamOrigins.test.ts
+++ b/packages/registry/src/lib/createStreamOrigins.test.ts
@@ -127,6 +127,8 @@
   const isValid = (message: unknown): boolean => dialerMessageSchema.safeParse(message).success;
   assert.ok(isValid({ type: 'recordOrigins', origins: [valid] }));
   assert.ok(isValid({ type: 'findOrigin', stream: 'a', pool: 'pool' }));
+  assert.ok(isValid({ type: 'findVersions', pool: 'pool' }));
+  assert.equal(isValid({ type: 'findVersions' }), false);
   const many = Array.from({ length: 1025 }, () => valid);
   for (const origins of [null, {}, [null], [['a', 'pool', 'v1']], [['', 'pool', 'v1', 1]], many]) {
     assert.equal(isValid({ type: 'recordOrigins', origins }), false);
--- a/packages/registry/src/lib/handleMeshCall.ts
+++ b/packages/registry/src/lib/handleMeshCall.ts
@@ -33,6 +33,8 @@
       return ok(await originLog.append(message.origins.map(unpackOrigin)));
     case 'findOrigin':
       return ok((await originLog.search(message)) ?? null);
+    case 'findVersions':
+      return ok(await originLog.versionsOf(message.pool));
     default:
   }
   return fail(registryCodes.replicaClosed, 'this instance has no replica');
