Let the events before a cut reach their caller

What callers saw: a closed connection without even a head, though sound events were ready: the events before foreign bytes in one read, and the first event of a stream that broke while it was held. Cause: cut() destroyed the socket in the turn in which the head was written, before Node.js had sent it. Change: what was written is sent before the connection ends, within a second at most. That the response is cut is seen as before by the chunk or the length that is missing. Evidence: the test in heldStream failed before (status 0) and passes.

--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -10,6 +10,9 @@
 
 const MIN_FAILURE_STATUS = 500;
 
+/** Time after which the connection of a cut response is destroyed, in milliseconds. */
+const CUT_TIMEOUT_MS = 1000;
+
 /**
  * Relays an endpoint's response to the caller. Plain responses are buffered until they are complete or
  * exceed the buffer. Streams are forwarded in complete events, and the head with the first event. Until
@@ -176,7 +179,10 @@
 
   /** Ends a response whose head was sent, so that the caller sees that it is incomplete. */
   cut(): void {
-    this.#response.destroy();
+    const { socket } = this.#response;
+    // What was written leaves first, but is not waited for if the caller does not read.
+    socket?.setTimeout(CUT_TIMEOUT_MS, () => socket.destroy());
+    socket?.destroySoon();
   }
 
   /** Sends bytes of the body, or buffers them while there are at most `maxBufferedBytes` of them. */
--- a/packages/gateway/src/lib/heldStream.test.ts
+++ b/packages/gateway/src/lib/heldStream.test.ts
@@ -33,3 +33,21 @@
   );
   assert.deepEqual([status, body.toString(), end], [500, 'failed', 'whole']);
 });
+
+// Guards against events that were ready and are lost with the connection whose end shows the cut.
+test('sound events before foreign bytes in one read reach their caller although it is cut', async (t) => {
+  const gateway = await createStreamGateway();
+  t.after(() => gateway[Symbol.asyncDispose]());
+  const sound = 'id: 1\ndata: a\n\n';
+  const { status, body, end } = await gateway.call(
+    (socket) => {
+      socket.write(`${STREAM_HEAD}${sound}id: 2\ndata: b\n\nno event\n\n`);
+    },
+    {
+      isResumable: false,
+      lastEventId: 0,
+      patience: () => sleep(PATIENCE_MS, undefined, { ref: false }),
+    },
+  );
+  assert.deepEqual([status, body.toString(), end], [200, sound, 'cut']);
+});
