--- a/packages/event-stream/src/lib/UnnumberedEvents.ts
+++ b/packages/event-stream/src/lib/UnnumberedEvents.ts
@@ -13,6 +13,6 @@
   }
 
   override resume(): void {
-    // The endpoint is told from which event on it should send.
+    // The request for the rest names the number of events, so none is repeated.
   }
 }
