Count no lost or unread disk among those that know a pool's only version

Seen in the re-reading of the change, not by a caller: a take-up that names no attempt could go on at another version than its own. Two replies of three suffice with a tolerance of one, and an empty list counted as one; so a disk that was wiped, and one that had missed a record, hid the version of a stream whose third disk did not reply. A disk whose files could not be read answered from memory alone. Cause: the number of replies was taken for the number of disks that know. Change: only a disk that holds an entry of the pool counts, and one that could not be read does not reply. Take-ups that name their attempt are not concerned: they need one positive reply.

--- a/packages/registry/src/lib/StreamOriginLog.ts
+++ b/packages/registry/src/lib/StreamOriginLog.ts
@@ -129,9 +129,10 @@
     return this.#table.find(key, this.#options.timer.now());
   }
 
-  /** Versions that began the streams of a pool, once the entries on disk have been read if they can be. */
-  async versionsOf(pool: string): Promise<string[]> {
+  /** Versions that began the streams of a pool; undefined if the entries on disk can't be read. */
+  async versionsOf(pool: string): Promise<string[] | undefined> {
     if (this.isDurable && !this.#isLoaded) await this.open();
+    if (this.isDurable && !this.#isLoaded) return undefined;
     return this.#table.versionsOf(pool, this.#options.timer.now());
   }
 
--- a/packages/registry/src/lib/StreamOrigins.test.ts
+++ b/packages/registry/src/lib/StreamOrigins.test.ts
@@ -315,3 +315,14 @@
     assert.equal(found.value, expected, `${silent} silent`);
   }
 });
+
+// Guards against a lost disk that counts as one on which no other version is known.
+test('a disk that holds nothing of a pool does not tell its only version', async () => {
+  const { origins, peers, advance } = createOrigins({ hasDisk: false });
+  const [first] = peers.originHolders;
+  first?.log.append([createOrigin('a')]);
+  await advance(COLLECT_MS);
+  const found = follow(origins.findOnlyVersion('pool'));
+  await advance(SEARCH_BOUND_MS);
+  assert.equal(found.value, undefined);
+});
--- a/packages/registry/src/lib/StreamOrigins.ts
+++ b/packages/registry/src/lib/StreamOrigins.ts
@@ -103,7 +103,7 @@
 
   /**
    * Finds the version that began all streams of a pool whose origins are kept; resolves to undefined if there are
-   * several, or if too few holders have replied within 250 ms to know of each.
+   * several, or if no more disks than may be lost are known within 250 ms to hold one.
    */
   async findOnlyVersion(pool: string): Promise<string | undefined> {
     const { log, peers, timer, tolerance } = this.#options;
--- a/packages/registry/src/lib/VersionSearch.ts
+++ b/packages/registry/src/lib/VersionSearch.ts
@@ -14,8 +14,9 @@
   readonly timer: Timer;
 }
 
+/** Whether a reply shows what a disk holds; one that holds nothing of the pool may have been lost. */
 const isVersionList = (value: unknown): value is string[] =>
-  Array.isArray(value) && value.every((item) => typeof item === 'string');
+  Array.isArray(value) && value.length > 0 && value.every((item) => typeof item === 'string');
 
 /** Searches the versions that began the streams of a pool: on the own disk, and at all holders at once. @internal */
 export class VersionSearch {
@@ -36,7 +37,7 @@
     this.#pool = pool;
   }
 
-  /** Resolves to the versions that each disk holds, of those that have replied. */
+  /** Resolves to the versions that each disk holds, of those that hold some and have replied. */
   async run(): Promise<readonly (readonly string[])[]> {
     const { timer, log } = this.#options;
     const deadline = timer.now() + SEARCH_BOUND_MS;
--- a/packages/registry/src/lib/handleMeshCall.ts
+++ b/packages/registry/src/lib/handleMeshCall.ts
@@ -34,7 +34,7 @@
     case 'findOrigin':
       return ok((await originLog.search(message)) ?? null);
     case 'findVersions':
-      return ok(await originLog.versionsOf(message.pool));
+      return ok((await originLog.versionsOf(message.pool)) ?? null);
     default:
   }
   return fail(registryCodes.replicaClosed, 'this instance has no replica');
