--- /dev/null
+++ b/packages/gateway/src/lib/EndpointServices.ts
@@ -0,0 +1,82 @@
+import {
+  DisposableStore,
+  type Journal,
+  type Metrics,
+  type Random,
+  type Timer,
+} from '@berylwood/base';
+import type { Mesh } from '@berylwood/registry';
+import { EndpointDirectory } from './EndpointDirectory';
+import { EndpointGauges } from './EndpointGauges';
+import type { FaultLog } from './FaultLog';
+import { HeldRequests } from './HeldRequests';
+import type { PoolName } from './ids';
+import { LeaderExchange } from './LeaderExchange';
+import { LeavingCheck } from './LeavingCheck';
+import { PermitSharing } from './PermitSharing';
+import type { RoutingTable } from './RoutingTable';
+import type { Wire } from './Wire';
+
+/** @internal */
+export interface EndpointServicesOptions {
+  readonly wire: Wire;
+  readonly mesh: Mesh;
+  readonly timer: Timer;
+  readonly journal: Journal;
+  readonly metrics: Metrics;
+  readonly random: Random;
+  readonly faults: FaultLog;
+  /** Number of instances that share the endpoints. */
+  readonly instances: () => number;
+  /** The routing table in force, if any. */
+  readonly table: () => RoutingTable | undefined;
+  /** Called when the first list of endpoints is loaded. */
+  readonly onLoaded: () => void;
+}
+
+/** What an instance knows about the endpoints, and what it exchanges with the others about them. @internal */
+export class EndpointServices implements Disposable {
+  readonly directory: EndpointDirectory;
+
+  readonly held: HeldRequests;
+
+  readonly #options: EndpointServicesOptions;
+
+  readonly #store = new DisposableStore();
+
+  readonly #permits: PermitSharing;
+
+  constructor(options: EndpointServicesOptions) {
+    this.#options = options;
+    const { wire, mesh, timer, journal, metrics, random, faults, instances, table } = options;
+    const directory = new EndpointDirectory(timer, journal, random);
+    this.directory = directory;
+    directory.onLoaded = options.onLoaded;
+    directory.instances = instances;
+    directory.maxConnections = (pool) => table()?.findPool(pool)?.maxConnections;
+    const held = this.#store.add(new HeldRequests({ directory, timer, journal, metrics }));
+    this.held = held;
+    this.#store.add(new EndpointGauges({ directory, timer, metrics }));
+    this.#permits = new PermitSharing({ directory, held, mesh, timer, journal, random });
+    directory.hasPermitLeader = () => this.#permits.hasLeader;
+    const exchange = new LeaderExchange();
+    mesh.attachments = exchange;
+    exchange.add(this.#permits.attachments);
+    const healthPath = (pool: PoolName): string => table()?.findPool(pool)?.healthPath ?? '/';
+    const isChecker = (): boolean => mesh.isLeader;
+    const leaving = { directory, wire, timer, journal, faults, healthPath, isChecker };
+    this.#store.add(new LeavingCheck(leaving));
+  }
+
+  /** Exchanges the work of this instance, and what parts attach to it, with the leader. */
+  share(): void {
+    this.#permits.startRound();
+    this.#options.mesh.publishWork(this.directory.ownWork());
+    this.held.endRound();
+  }
+
+  [Symbol.dispose](): void {
+    this.#store[Symbol.dispose]();
+    this.directory[Symbol.dispose]();
+  }
+}
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -13,19 +13,15 @@
 } from '@berylwood/registry';
 import type { GatewaySettings } from '@berylwood/schema';
 import { drainCallers } from './drainCallers';
-import { EndpointDirectory } from './EndpointDirectory';
-import { EndpointGauges } from './EndpointGauges';
+import { EndpointServices } from './EndpointServices';
 import { gatewayEvents } from './events';
 import { FaultLog } from './FaultLog';
 import { CallerServer } from './CallerServer';
 import type { GatewayContext } from './GatewayContext';
-import type { PoolName, WorkspaceName } from './ids';
+import type { WorkspaceName } from './ids';
 import { EndpointListReader } from './EndpointListReader';
-import { HeldRequests } from './HeldRequests';
 import { OperatorServer } from './OperatorServer';
-import { PermitSharing } from './PermitSharing';
 import { leaveRegistry } from './leaveRegistry';
-import { LeavingCheck } from './LeavingCheck';
 import { ReadinessServer } from './ReadinessServer';
 import { RetryBudgets } from './RetryBudgets';
 import { RequestLog } from './RequestLog';
@@ -74,7 +70,7 @@
 
   readonly #usage = new UsageLedger();
 
-  readonly #directory: EndpointDirectory;
+  readonly #endpoints: EndpointServices;
 
   readonly #registry: Registry | undefined;
 
@@ -96,10 +92,6 @@
 
   readonly #random = new Random(Math.floor(Math.random() * 2 ** 31));
 
-  readonly #held: HeldRequests;
-
-  readonly #permits: PermitSharing;
-
   readonly #faults: FaultLog;
 
   #table: RoutingTable | undefined;
@@ -140,31 +132,26 @@
     this.store.add(new SuspicionSharing({ quarantine, mesh: this.#mesh, timer, journal }));
     this.#startGate = this.store.add(new StartGate(timer));
     const random = this.#random;
-    this.#directory = new EndpointDirectory(timer, journal, random);
-    this.#directory.onLoaded = () => this.#updateReadiness();
-    this.#directory.instances = () => this.#instances;
-    this.#directory.maxConnections = (pool) => this.#table?.findPool(pool)?.maxConnections;
-    const directory = this.#directory;
-    this.#held = this.store.add(new HeldRequests({ directory, timer, journal, metrics }));
-    this.store.add(new EndpointGauges({ directory, timer, metrics }));
-    const held = this.#held;
-    this.#permits = new PermitSharing({
-      directory,
-      held,
+    this.#endpoints = new EndpointServices({
+      wire,
       mesh: this.#mesh,
       timer,
       journal,
+      metrics,
       random,
+      faults: this.#faults,
+      instances: () => this.#instances,
+      table: () => this.#table,
+      onLoaded: () => this.#updateReadiness(),
     });
-    const healthPath = (pool: PoolName): string => this.#table?.findPool(pool)?.healthPath ?? '/';
-    const isChecker = (): boolean => this.#mesh.isLeader;
-    const faults = this.#faults;
-    const leaving = { directory, wire, timer, journal, faults, healthPath, isChecker };
-    this.store.add(new LeavingCheck(leaving));
-    this.#directory.hasPermitLeader = () => this.#permits.hasLeader;
     this.#callerServer = new CallerServer(this.#createContext());
     this.#readinessServer = new ReadinessServer(wire.paths.readiness, () => this.#isReady());
-    this.#operatorServer = new OperatorServer({ wire, mesh: this.#mesh, journal, faults });
+    this.#operatorServer = new OperatorServer({
+      wire,
+      mesh: this.#mesh,
+      journal,
+      faults: this.#faults,
+    });
     this.#listReader = platform && this.#createListReader(platform);
   }
 
@@ -178,8 +165,10 @@
     if (settings.operators) await this.#operatorServer.listen(settings.operators);
     this.#listReader?.open();
     this.#mesh.onNotice = (value) => this.#listReader?.receive(value);
-    this.#mesh.onWork = (work) => this.#directory.share(work);
-    this.store.add(this.#options.timer.every(WORK_SHARE_INTERVAL_MS, () => this.#shareWork()));
+    this.#mesh.onWork = (work) => this.#endpoints.directory.share(work);
+    this.store.add(
+      this.#options.timer.every(WORK_SHARE_INTERVAL_MS, () => this.#endpoints.share()),
+    );
     await this.#mesh.open();
     await this.#registry?.open();
     this.#startUsageReporter();
@@ -214,7 +203,7 @@
     this.#mesh[Symbol.dispose]();
     this.#registry?.[Symbol.dispose]();
     this.#transport[Symbol.dispose]();
-    this.#directory[Symbol.dispose]();
+    this.#endpoints[Symbol.dispose]();
     await this.#links.close();
     await super.stop();
   }
@@ -261,9 +250,9 @@
       random: this.#random,
       log: new RequestLog(journal, timer, metrics),
       faults: this.#faults,
-      directory: this.#directory,
+      directory: this.#endpoints.directory,
       startGate: this.#startGate,
-      held: this.#held,
+      held: this.#endpoints.held,
       origins: this.#mesh.origins,
       budgets: new RetryBudgets(bounds, () => this.#instances),
       quarantine: this.#quarantine,
@@ -279,7 +268,7 @@
     const { timer, journal, settings } = this.#options;
     return new EndpointListReader({
       platform,
-      directory: this.#directory,
+      directory: this.#endpoints.directory,
       timer,
       journal,
       callsPerS: settings.platformCallsPerS,
@@ -298,12 +287,6 @@
     this.store.add(new UsageReporter({ ...parts, usage: this.#usage, clock: this.#clock }));
   }
 
-  #shareWork(): void {
-    this.#permits.startRound();
-    this.#mesh.publishWork(this.#directory.ownWork());
-    this.#held.endRound();
-  }
-
   #countStartedRequest(workspace: WorkspaceName | undefined): void {
     const { usageWindowS } = this.#options.settings;
     if (workspace === undefined || usageWindowS === undefined) return;
@@ -332,7 +315,7 @@
   }
 
   #updateReadiness(): void {
-    const hasRoutingData = this.#table !== undefined && this.#directory.isLoaded;
+    const hasRoutingData = this.#table !== undefined && this.#endpoints.directory.isLoaded;
     if (hasRoutingData) this.#startGate.release();
     const isReady = !this.#isStopping && hasRoutingData;
     if (isReady === this.#wasReady) return;
@@ -341,7 +324,7 @@
       isReady,
       isStopping: this.#isStopping,
       version: this.#table?.version,
-      listAgeMs: Math.round(this.#directory.ageMs),
+      listAgeMs: Math.round(this.#endpoints.directory.ageMs),
     });
   }
 }
--- a/packages/gateway/src/lib/PermitSharing.test.ts
+++ b/packages/gateway/src/lib/PermitSharing.test.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Metrics, Random, VirtualTimer, asId, createSilentJournal } from '@berylwood/base';
-import type { WorkAttachments } from '@berylwood/registry';
 import { EndpointDirectory } from './EndpointDirectory';
 import { HeldRequests } from './HeldRequests';
 import { PermitSharing } from './PermitSharing';
@@ -41,12 +40,12 @@
   directory.instances = () => 2;
   directory.replace([listedEndpoint('e-1'), listedEndpoint('e-2')]);
   const held = new HeldRequests({ directory, timer, journal, metrics: new Metrics() });
-  const mesh = { attachments: undefined as WorkAttachments | undefined, isLeader };
+  const mesh = { isLeader };
   const sharing = new PermitSharing({ directory, held, mesh, timer, journal, random });
   directory.hasPermitLeader = () => sharing.hasLeader;
   const [endpoint] = directory.endpointsOf(POOL);
-  assert.ok(endpoint && mesh.attachments);
-  const { attachments } = mesh;
+  assert.ok(endpoint);
+  const { attachments } = sharing;
   const { statements } = endpoint;
   const observe = (perS: number | undefined, sentAt: number): void =>
     statements.observe(conditions(perS), asId<'attempt'>('r'), sentAt);
--- a/packages/gateway/src/lib/PermitSharing.ts
+++ b/packages/gateway/src/lib/PermitSharing.ts
@@ -1,5 +1,5 @@
 import type { Journal, Random, Timer } from '@berylwood/base';
-import { RotatingBatch, type Mesh } from '@berylwood/registry';
+import { RotatingBatch, type Mesh, type WorkAttachments } from '@berylwood/registry';
 import type { z } from 'zod';
 import type { Endpoint } from './Endpoint';
 import type { EndpointDirectory } from './EndpointDirectory';
@@ -29,7 +29,7 @@
 export interface PermitSharingOptions {
   readonly directory: EndpointDirectory;
   readonly held: HeldRequests;
-  readonly mesh: Pick<Mesh, 'attachments' | 'isLeader'>;
+  readonly mesh: Pick<Mesh, 'isLeader'>;
   readonly timer: Timer;
   readonly journal: Journal;
   readonly random: Random;
@@ -41,6 +41,14 @@
  * @internal
  */
 export class PermitSharing {
+  /** What this part attaches to the work that is exchanged with the leader. */
+  readonly attachments: WorkAttachments = {
+    createReport: () => this.#createReport(),
+    receiveReport: (instance, value) => this.#receiveReport(instance, value),
+    createUpdate: (instance) => this.#createUpdate(instance),
+    receiveUpdate: (value) => this.#receiveUpdate(value),
+  };
+
   readonly #options: PermitSharingOptions;
 
   readonly #batch = new RotatingBatch(MAX_ENDPOINTS);
@@ -56,13 +64,6 @@
   constructor(options: PermitSharingOptions) {
     this.#options = options;
     this.#fleet = new FleetPermits(options.random);
-    const { mesh } = options;
-    mesh.attachments = {
-      createReport: () => this.#createReport(),
-      receiveReport: (instance, value) => this.#receiveReport(instance, value),
-      createUpdate: (instance) => this.#createUpdate(instance),
-      receiveUpdate: (value) => this.#receiveUpdate(value),
-    };
   }
 
   /** Whether a leader, or this instance as the leader, allocates permits. */
--- a/packages/gateway/src/lib/permitMessages.ts
+++ b/packages/gateway/src/lib/permitMessages.ts
@@ -29,7 +29,11 @@
   ageSchema,
 ]);
 
-const statementsSchema = z.array(statementSchema).max(2 * STATEMENT_KINDS.length * MAX_ENDPOINTS);
+/** Missing if an instance attaches only what other parts exchange. */
+const statementsSchema = z
+  .array(statementSchema)
+  .max(2 * STATEMENT_KINDS.length * MAX_ENDPOINTS)
+  .default([]);
 
 /** Endpoint, wanted permits by rank, and expired permits that are returned. */
 const demandSchema = z.tuple([
@@ -44,13 +48,13 @@
 /** @internal */
 export const permitReportSchema = z.object({
   statements: statementsSchema,
-  demands: z.array(demandSchema).max(MAX_ENDPOINTS),
+  demands: z.array(demandSchema).max(MAX_ENDPOINTS).default([]),
 });
 
 /** @internal */
 export const permitUpdateSchema = z.object({
   statements: statementsSchema,
-  grants: z.array(grantSchema).max(MAX_ENDPOINTS),
+  grants: z.array(grantSchema).max(MAX_ENDPOINTS).default([]),
 });
 
 /** @internal */
