Replicate the evacuations of data centres

Status messages carry it, and each instance keeps the highest revision that it has seen. An order names the revision that its instance knew, so that a delayed copy does not undo a later order. The state is cached on disk beside the configuration; a damaged file disables the cached configuration, and a failed write is repeated.

--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -1,6 +1,6 @@
 /**
- * Replicated state of a fleet of gateways (the newest routing configuration and the closed usage
- * windows) and the mesh that distributes it to all instances.
+ * Replicated state of a fleet of gateways (the newest routing configuration, the evacuations of
+ * data centres and the closed usage windows) and the mesh that distributes it to all instances.
  */
 export { PeerTransport, type PeerTransportOptions } from './lib/PeerTransport';
 export {
@@ -9,6 +9,11 @@
   type ConfigureOutcome,
 } from './lib/RegistryMachine';
 export { Registry, type RegistryOptions } from './lib/Registry';
+export {
+  MAX_DATA_CENTRE_LENGTH,
+  type EvacuateOutcome,
+  type EvacuationState,
+} from './lib/EvacuationState';
 export type { WorkAttachments } from './lib/WorkAttachments';
 export { Mesh } from './lib/Mesh';
 export type { MeshOptions } from './lib/MeshOptions';
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -1,24 +1,25 @@
-import { DisposableStore, fail, type Failure } from '@berylwood/base';
+import { DisposableStore, type Failure } from '@berylwood/base';
 import type { Link, LinkServer } from '@berylwood/link';
 import type { Result } from 'neverthrow';
-import { registryCodes } from './codes';
 import { registryEvents } from './events';
 import { handleMeshCall } from './handleMeshCall';
 import { createStreamOrigins } from './createStreamOrigins';
 import { AddressBook } from './AddressBook';
-import { CALL_TIMEOUT_MS, ConfigurationFetcher } from './ConfigurationFetcher';
+import { ConfigurationFetcher } from './ConfigurationFetcher';
+import type { EvacuateOutcome, EvacuationState } from './EvacuationState';
+import { LeaderCalls } from './LeaderCalls';
 import {
   dialerMessageSchema,
   type AcceptorMessage,
   type EndpointWork,
-  type Report,
   type Status,
   type DialerMessage,
 } from './MeshMessage';
 import { LeaderReports } from './LeaderReports';
 import type { MeshOptions } from './MeshOptions';
 import { KEEP_ALIVE_INTERVAL_MS, MESH_PATH, Peers, SILENCE_TIMEOUT_MS, type Peer } from './Peers';
-import { ReportTimes } from './ReportTimes';
+import { NewestEvacuations } from './NewestEvacuations';
+import { ReportIntake } from './ReportIntake';
 import type { ConfigureOutcome, StoredConfiguration } from './RegistryMachine';
 import type { StreamOrigins } from './StreamOrigins';
 import type { WorkAttachments } from './WorkAttachments';
@@ -27,9 +28,6 @@
 /** Interval of status messages and reports, which have a few hundred bytes each. */
 const STATUS_INTERVAL_MS = 400;
 
-/** Windows kept while no leader closes them: ten minutes of five-second windows. */
-const MAX_OPEN_WINDOWS = 120;
-
 /**
  * Links between all instances. Each instance dials the seeds and the replicas of the registry,
  * receives newer configurations and the address of the leader, and reports its usage to the leader.
@@ -39,6 +37,9 @@
   /** Called with each newer configuration. */
   onConfiguration: (configuration: StoredConfiguration) => void = () => {};
 
+  /** Called with each newer state of the evacuations, before a newer configuration. */
+  onEvacuations: (evacuations: EvacuationState) => void = () => {};
+
   /** Called with the total work in flight from all other instances. */
   onWork: (endpoints: readonly EndpointWork[]) => void = () => {};
 
@@ -74,7 +75,11 @@
 
   #instanceCount = 0;
 
-  readonly #reportTimes = new ReportTimes();
+  readonly #evacuations = new NewestEvacuations();
+
+  readonly #intake: ReportIntake;
+
+  readonly #calls: LeaderCalls;
 
   readonly #addressBook: AddressBook;
 
@@ -90,10 +95,14 @@
     this.#peers = new Peers(timer, journal, (peer, link) => this.#handleOpen(peer, link));
     this.origins = this.#store.add(createStreamOrigins(options, this.#peers));
     this.#reports = this.#store.add(new LeaderReports({ ...options, leader }));
+    this.#intake = new ReportIntake(options);
+    this.#calls = new LeaderCalls({ registry, leader });
+    this.#evacuations.onNewer = (evacuations) => this.#applyEvacuations(evacuations);
     this.#fetcher = new ConfigurationFetcher(journal, (newer) => this.#applyConfiguration(newer));
     if (registry) {
       registry.stateMachine.onConfiguration = (configuration) =>
         this.#applyConfiguration(configuration);
+      registry.stateMachine.onEvacuations = (evacuations) => this.#evacuations.receive(evacuations);
       registry.onRole = () => this.#broadcastStatus();
     }
     this.#store.add(timer.every(STATUS_INTERVAL_MS, () => this.#tick()));
@@ -125,27 +134,29 @@
     );
   }
 
-  /** Starts dialing. The cached configuration applies until a newer one arrives. */
+  /** Starts dialing. The cached configuration and evacuations apply until newer ones arrive. */
   async open(): Promise<void> {
     this.#peers.setTargets(this.#addressBook.dialTargets);
     this.origins.log.open();
-    const cached = await this.#options.registry?.readCachedConfiguration();
-    if (cached) this.#applyConfiguration(cached);
+    const cached = await this.#options.registry?.cache.read();
+    if (cached?.evacuations) this.#evacuations.receive(cached.evacuations);
+    if (cached?.configuration) this.#applyConfiguration(cached.configuration);
   }
 
   /** Commits a configuration through the leader. */
-  async configure(version: number, body: Uint8Array): Promise<Result<ConfigureOutcome, Failure>> {
-    const { registry } = this.#options;
-    if (registry?.isLeader) return registry.configure(version, body);
-    return this.#callLeader({ type: 'configure', version, body });
+  configure(version: number, body: Uint8Array): Promise<Result<ConfigureOutcome, Failure>> {
+    return this.#calls.configure(version, body);
+  }
+
+  /** Commits the start or the end of the evacuation of a data centre through the leader. */
+  evacuate(dataCentre: string, isEvacuated: boolean): Promise<Result<EvacuateOutcome, Failure>> {
+    const { revision: basis } = this.#evacuations.state;
+    return this.#calls.evacuate({ dataCentre, isEvacuated, basis });
   }
 
   /** The newest configuration, confirmed by a quorum after this call. */
-  async readNewest(): Promise<Result<StoredConfiguration | undefined, Failure>> {
-    const { registry } = this.#options;
-    if (registry?.isLeader) return registry.readNewest();
-    const reply = await this.#callLeader<StoredConfiguration | null>({ type: 'readNewest' });
-    return reply.map((configuration) => configuration ?? undefined);
+  readNewest(): Promise<Result<StoredConfiguration | undefined, Failure>> {
+    return this.#calls.readNewest();
   }
 
   /**
@@ -153,9 +164,7 @@
    * are the instances that have reported before and the replicas, which may be partitioned.
    */
   haveAllReported(sinceMs: number): boolean {
-    const { address, registry } = this.#options;
-    const otherReplicas = (registry?.members ?? []).filter((member) => member !== address);
-    return this.#reportTimes.haveAllReported(otherReplicas, sinceMs);
+    return this.#intake.haveAllReported(sinceMs);
   }
 
   /** Tells each leader from now on that this instance is about to stop, so that it needs no vote. */
@@ -205,12 +214,6 @@
     for (const link of this.#incoming.keys()) link[Symbol.dispose]();
   }
 
-  async #callLeader<T>(message: DialerMessage): Promise<Result<T, Failure>> {
-    const link = this.#peers.leader?.dialer.link;
-    if (!link) return fail(registryCodes.leaderUnknown, 'no leader is connected');
-    return link.call<T>(message, CALL_TIMEOUT_MS);
-  }
-
   #accept(link: InstanceLink): void {
     this.#incoming.set(link, '');
     link.onClose = () => {
@@ -218,8 +221,10 @@
       this.#work.delete(link);
     };
     link.onMessage = (message) => {
-      if (message.type === 'report') this.#handleReport(link, message);
-      else if (message.type === 'work') {
+      if (message.type === 'report') {
+        this.#incoming.set(link, message.instance);
+        this.#intake.receive(message);
+      } else if (message.type === 'work') {
         const attachments = this.isLeader ? this.attachments : undefined;
         this.#work.receive(link, this.#incoming.get(link) ?? '', message, attachments);
       } else if (message.type === 'hello') {
@@ -234,17 +239,10 @@
     link.send({ ...this.#createStatus(), suspicions: this.suspicions() });
   }
 
-  #handleReport(link: InstanceLink, report: Report): void {
-    const { instance, source, wallMs, windows, isLeaving } = report;
-    this.#incoming.set(link, instance);
-    if (!this.#options.registry?.isLeader) return;
-    this.#options.registry.setLeaving(instance, isLeaving === true);
-    this.#options.clock.observe(instance, wallMs);
-    this.#reportTimes.markReported(instance, this.#options.clock.now());
-    const closed = this.#options.registry.stateMachine.lastClosedWindow;
-    for (const [window, counts] of windows) {
-      if (window > closed) this.#options.usage.mergeCounts(source, window, counts);
-    }
+  #applyEvacuations(evacuations: EvacuationState): void {
+    this.onEvacuations(evacuations);
+    this.#options.registry?.cache.writeEvacuations(evacuations);
+    this.#broadcastStatus();
   }
 
   #applyConfiguration(configuration: StoredConfiguration): void {
@@ -254,7 +252,7 @@
     const fields = { version, bytes: body.byteLength };
     this.#options.journal.record(registryEvents.configurationApplied, fields);
     this.onConfiguration(configuration);
-    this.#options.registry?.cacheConfiguration(configuration);
+    this.#options.registry?.cache.writeConfiguration(configuration);
     this.#broadcastStatus();
   }
 
@@ -271,6 +269,7 @@
       closedWindow: registry?.stateMachine.lastClosedWindow ?? -1,
       timeMs: isLeader ? clock.now() : 0,
       holdsOrigins: this.origins.log.isDurable,
+      evacuations: this.#evacuations.state,
     };
   }
 
@@ -280,15 +279,10 @@
   }
 
   #tick(): void {
-    const { registry, clock, usage } = this.#options;
-    if (registry?.isLeader) {
-      clock.applyMedian();
-      this.#instanceCount =
-        new Set([...this.#incoming.values(), this.#options.address, '']).size - 1;
-      usage.discardThrough(registry.stateMachine.lastClosedWindow);
-      this.#reportTimes.removeExpired(clock.now());
-    } else this.#reportTimes.clear();
-    usage.discardThrough(usage.latestWindow - MAX_OPEN_WINDOWS);
+    const { registry, address } = this.#options;
+    this.#intake.tick();
+    if (this.isLeader)
+      this.#instanceCount = new Set([...this.#incoming.values(), address, '']).size - 1;
     this.#broadcastStatus();
     this.#peers.setTargets(this.#addressBook.dialTargets);
     if (registry) {
@@ -339,6 +333,7 @@
   #handleStatus(peer: Peer, link: Link<DialerMessage, AcceptorMessage>, status: Status): void {
     peer.status = status;
     this.#addMembers(status.members);
+    if (status.evacuations) this.#evacuations.receive(status.evacuations);
     if (status.suspicions) this.onSuspicions(status.suspicions);
     if (status.isLeader && peer === this.#peers.leader && !this.isLeader) {
       this.#instanceCount = Math.max(1, status.instances);
--- a/packages/registry/src/lib/MeshMessage.ts
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -1,4 +1,10 @@
 import { z } from 'zod';
+import {
+  dataCentreSchema,
+  evacuationStateSchema,
+  type EvacuationOrder,
+  type EvacuationState,
+} from './EvacuationState';
 import { isPackedOrigin, isStreamKey, type PackedOrigin, type StreamKey } from './StreamOrigin';
 import type { WindowCounts } from './UsageLedger';
 
@@ -29,6 +35,14 @@
   readonly body: Uint8Array;
 }
 
+/**
+ * Asks the leader to commit the start or the end of an evacuation. Earlier versions of the software drop a link
+ * on which it arrives, so it is sent only to instances whose status has `evacuations`.
+ */
+interface Evacuate extends EvacuationOrder {
+  readonly type: 'evacuate';
+}
+
 /** Asks the leader for the newest configuration, confirmed by a quorum. @internal */
 interface ReadNewest {
   readonly type: 'readNewest';
@@ -87,7 +101,8 @@
 type OriginMessage = RecordOrigins | FindOrigin | FindVersions;
 
 /** Message of the instance that has dialled the link. @internal */
-export type DialerMessage = Hello | Report | Fetch | Configure | ReadNewest | Work | OriginMessage;
+export type DialerMessage =
+  Hello | Report | Fetch | Configure | Evacuate | ReadNewest | Work | OriginMessage;
 
 /** Value that the leader broadcasts to all instances; opaque to the mesh. */
 interface Notice {
@@ -115,6 +130,8 @@
   readonly timeMs: number;
   /** Whether the sender stores origins of streams on a disk; missing from earlier versions. */
   readonly holdsOrigins?: boolean;
+  /** Newest evacuations that the sender knows; missing from earlier versions. */
+  readonly evacuations?: EvacuationState;
 }
 
 const isRecord = (value: unknown): value is Record<string, unknown> =>
@@ -149,6 +166,9 @@
   );
 }
 
+const isEvacuations = (value: unknown): boolean =>
+  value === undefined || evacuationStateSchema.safeParse(value).success;
+
 const areOrigins = ({ origins }: Record<string, unknown>): boolean =>
   Array.isArray(origins) && origins.length <= MAX_RECORDED_ORIGINS && origins.every(isPackedOrigin);
 
@@ -160,6 +180,12 @@
       return isReport(value);
     case 'configure':
       return isCount(value.version) && value.body instanceof Uint8Array;
+    case 'evacuate':
+      return (
+        dataCentreSchema.safeParse(value.dataCentre).success &&
+        typeof value.isEvacuated === 'boolean' &&
+        isCount(value.basis)
+      );
     case 'work':
       return isWork(value);
     case 'hello':
@@ -186,6 +212,7 @@
     [version, term, instances, closedWindow].every(isCount) &&
     typeof isLeader === 'boolean' &&
     Number.isFinite(timeMs) &&
-    isStringArray(members)
+    isStringArray(members) &&
+    isEvacuations(value.evacuations)
   );
 }, 'expected a status, work or notice message');
--- a/packages/registry/src/lib/Registry.ts
+++ b/packages/registry/src/lib/Registry.ts
@@ -13,7 +13,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { canHandVoteOver } from './canHandVoteOver';
 import { registryCodes } from './codes';
-import { ConfigurationCache } from './ConfigurationCache';
+import type { EvacuateOutcome, EvacuationOrder } from './EvacuationState';
 import { registryEvents } from './events';
 import {
   RegistryMachine,
@@ -22,12 +22,13 @@
   type RegistryCommand,
   type StoredConfiguration,
 } from './RegistryMachine';
+import { StateCache } from './StateCache';
 
 /** Options of the registry replica of one instance. @public */
 export interface RegistryOptions {
   /** Address at which other instances reach this one, `IP:PORT`; it also names the replica. */
   readonly address: string;
-  /** Directory of the log, the snapshots and the configuration cache; created if missing. */
+  /** Directory of the log, the snapshots and the cache files; created if missing. */
   readonly directory: string;
   /** Replicas that bootstrap the first group; empty when a group exists already. */
   readonly bootstrapReplicas: readonly string[];
@@ -86,12 +87,13 @@
 
   readonly stateMachine = new RegistryMachine();
 
+  /** What this instance used before a restart. @internal */
+  readonly cache: StateCache;
+
   readonly #options: RegistryOptions;
 
   readonly #store = new DisposableStore();
 
-  readonly #cache: ConfigurationCache;
-
   #replica: Replica | undefined;
 
   #keeper: MembershipKeeper | undefined;
@@ -103,8 +105,9 @@
 
   constructor(options: RegistryOptions) {
     this.#options = options;
-    this.#cache = new ConfigurationCache(join(options.directory, 'cache'), options.journal);
-    this.#store.add(options.timer.every(CHECK_INTERVAL_MS, () => this.#checkReplica()));
+    const { directory, timer, journal } = options;
+    this.cache = this.#store.add(new StateCache(join(directory, 'cache'), timer, journal));
+    this.#store.add(timer.every(CHECK_INTERVAL_MS, () => this.#checkReplica()));
   }
 
   /** Opens the replica; a disk failure is logged and opening is retried later. */
@@ -164,21 +167,20 @@
     return this.#replica?.status.membership.members.map(({ replica }) => replica) ?? [];
   }
 
-  /** The cached configuration that this instance used before a restart, if there is one. */
-  readCachedConfiguration(): Promise<StoredConfiguration | undefined> {
-    return this.#cache.read();
-  }
-
-  /** Caches a committed configuration for the next start. */
-  cacheConfiguration(configuration: StoredConfiguration): void {
-    this.#cache.write(configuration);
-  }
-
   /** Commits a document; resolves once a quorum has stored it on disk. */
   configure(version: number, body: Uint8Array): Promise<Result<ConfigureOutcome, Failure>> {
     return this.#propose<ConfigureOutcome>({ type: 'configure', version, body });
   }
 
+  /** Commits the start or the end of an evacuation; resolves once a quorum has stored it on disk. */
+  evacuate({
+    dataCentre,
+    isEvacuated,
+    basis,
+  }: EvacuationOrder): Promise<Result<EvacuateOutcome, Failure>> {
+    return this.#propose<EvacuateOutcome>({ type: 'evacuate', dataCentre, isEvacuated, basis });
+  }
+
   /** The newest document, confirmed by a quorum after this call. */
   async readNewest(): Promise<Result<StoredConfiguration | undefined, Failure>> {
     const confirmed = await this.#propose<null>({ type: 'confirm' });
--- a/packages/registry/src/lib/RegistryMachine.test.ts
+++ b/packages/registry/src/lib/RegistryMachine.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Unpackr } from 'msgpackr';
+import { Packr, Unpackr } from 'msgpackr';
 import { RegistryMachine, encodeCommand, type RegistryCommand } from './RegistryMachine';
 
 const unpackr = new Unpackr({ useRecords: false });
@@ -48,3 +48,26 @@
   assert.equal(storedText(restored), 'seven');
   assert.deepEqual([...restored.windows], [[12, '{}']]);
 });
+
+test('evacuations are restored from a snapshot, and each change is announced', () => {
+  const machine = new RegistryMachine();
+  const announced: number[] = [];
+  machine.onEvacuations = ({ revision }) => announced.push(revision);
+  const order = { type: 'evacuate', dataCentre: 'a', isEvacuated: true, basis: 0 } as const;
+  assert.deepEqual(apply(machine, order), { result: 'inForce', revision: 1 });
+  assert.deepEqual(apply(machine, order), { result: 'inForce', revision: 1 });
+  assert.deepEqual(announced, [1]);
+  const restored = new RegistryMachine();
+  restored.restore(machine.snapshot());
+  assert.deepEqual(restored.evacuations, { revision: 1, dataCentres: ['a'] });
+});
+
+test('a snapshot of an earlier version, without evacuations, is restored', () => {
+  const packr = new Packr({ useRecords: false });
+  const configuration = { version: 7, body: Buffer.from('seven') };
+  const machine = new RegistryMachine();
+  machine.restore(packr.pack({ format: 1, configuration, windows: [[12, '{}']] }));
+  assert.equal(storedText(machine), 'seven');
+  assert.deepEqual([...machine.windows], [[12, '{}']]);
+  assert.deepEqual(machine.evacuations, { revision: 0, dataCentres: [] });
+});
--- a/packages/registry/src/lib/RegistryMachine.ts
+++ b/packages/registry/src/lib/RegistryMachine.ts
@@ -1,5 +1,12 @@
 import { StateMachine } from '@berylwood/consensus';
 import { Packr, Unpackr } from 'msgpackr';
+import {
+  NO_EVACUATIONS,
+  applyOrder,
+  type EvacuateOutcome,
+  type EvacuationOrder,
+  type EvacuationState,
+} from './EvacuationState';
 
 /** A configuration as it was received, compressed, with its external version. @public */
 export interface StoredConfiguration {
@@ -20,12 +27,15 @@
 export type RegistryCommand =
   | { readonly type: 'configure'; readonly version: number; readonly body: Uint8Array }
   | { readonly type: 'closeWindow'; readonly window: number; readonly counts: string }
+  | ({ readonly type: 'evacuate' } & EvacuationOrder)
   | { readonly type: 'confirm' };
 
 interface Snapshot {
   readonly format: number;
   readonly configuration: StoredConfiguration | undefined;
   readonly windows: readonly [number, string][];
+  /** Missing from earlier versions. */
+  readonly evacuations?: EvacuationState;
 }
 
 const SNAPSHOT_FORMAT = 1;
@@ -41,19 +51,28 @@
   return packr.pack(command);
 }
 
-/** State machine of the document in force and the frozen counts of usage windows. @public */
+/** State machine of the document in force, the evacuations and the frozen counts of usage windows. @public */
 export class RegistryMachine extends StateMachine {
   /** Called after a higher version was stored, or a snapshot was restored. */
   onConfiguration: (configuration: StoredConfiguration) => void = () => {};
 
+  /** Called after an evacuation was started or ended, or a snapshot was restored. */
+  onEvacuations: (evacuations: EvacuationState) => void = () => {};
+
   #configuration: StoredConfiguration | undefined;
 
   #windows = new Map<number, string>();
 
+  #evacuations = NO_EVACUATIONS;
+
   get configuration(): StoredConfiguration | undefined {
     return this.#configuration;
   }
 
+  get evacuations(): EvacuationState {
+    return this.#evacuations;
+  }
+
   /** Number of the latest closed window; -1 without one. */
   get lastClosedWindow(): number {
     return Math.max(-1, ...this.#windows.keys());
@@ -64,13 +83,15 @@
     return this.#windows;
   }
 
-  override apply(_index: number, bytes: Uint8Array): Uint8Array {
+  override apply(index: number, bytes: Uint8Array): Uint8Array {
     const command = unpackr.unpack(bytes) as RegistryCommand;
     switch (command.type) {
       case 'configure':
         return packr.pack(this.#configure(command.version, command.body));
       case 'closeWindow':
         return packr.pack(this.#closeWindow(command.window, command.counts));
+      case 'evacuate':
+        return packr.pack(this.#evacuate(index, command));
       default:
         return packr.pack(null);
     }
@@ -82,13 +103,16 @@
       format: SNAPSHOT_FORMAT,
       configuration,
       windows: [...this.#windows],
+      evacuations: this.#evacuations,
     };
     return packr.pack(snapshot);
   }
 
   override restore(bytes: Uint8Array): void {
-    const { configuration, windows } = unpackr.unpack(bytes) as Snapshot;
+    const { configuration, windows, evacuations } = unpackr.unpack(bytes) as Snapshot;
     this.#windows = new Map(windows);
+    this.#evacuations = evacuations ?? NO_EVACUATIONS;
+    this.onEvacuations(this.#evacuations);
     if (!configuration) return;
     this.#configuration = configuration;
     this.onConfiguration(configuration);
@@ -103,6 +127,14 @@
     return { isStored: true, version };
   }
 
+  #evacuate(index: number, order: EvacuationOrder): EvacuateOutcome {
+    const { state, result } = applyOrder(this.#evacuations, index, order);
+    const isChanged = state !== this.#evacuations;
+    this.#evacuations = state;
+    if (isChanged) this.onEvacuations(state);
+    return { result, revision: state.revision };
+  }
+
   /** The first counts of a window are kept, so that all reports of a window are identical. */
   #closeWindow(window: number, counts: string): string {
     const frozen = this.#windows.get(window);
--- a/packages/registry/src/lib/codes.ts
+++ b/packages/registry/src/lib/codes.ts
@@ -16,4 +16,11 @@
     meaning: 'The replica of this instance is closed or is being reopened after a disk failure.',
     remedy: 'Retry on another instance; check the disk if it persists.',
   },
+  leaderOutdated: {
+    number: 9202,
+    status: 503,
+    notRun: true,
+    meaning: 'The leader of the registry runs an earlier version, which does not know the call.',
+    remedy: 'Complete the update of all instances, then retry.',
+  },
 });
--- a/packages/registry/src/lib/events.ts
+++ b/packages/registry/src/lib/events.ts
@@ -53,8 +53,9 @@
   cacheFailed: {
     number: 9208,
     level: 'warn',
-    meaning: 'The configuration cache file could not be read or written.',
-    action: 'None: the configuration is loaded from the replicas. Check the disk.',
+    meaning:
+      'The cache file of the configuration or of the evacuations could not be read or written.',
+    action: 'None: the state is loaded from the replicas, and a write is repeated. Check the disk.',
   },
   originsUnavailable: {
     number: 9209,
--- a/packages/registry/src/lib/handleMeshCall.ts
+++ b/packages/registry/src/lib/handleMeshCall.ts
@@ -26,6 +26,9 @@
     case 'configure':
       if (!registry) break;
       return registry.configure(message.version, message.body);
+    case 'evacuate':
+      if (!registry) break;
+      return registry.evacuate(message);
     case 'readNewest':
       if (!registry) break;
       return (await registry.readNewest()).map((configuration) => configuration ?? null);
