--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -2,6 +2,7 @@
 import type { Journal, Timer } from '@berylwood/base';
 import {
   CircuitBreaker,
+  MomentaryFigure,
   URGENCY_LEVELS,
   type EngineView,
   type EndpointView,
@@ -62,6 +63,9 @@
   /** Conditions that the endpoint states in its responses. */
   readonly statements: EndpointStatements;
 
+  /** How long work takes on the endpoint at this moment. */
+  readonly momentary = new MomentaryFigure();
+
   #listed: ListedEndpoint;
 
   /** Opens on the first failed connection. */
@@ -196,6 +200,14 @@
     this.#pendingPrefillTokens[at] = (this.#pendingPrefillTokens[at] ?? 0) + tokens;
   }
 
+  /** Prompt tokens of all ranks and instances that are known to wait for prefill there. */
+  get waitingTokens(): number {
+    const own = sumUpToRank(this.#pendingPrefillTokens, URGENCY_LEVELS);
+    return (
+      own + (this.#isRemoteWorkFresh ? sumUpToRank(this.#remoteWork.tokens, URGENCY_LEVELS) : 0)
+    );
+  }
+
   /** View for a request of a rank; tokens of less urgent requests are left out, as they wait behind it. */
   engineView({
     dataCentre,
@@ -223,6 +235,7 @@
       key: this.#listed.id,
       load: this.#inFlight + others,
       slots: Math.max(1, this.#listed.slots),
+      momentary: this.momentary.factorAt(this.#timer.now()),
       isLocal: this.#listed.dataCentre === dataCentre,
       endpoint: this,
     };
@@ -257,7 +270,8 @@
   }
 
   /** Records the load that the endpoint reports in a response. */
-  observeLoad({ running, waiting }: ReportedLoad): void {
+  observeLoad({ running, waiting, momentaryPercent }: ReportedLoad): void {
+    if (momentaryPercent !== undefined) this.momentary.observe(momentaryPercent, this.#timer.now());
     this.#remoteRequests = Math.max(0, running + waiting - this.#inFlight);
     this.#remoteRequestsAt = this.#timer.now();
   }
--- a/packages/gateway/src/lib/EndpointServices.ts
+++ b/packages/gateway/src/lib/EndpointServices.ts
@@ -8,6 +8,9 @@
 import type { Mesh } from '@berylwood/registry';
 import { EndpointDirectory } from './EndpointDirectory';
 import { EndpointGauges } from './EndpointGauges';
+import { EngineModel } from './EngineModel';
+import { EngineModelReport } from './EngineModelReport';
+import { EngineSpeedSharing } from './EngineSpeedSharing';
 import type { FaultLog } from './FaultLog';
 import { HeldRequests } from './HeldRequests';
 import type { PoolName } from './ids';
@@ -40,6 +43,8 @@
 
   readonly held: HeldRequests;
 
+  readonly engines: EngineModel;
+
   readonly #options: EndpointServicesOptions;
 
   readonly #store = new DisposableStore();
@@ -59,9 +64,13 @@
     this.#store.add(new EndpointGauges({ directory, timer, metrics }));
     this.#permits = new PermitSharing({ directory, held, mesh, timer, journal, random });
     directory.hasPermitLeader = () => this.#permits.hasLeader;
+    this.engines = this.#store.add(new EngineModel(directory, timer));
+    const { engines } = this;
+    this.#store.add(new EngineModelReport({ engines, directory, timer, journal, metrics }));
     const exchange = new LeaderExchange();
     mesh.attachments = exchange;
     exchange.add(this.#permits.attachments);
+    exchange.add(new EngineSpeedSharing({ engines, directory, timer, journal }));
     const healthPath = (pool: PoolName): string => table()?.findPool(pool)?.healthPath ?? '/';
     const isChecker = (): boolean => mesh.isLeader;
     const leaving = { directory, wire, timer, journal, faults, healthPath, isChecker };
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -189,9 +189,9 @@
       this.#holdBack();
       return;
     }
-    const { endpoint, tokens, prefillMs } = placement;
-    this.#report.expectedPrefillMs = prefillMs;
-    if (this.#history.sends === 0 && startsTooLate(resolved, prefillMs, this.#leftMs)) {
+    const { endpoint, tokens } = placement;
+    this.#report.expectedPrefillMs = placement.expectedMs;
+    if (this.#history.sends === 0 && startsTooLate(resolved, placement, this.#leftMs)) {
       this.#abort(gatewayCodes.overloaded, 'expected to start too late');
       return;
     }
@@ -207,7 +207,7 @@
       listener: this.#listener,
       onStall: this.#boundary.wrap((reason) => this.#onStall(reason)),
     });
-    this.#receiver.follow(started, { resolved, binding, guard: this.#guard });
+    this.#receiver.follow(started, { resolved, binding, guard: this.#guard, placement });
   }
 
   /** Waits until an endpoint accepts the request, or ends it. */
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -253,6 +253,7 @@
       directory: this.#endpoints.directory,
       startGate: this.#startGate,
       held: this.#endpoints.held,
+      engines: this.#endpoints.engines,
       origins: this.#mesh.origins,
       budgets: new RetryBudgets(bounds, () => this.#instances),
       quarantine: this.#quarantine,
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -2,6 +2,7 @@
 import type { ContentQuarantine } from '@berylwood/policy';
 import type { StreamOrigins } from '@berylwood/registry';
 import type { EndpointDirectory } from './EndpointDirectory';
+import type { EngineModel } from './EngineModel';
 import type { FaultLog } from './FaultLog';
 import type { HeldRequests } from './HeldRequests';
 import type { RequestLog } from './RequestLog';
@@ -21,6 +22,8 @@
   readonly log: RequestLog;
   readonly faults: FaultLog;
   readonly directory: EndpointDirectory;
+  /** What is learnt about engines. */
+  readonly engines: EngineModel;
   readonly budgets: RetryBudgets;
   readonly held: HeldRequests;
   /** Versions that began streams, known to all instances. */
--- a/packages/gateway/src/lib/LeavingCheck.ts
+++ b/packages/gateway/src/lib/LeavingCheck.ts
@@ -94,7 +94,8 @@
       response.on('error', () => check.destroy());
       const isWellFormed = findMalformedHeader(rawHeaders) === undefined;
       if (status !== OK || !isWellFormed) return;
-      const { conditions } = wire.readResponse(status, rawHeaders);
+      const { conditions, load } = wire.readResponse(status, rawHeaders);
+      if (load) endpoint.observeLoad(load);
       statements.observe(conditions, undefined, sentAt);
     });
     check.on('response', onResponse);
--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -1,10 +1,12 @@
 import type { Lifecycle } from '@berylwood/base';
 import type { Attempt } from './Attempt';
+import { EngineObserver } from './EngineObserver';
 import type { ContentGuard } from './ContentGuard';
 import type { ExchangeEvent } from './exchangeMachine';
 import type { FaultBoundary } from './FaultBoundary';
 import { findStreamProblem } from './findStreamProblem';
 import type { GatewayContext } from './GatewayContext';
+import type { Placement } from './placeRequest';
 import type { RequestReport } from './RequestReport';
 import type { ResolvedRequest } from './resolveRequest';
 import type { ResponseHead } from './readResponseHead';
@@ -27,6 +29,7 @@
   readonly resolved: ResolvedRequest;
   readonly binding: StreamBinding;
   readonly guard: ContentGuard | undefined;
+  readonly placement: Placement;
 }
 
 /**
@@ -41,6 +44,9 @@
 
   #answered: AnsweredRequest | undefined;
 
+  /** Learns from the times of the latest attempt's events. */
+  #observer: EngineObserver | undefined;
+
   /** Whether the latest attempt has brought an event. */
   #hasProgress = false;
 
@@ -67,6 +73,7 @@
   follow(started: StartedAttempt, answered: AnsweredRequest): void {
     this.#started = started;
     this.#answered = answered;
+    this.#observer = this.#createObserver(started.attempt, answered);
     this.#hasProgress = false;
   }
 
@@ -101,11 +108,13 @@
     if (hasProgress) {
       this.#hasProgress = true;
       this.#detector?.eventReceived();
+      if (relay.isEventStream) this.#observer?.eventReceived();
     }
     if (relay.hasEvents && !hadEvents) isWritable = this.#streamBegan();
     if (hasProgress && !this.#isHolding) this.#forwarded();
     // The events before it are sound and were forwarded.
     if (relay.problem !== undefined) this.attempt?.abort(relay.problem);
+    if (!isWritable) this.#observer?.paused();
     return isWritable;
   }
 
@@ -120,6 +129,17 @@
     this.#detector?.[Symbol.dispose]();
   }
 
+  /** A stream that is resumed prefills a part of its response, too, so that its times say little. */
+  #createObserver(
+    attempt: Attempt,
+    { resolved, placement }: AnsweredRequest,
+  ): EngineObserver | undefined {
+    const { context, relay } = this.#parts;
+    const isResumed = relay.hasEvents || resolved.metadata.resumeAfter !== undefined;
+    if (isResumed || placement.queuedTokens === 0) return undefined;
+    return new EngineObserver(context, attempt, placement);
+  }
+
   /** Whether another version than that of a bound stream may answer the attempt, whose first event is still to come. */
   get #isReplaced(): boolean {
     const { attempt } = this;
--- a/packages/gateway/src/lib/Wire.ts
+++ b/packages/gateway/src/lib/Wire.ts
@@ -48,6 +48,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How long work takes at this moment, in percent of the usual time; missing if it is not stated. */
+  readonly momentaryPercent?: number;
 }
 
 /** Conditions under which an endpoint accepts requests, as stated in a response. @public */
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -196,4 +196,24 @@
     meaning: 'Limits or permits of another instance cannot be read and are ignored.',
     action: 'Check that all instances run versions that fit together.',
   },
+  engineSpeedsInvalid: {
+    number: 9090,
+    level: 'warn',
+    meaning: 'Speeds of engines from another instance cannot be read and are ignored.',
+    action: 'Check that all instances run versions that fit together.',
+  },
+  prefillTimeLearnt: {
+    number: 9091,
+    level: 'info',
+    meaning:
+      'Placement now uses another time of a prefill for a pool; `factor` relates it to the data sheet.',
+    action: 'none',
+  },
+  engineSpeedLearnt: {
+    number: 9092,
+    level: 'info',
+    meaning:
+      'Placement now uses another speed of an engine in relation to its pool; at most 8 a second.',
+    action: 'If the engines should be equal, check the machine of this one.',
+  },
 });
--- a/packages/gateway/src/lib/placeRequest.ts
+++ b/packages/gateway/src/lib/placeRequest.ts
@@ -10,8 +10,12 @@
   readonly endpoint: Endpoint;
   /** Prompt tokens that the endpoint is expected to prefill; 0 for plain services. */
   readonly tokens: number;
-  /** Expected time until the prefill is finished, in milliseconds; 0 for plain services. */
+  /** Time until the prefill is finished by the data sheet, in milliseconds; 0 for plain services. */
   readonly prefillMs: number;
+  /** The same as expected from what is learnt about the engine. */
+  readonly expectedMs: number;
+  /** Prompt tokens to be prefilled until then, those queued before the request and its own; 0 for plain services. */
+  readonly queuedTokens: number;
 }
 
 /** Which endpoints a request may go to. @internal */
@@ -56,12 +60,16 @@
   if (!route.hasAffinity || !engine) {
     const places = candidates.map((endpoint) => endpoint.view(dataCentre));
     const place = chooseEndpoint(places, random.next());
-    return place && { endpoint: place.endpoint, tokens: 0, prefillMs: 0 };
+    return (
+      place && { endpoint: place.endpoint, tokens: 0, prefillMs: 0, expectedMs: 0, queuedTokens: 0 }
+    );
   }
   const viewOptions = { dataCentre, instances: directory.instances(), rank, slots: engine.slots };
-  const places = candidates.map((endpoint) => endpoint.engineView(viewOptions));
-  const choice = chooseEngine(places, promptCostOf(metadata), random.next());
-  return (
-    choice && { endpoint: choice.view.endpoint, tokens: choice.tokens, prefillMs: choice.prefillMs }
-  );
+  const places = candidates.map((endpoint) => ({
+    ...endpoint.engineView(viewOptions),
+    ...context.engines.figuresOf(endpoint),
+  }));
+  const options = context.engines.optionsOf(target);
+  const choice = chooseEngine(places, promptCostOf(metadata), random.next(), options);
+  return choice && { ...choice, endpoint: choice.view.endpoint };
 }
