--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -190,7 +190,7 @@
       return;
     }
     const { endpoint, tokens } = placement;
-    this.#report.expectedPrefillMs = placement.expectedMs;
+    this.#report.placement = placement;
     if (this.#history.sends === 0 && startsTooLate(resolved, placement, this.#leftMs)) {
       this.#abort(gatewayCodes.overloaded, 'expected to start too late');
       return;
--- a/packages/gateway/src/lib/RequestLog.ts
+++ b/packages/gateway/src/lib/RequestLog.ts
@@ -37,8 +37,10 @@
   /** Limit of the endpoint when the request was placed, in requests per second; undefined without one. */
   readonly limitPerS: number | undefined;
   readonly firstMs: number | undefined;
-  /** Expected time until the end of the prefill at the placement, in milliseconds; 0 for calls. */
+  /** Time until the end of the prefill by which it was admitted, in milliseconds; 0 for calls. */
   readonly expectedMs: number;
+  /** The same as expected from what was learnt about the engine. */
+  readonly learntMs: number;
   /** Longest pause between parts of the response, in milliseconds. */
   readonly pauseMs: number;
   readonly promptTokens: number | undefined;
--- a/packages/gateway/src/lib/RequestReport.ts
+++ b/packages/gateway/src/lib/RequestReport.ts
@@ -1,9 +1,11 @@
+import { admissionPrefillMs } from './admissionPrefillMs';
 import type { Attempt } from './Attempt';
 import { AttemptHistory } from './AttemptHistory';
 import { describeRequest } from './describeRequest';
 import type { GatewayContext } from './GatewayContext';
 import { logAttemptFailure } from './logAttemptFailure';
 import type { RequestRecord } from './RequestLog';
+import type { Placement } from './placeRequest';
 import type { ResolvedRequest } from './resolveRequest';
 import { ResponseTiming } from './ResponseTiming';
 
@@ -24,8 +26,8 @@
 
   readonly timing = new ResponseTiming();
 
-  /** Expected time until the end of the prefill, as of the latest placement, in milliseconds. */
-  expectedPrefillMs = 0;
+  /** Where the request was placed last, whether or not it was sent. */
+  placement: Placement | undefined;
 
   /** What became of the record or the search of the stream's version. */
   #origin: Pick<RequestRecord, 'origin' | 'originMs'> = { origin: undefined, originMs: undefined };
@@ -76,7 +78,8 @@
       sends: this.history.sends,
       limitPerS: attempt?.limitPerS,
       firstMs: firstAt && firstAt - this.arrivedAt,
-      expectedMs: this.expectedPrefillMs,
+      expectedMs: this.placement ? admissionPrefillMs(this.placement) : 0,
+      learntMs: this.placement?.expectedMs ?? 0,
       pauseMs: longestPauseMs,
       totalMs: timer.now() - this.arrivedAt,
     };
