Keep streams with tight pauses and long prompts on different engines

Load pattern: streams whose events must follow each other within 300 ms, beside bursts of prompts of 9,190 tokens. An event whose steps all prefill a chunk takes about 300 ms, so running streams pause too long wherever a long prompt goes. Change: instances learn how long an event takes while its engine prefills, and report it to the leader with their running tight streams and the rates of prompt tokens. The leader decides how many engines of a pool serve tight streams; which ones follows from a hash. A pool is not split if no route is tight, no other prompts arrive, or it has fewer than 4 engines.

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -63,6 +63,9 @@
 
   readonly startedAt: number;
 
+  /** Prompt tokens that the endpoint is expected to prefill. */
+  readonly promptTokens: number;
+
   /** Limit that the endpoint was known to state, in requests per second; undefined without one. */
   readonly limitPerS: number | undefined;
 
@@ -106,6 +109,7 @@
     this.startedAt = parts.timer.now();
     const { requestsPerS } = endpoint.statements;
     this.limitPerS = requestsPerS < Infinity ? requestsPerS : undefined;
+    this.promptTokens = outgoing.promptTokens;
     this.#pendingPrefillTokens = outgoing.promptTokens;
     this.#boundary = new FaultBoundary((error) => {
       parts.faults.record('attempt', error, {
--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -11,6 +11,7 @@
 import { createEndpointAgent } from './createEndpointAgent';
 import { EndpointStatements, type EndpointParts } from './EndpointStatements';
 import { gatewayEvents } from './events';
+import { PrefillPeriod } from './PrefillPeriod';
 import { ReachabilityProbe } from './ReachabilityProbe';
 import type { ListedEndpoint, ReportedLoad } from './Wire';
 
@@ -62,6 +63,9 @@
   /** Conditions that the endpoint states in its responses. */
   readonly statements: EndpointStatements;
 
+  /** When prompt tokens of any instance were queued. */
+  readonly prefill = new PrefillPeriod();
+
   #listed: ListedEndpoint;
 
   /** Opens on the first failed connection. */
@@ -181,6 +185,7 @@
   /** Stores the work that all other instances have in flight to the endpoint. */
   share([, tokens, requests]: EndpointWork): void {
     this.#remoteWork = { tokens, requests, at: this.#timer.now() };
+    this.#observePrefill();
   }
 
   /** Estimated requests of all instances that run or wait at the endpoint. */
@@ -194,6 +199,7 @@
   queue(rank: number, tokens: number): void {
     const at = Math.min(URGENCY_LEVELS - 1, Math.max(0, rank));
     this.#pendingPrefillTokens[at] = (this.#pendingPrefillTokens[at] ?? 0) + tokens;
+    this.#observePrefill();
   }
 
   /** View for a request of a rank; tokens of less urgent requests are left out, as they wait behind it. */
@@ -319,6 +325,12 @@
     return this.#timer.now() - this.#remoteWork.at < REMOTE_WORK_TTL_MS;
   }
 
+  #observePrefill(): void {
+    const last = URGENCY_LEVELS - 1;
+    const own = sumUpToRank(this.#pendingPrefillTokens, last);
+    this.prefill.observe(own + sumUpToRank(this.#remoteWork.tokens, last), this.#timer.now());
+  }
+
   #recordFailure(breaker: CircuitBreaker, reason: string): void {
     const before: string = breaker.state;
     breaker.failed(this.#timer.now());
--- a/packages/gateway/src/lib/EndpointServices.ts
+++ b/packages/gateway/src/lib/EndpointServices.ts
@@ -15,6 +15,8 @@
 import { LeavingCheck } from './LeavingCheck';
 import { PermitSharing } from './PermitSharing';
 import type { RoutingTable } from './RoutingTable';
+import { StreamEngineSharing } from './StreamEngineSharing';
+import { StreamEngines } from './StreamEngines';
 import type { Wire } from './Wire';
 
 /** @internal */
@@ -40,12 +42,16 @@
 
   readonly held: HeldRequests;
 
+  readonly streamEngines: StreamEngines;
+
   readonly #options: EndpointServicesOptions;
 
   readonly #store = new DisposableStore();
 
   readonly #permits: PermitSharing;
 
+  readonly #streamSharing: StreamEngineSharing;
+
   constructor(options: EndpointServicesOptions) {
     this.#options = options;
     const { wire, mesh, timer, journal, metrics, random, faults, instances, table } = options;
@@ -62,6 +68,12 @@
     const exchange = new LeaderExchange();
     mesh.attachments = exchange;
     exchange.add(this.#permits.attachments);
+    const streams = new StreamEngines({ directory, timer, metrics });
+    this.streamEngines = streams;
+    this.#streamSharing = new StreamEngineSharing({
+      ...{ directory, mesh, timer, journal, metrics, table, streams },
+    });
+    exchange.add(this.#streamSharing.attachments);
     const healthPath = (pool: PoolName): string => table()?.findPool(pool)?.healthPath ?? '/';
     const isChecker = (): boolean => mesh.isLeader;
     const leaving = { directory, wire, timer, journal, faults, healthPath, isChecker };
@@ -71,6 +83,7 @@
   /** Exchanges the work of this instance, and what parts attach to it, with the leader. */
   share(): void {
     this.#permits.startRound();
+    this.#streamSharing.startRound();
     this.#options.mesh.publishWork(this.directory.ownWork());
     this.held.endRound();
   }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -253,6 +253,7 @@
       directory: this.#endpoints.directory,
       startGate: this.#startGate,
       held: this.#endpoints.held,
+      streamEngines: this.#endpoints.streamEngines,
       origins: this.#mesh.origins,
       budgets: new RetryBudgets(bounds, () => this.#instances),
       quarantine: this.#quarantine,
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -8,6 +8,7 @@
 import type { RetryBudgets } from './RetryBudgets';
 import type { RoutingTable } from './RoutingTable';
 import type { StartGate } from './StartGate';
+import type { StreamEngines } from './StreamEngines';
 import type { WorkspaceName } from './ids';
 import type { Wire } from './Wire';
 
@@ -23,6 +24,7 @@
   readonly directory: EndpointDirectory;
   readonly budgets: RetryBudgets;
   readonly held: HeldRequests;
+  readonly streamEngines: StreamEngines;
   /** Versions that began streams, known to all instances. */
   readonly origins: Pick<StreamOrigins, 'record' | 'find' | 'findOnlyVersion'>;
   readonly quarantine: ContentQuarantine;
--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -12,6 +12,7 @@
 import type { StallDetector } from './StallDetector';
 import type { StartedAttempt } from './startAttempt';
 import type { StreamBinding } from './StreamBinding';
+import type { StreamRun } from './StreamRun';
 
 /** The parts of an exchange that take note of its response. @internal */
 export interface ResponseReceiverParts {
@@ -41,6 +42,8 @@
 
   #answered: AnsweredRequest | undefined;
 
+  #run: StreamRun | undefined;
+
   /** Whether the latest attempt has brought an event. */
   #hasProgress = false;
 
@@ -68,6 +71,7 @@
     this.#started = started;
     this.#answered = answered;
     this.#hasProgress = false;
+    this.#run = this.#parts.context.streamEngines.follow(answered.resolved, started.attempt);
   }
 
   onHead(received: ResponseHead): void {
@@ -101,11 +105,13 @@
     if (hasProgress) {
       this.#hasProgress = true;
       this.#detector?.eventReceived();
+      this.#run?.eventReceived();
     }
     if (relay.hasEvents && !hadEvents) isWritable = this.#streamBegan();
     if (hasProgress && !this.#isHolding) this.#forwarded();
     // The events before it are sound and were forwarded.
     if (relay.problem !== undefined) this.attempt?.abort(relay.problem);
+    if (!isWritable) this.#run?.paused();
     return isWritable;
   }
 
@@ -115,9 +121,10 @@
     else handle();
   }
 
-  /** Stops to watch the attempt for a stall. */
+  /** Stops to watch the attempt. */
   [Symbol.dispose](): void {
     this.#detector?.[Symbol.dispose]();
+    this.#run?.[Symbol.dispose]();
   }
 
   /** Whether another version than that of a bound stream may answer the attempt, whose first event is still to come. */
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -196,4 +196,18 @@
     meaning: 'Limits or permits of another instance cannot be read and are ignored.',
     action: 'Check that all instances run versions that fit together.',
   },
+  streamEnginesChanged: {
+    number: 9080,
+    level: 'info',
+    meaning:
+      'The leader has changed the number of engines that serve the streams with tight pauses of a pool; at most one line a second for each pool.',
+    action: 'None; see the demand in the line and OPERATIONS.md.',
+  },
+  streamEnginesInvalid: {
+    number: 9081,
+    level: 'warn',
+    meaning:
+      'What another instance reports or decides about stream engines cannot be read and is ignored; at most one line in ten seconds.',
+    action: 'Check that all instances run versions that fit together.',
+  },
 });
--- a/packages/gateway/src/lib/placeRequest.ts
+++ b/packages/gateway/src/lib/placeRequest.ts
@@ -59,8 +59,11 @@
     return place && { endpoint: place.endpoint, tokens: 0, prefillMs: 0 };
   }
   const viewOptions = { dataCentre, instances: directory.instances(), rank, slots: engine.slots };
-  const places = candidates.map((endpoint) => endpoint.engineView(viewOptions));
-  const choice = chooseEngine(places, promptCostOf(metadata), random.next());
+  const prompt = promptCostOf(metadata);
+  const places = context.streamEngines
+    .candidatesFor(resolved, candidates, prompt)
+    .map((endpoint) => endpoint.engineView(viewOptions));
+  const choice = chooseEngine(places, prompt, random.next());
   return (
     choice && { endpoint: choice.view.endpoint, tokens: choice.tokens, prefillMs: choice.prefillMs }
   );
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -86,3 +86,20 @@
 } from './lib/placement/admits';
 export { URGENCY_LEVELS, UrgencyScale, type RankPair } from './lib/placement/UrgencyScale';
 export { retryAfterMs } from './lib/placement/retryAfter';
+export { combineEstimates, type WeightedEstimate } from './lib/streams/combineEstimates';
+export {
+  MIN_ENGINES_TO_SPLIT,
+  countStreamEngines,
+  type StreamDemand,
+} from './lib/streams/countStreamEngines';
+export { DecayedHistogram } from './lib/streams/DecayedHistogram';
+export { DecayedRate } from './lib/streams/DecayedRate';
+export {
+  selectStreamEngines,
+  type StreamEngineView,
+  type StreamPlacement,
+  type StreamPlacementKind,
+  type StreamPlacementOptions,
+} from './lib/streams/selectStreamEngines';
+export { StreamEngineCount } from './lib/streams/StreamEngineCount';
+export { tightPauseMs } from './lib/streams/tightPauseMs';
