--- a/packages/gateway/src/lib/PoolStreams.ts
+++ b/packages/gateway/src/lib/PoolStreams.ts
@@ -12,6 +12,9 @@
 /** Shorter prompts say little about the time per token, as steps without prefill are part of their response. */
 const MIN_PROMPT_TOKENS = 2000;
 
+/** Fraction of the durations of events without prefill that the estimate is not exceeded by. */
+const PLAIN_QUANTILE = 0.25;
+
 /** Prefill takes up to this multiple of the time in the data sheet; longer times contain a wait for a slot. */
 const MAX_SLOWDOWN = 8;
 
@@ -40,6 +43,9 @@
   /** Durations of events during which the engine was prefilling, in milliseconds. */
   readonly eventMs = new DecayedHistogram(HALF_LIFE_MS);
 
+  /** Durations of events during which nothing was queued at the engine, in milliseconds. */
+  readonly #plainEventMs = new DecayedHistogram(HALF_LIFE_MS);
+
   /** Times of prefill for one token, in microseconds. */
   readonly prefillUs = new DecayedHistogram(HALF_LIFE_MS);
 
@@ -72,11 +78,18 @@
     if (gapMs > 0 && gapMs <= MAX_GAP_MS) this.eventMs.add(gapMs, now);
   }
 
-  /** Records the time in which the tokens queued before a request, and its own, were prefilled. */
+  /** Records the time between two events during which nothing was queued, as far as is known. */
+  observePlainGap(gapMs: number, now: number): void {
+    if (gapMs > 0 && gapMs <= MAX_GAP_MS) this.#plainEventMs.add(gapMs, now);
+  }
+
+  /** Records the time in which the tokens queued before a request, and its own, were prefilled and an event generated. */
   observePrefill(durationMs: number, tokens: number, now: number): void {
     if (tokens < MIN_PROMPT_TOKENS) return;
-    const msPerToken = durationMs / tokens;
-    if (msPerToken > MAX_SLOWDOWN * DATA_SHEET_MS_PER_TOKEN) return;
+    // Prompts of other instances are known late, so that some plain gaps contain prefill.
+    const eventMs = this.#plainEventMs.quantile(PLAIN_QUANTILE, now) ?? 0;
+    const msPerToken = (durationMs - eventMs) / tokens;
+    if (msPerToken <= 0 || msPerToken > MAX_SLOWDOWN * DATA_SHEET_MS_PER_TOKEN) return;
     this.prefillUs.add(msPerToken * 1000, now);
   }
 
--- a/packages/gateway/src/lib/PrefillPeriod.ts
+++ b/packages/gateway/src/lib/PrefillPeriod.ts
@@ -14,7 +14,7 @@
 
   /** Records the number of tokens queued from all instances. */
   observe(queuedTokens: number, now: number): void {
-    this.#queuedTokens = queuedTokens;
+    this.#queuedTokens = queuedTokens < MIN_TOKENS ? 0 : queuedTokens;
     if (queuedTokens < MIN_TOKENS) this.#since = Infinity;
     else if (this.#since === Infinity) this.#since = now;
   }
--- a/packages/gateway/src/lib/StreamRun.test.ts
+++ b/packages/gateway/src/lib/StreamRun.test.ts
@@ -71,6 +71,17 @@
   }
 });
 
+// Guards against a time per token that contains the steps of the first event.
+test('the time of an event without prefill is not counted as prefill', () => {
+  const { pool, event, timer } = createRun();
+  event(150);
+  for (let count = 0; count < 10; count += 1) event(30);
+  const before = timer.now();
+  pool.observePrefill(150, 4000, before + 300_000);
+  const value = pool.prefillUs.quantile(0.5, before + 300_000) ?? 0;
+  assert.ok(Math.abs(value - 30) < 2, `${value} microseconds`);
+});
+
 // Guards against streams that are counted for ever, or twice.
 test('a stream counts as running until its end, which may be stated twice', () => {
   const { run, pool } = createRun();
--- a/packages/gateway/src/lib/StreamRun.ts
+++ b/packages/gateway/src/lib/StreamRun.ts
@@ -36,6 +36,9 @@
   /** Whether the engine was expected to prefill for the whole gap that began with the latest event. */
   #isPrefilling = false;
 
+  /** Prompt tokens that were queued at the latest event. */
+  #queuedTokens = 0;
+
   #hasStarted = false;
 
   #isEnded = false;
@@ -56,7 +59,9 @@
     const lastAt = this.#lastEventAt;
     this.#lastEventAt = now;
     const wasPrefilling = this.#isPrefilling;
+    const tokensAtLast = this.#queuedTokens;
     const { queuedTokens } = endpoint.prefill;
+    this.#queuedTokens = queuedTokens;
     this.#isPrefilling = queuedTokens * pool.split.prefillMsPerToken >= MIN_QUEUE_MS;
     if (!this.#hasStarted) {
       this.#hasStarted = true;
@@ -64,6 +69,8 @@
       pool.observePrefill(now - this.#startedAt, tokensBefore + tokens, now);
     } else if (lastAt !== undefined && wasPrefilling && endpoint.prefill.coversSince(lastAt)) {
       pool.observeGap(now - lastAt, now);
+    } else if (lastAt !== undefined && tokensAtLast === 0 && queuedTokens === 0) {
+      pool.observePlainGap(now - lastAt, now);
     }
   }
 
