--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -12,6 +12,7 @@
 import { createEndpointAgent } from './createEndpointAgent';
 import { EndpointStatements, type EndpointParts } from './EndpointStatements';
 import { gatewayEvents } from './events';
+import { PrefillPeriod } from './PrefillPeriod';
 import { ReachabilityProbe } from './ReachabilityProbe';
 import type { ListedEndpoint, ReportedLoad } from './Wire';
 
@@ -69,6 +70,9 @@
   /** How long work takes on the endpoint at this moment. */
   readonly momentary = new MomentaryFigure();
 
+  /** When prompt tokens of any instance were queued. */
+  readonly prefill = new PrefillPeriod();
+
   #listed: ListedEndpoint;
 
   /** Opens on the first failed connection. */
@@ -189,6 +193,7 @@
   /** Stores the work that all other instances have in flight to the endpoint. */
   share([, tokens, requests]: EndpointWork): void {
     this.#remoteWork = { tokens, requests, at: this.#timer.now() };
+    this.#observePrefill();
   }
 
   /** Estimated requests of all instances that run or wait at the endpoint. */
@@ -202,6 +207,7 @@
   queue(rank: number, tokens: number): void {
     const at = Math.min(URGENCY_LEVELS - 1, Math.max(0, rank));
     this.#pendingPrefillTokens[at] = (this.#pendingPrefillTokens[at] ?? 0) + tokens;
+    this.#observePrefill();
   }
 
   /** Prompt tokens of all ranks and instances that are known to wait for prefill there. */
@@ -337,6 +343,12 @@
     return this.#timer.now() - this.#remoteWork.at < REMOTE_WORK_TTL_MS;
   }
 
+  #observePrefill(): void {
+    const last = URGENCY_LEVELS - 1;
+    const own = sumUpToRank(this.#pendingPrefillTokens, last);
+    this.prefill.observe(own + sumUpToRank(this.#remoteWork.tokens, last), this.#timer.now());
+  }
+
   #recordFailure(breaker: CircuitBreaker, reason: string): void {
     const before: string = breaker.state;
     breaker.failed(this.#timer.now());
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -254,6 +254,7 @@
       startGate: this.#startGate,
       held: this.#endpoints.held,
       engines: this.#endpoints.engines,
+      streamEngines: this.#endpoints.streamEngines,
       origins: this.#mesh.origins,
       budgets: new RetryBudgets(bounds, () => this.#instances),
       quarantine: this.#quarantine,
--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -14,6 +14,7 @@
 import type { StallDetector } from './StallDetector';
 import type { StartedAttempt } from './startAttempt';
 import type { StreamBinding } from './StreamBinding';
+import type { StreamRun } from './StreamRun';
 
 /** The parts of an exchange that take note of its response. @internal */
 export interface ResponseReceiverParts {
@@ -46,6 +47,7 @@
 
   /** Learns from the times of the latest attempt's events. */
   #observer: EngineObserver | undefined;
+  #run: StreamRun | undefined;
 
   /** Whether the latest attempt has brought an event. */
   #hasProgress = false;
@@ -75,6 +77,7 @@
     this.#answered = answered;
     this.#observer = this.#createObserver(started.attempt, answered);
     this.#hasProgress = false;
+    this.#run = this.#parts.context.streamEngines.follow(answered.resolved, started.attempt);
   }
 
   onHead(received: ResponseHead): void {
@@ -109,12 +112,14 @@
       this.#hasProgress = true;
       this.#detector?.eventReceived();
       if (relay.isEventStream) this.#observer?.eventReceived();
+      this.#run?.eventReceived();
     }
     if (relay.hasEvents && !hadEvents) isWritable = this.#streamBegan();
     if (hasProgress && !this.#isHolding) this.#forwarded();
     // The events before it are sound and were forwarded.
     if (relay.problem !== undefined) this.attempt?.abort(relay.problem);
     if (!isWritable) this.#observer?.paused();
+    if (!isWritable) this.#run?.paused();
     return isWritable;
   }
 
@@ -124,9 +129,10 @@
     else handle();
   }
 
-  /** Stops to watch the attempt for a stall. */
+  /** Stops to watch the attempt. */
   [Symbol.dispose](): void {
     this.#detector?.[Symbol.dispose]();
+    this.#run?.[Symbol.dispose]();
   }
 
   /** A stream that is resumed prefills a part of its response, too, so that its times say little. */
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -229,4 +229,18 @@
       'Placement now uses another speed of an engine in relation to its pool; at most 8 a second.',
     action: 'If the engines should be equal, check the machine of this one.',
   },
+  streamEnginesChanged: {
+    number: 9080,
+    level: 'info',
+    meaning:
+      'The leader has changed the number of engines that serve the streams with tight pauses of a pool; at most one line a second for each pool.',
+    action: 'None; see the demand in the line and OPERATIONS.md.',
+  },
+  streamEnginesInvalid: {
+    number: 9081,
+    level: 'warn',
+    meaning:
+      'What another instance reports or decides about stream engines cannot be read and is ignored; at most one line in ten seconds.',
+    action: 'Check that all instances run versions that fit together.',
+  },
 });
--- a/packages/gateway/src/lib/placeRequest.ts
+++ b/packages/gateway/src/lib/placeRequest.ts
@@ -65,11 +65,14 @@
     );
   }
   const viewOptions = { dataCentre, instances: directory.instances(), rank, slots: engine.slots };
-  const places = candidates.map((endpoint) => ({
-    ...endpoint.engineView(viewOptions),
-    ...context.engines.figuresOf(endpoint),
-  }));
+  const prompt = promptCostOf(metadata);
+  const places = context.streamEngines
+    .candidatesFor(resolved, candidates, prompt)
+    .map((endpoint) => ({
+      ...endpoint.engineView(viewOptions),
+      ...context.engines.figuresOf(endpoint),
+    }));
   const options = context.engines.optionsOf(target);
-  const choice = chooseEngine(places, promptCostOf(metadata), random.next(), options);
+  const choice = chooseEngine(places, prompt, random.next(), options);
   return choice && { ...choice, endpoint: choice.view.endpoint };
 }
