--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -9,6 +9,7 @@
 import type { EndpointWork } from '@berylwood/registry';
 import { CrashProbe } from './CrashProbe';
 import { createEndpointAgent } from './createEndpointAgent';
+import { EndpointColdness } from './EndpointColdness';
 import { EndpointStatements, type EndpointParts } from './EndpointStatements';
 import { gatewayEvents } from './events';
 import { ReachabilityProbe } from './ReachabilityProbe';
@@ -112,7 +113,8 @@
     const { timer, journal } = parts;
     this.#timer = timer;
     this.#journal = journal;
-    this.statements = new EndpointStatements(listed.id, parts);
+    const coldness = new EndpointColdness(() => parts.fleet.coldStart?.(listed.pool));
+    this.statements = new EndpointStatements(listed.id, parts, coldness);
     this.agent = createEndpointAgent(maxConnections);
     this.#probe = new ReachabilityProbe(listed.address, timer);
     this.#crashProbe = new CrashProbe(listed.address, timer);
@@ -158,6 +160,7 @@
   /** Replaces the list entry by a newer one with the same id and address. */
   update(listed: ListedEndpoint): void {
     this.#listed = listed;
+    this.statements.coldness.observeList(listed.coldRemainingMs, this.#timer.now());
   }
 
   /** Sets the number of connections to the endpoint that this instance may use. */
@@ -266,6 +269,7 @@
   answered(): void {
     this.#connectBreaker.succeeded();
     this.#responseBreaker.succeeded();
+    this.#updateEjected();
   }
 
   /** Records a failed or incomplete response. */
@@ -305,7 +309,10 @@
 
   /** Records a rejection by the endpoint: it is full, or it is another incarnation (misdirected). */
   refused(isMisdirected: boolean): void {
-    if (isMisdirected) this.#isLeaving = true;
+    if (isMisdirected) {
+      this.#isLeaving = true;
+      this.statements.coldness.mayHaveStarted(this.#timer.now());
+    }
     this.abandoned();
   }
 
@@ -322,11 +329,18 @@
   #recordFailure(breaker: CircuitBreaker, reason: string): void {
     const before: string = breaker.state;
     breaker.failed(this.#timer.now());
+    this.#updateEjected();
     if (before === 'open' || breaker.state !== 'open') return;
     const { id, pool } = this.#listed;
     this.#journal.record(gatewayEvents.endpointSpared, { endpoint: id, pool, reason });
   }
 
+  #updateEjected(): void {
+    const isEjected =
+      this.#connectBreaker.state !== 'closed' || this.#responseBreaker.state !== 'closed';
+    this.statements.coldness.setEjected(isEjected, this.#timer.now());
+  }
+
   [Symbol.dispose](): void {
     for (const sockets of Object.values(this.agent.freeSockets)) {
       sockets?.forEach((socket) => socket.destroy());
--- a/packages/gateway/src/lib/EndpointDirectory.ts
+++ b/packages/gateway/src/lib/EndpointDirectory.ts
@@ -4,6 +4,7 @@
 import type { EndpointParts } from './EndpointStatements';
 import { gatewayEvents } from './events';
 import type { PoolName } from './ids';
+import type { ColdStart } from './RoutingConfiguration';
 import type { ListedEndpoint } from './Wire';
 
 /** Fraction of an endpoint's connections that all instances use together; the rest is for new instances. */
@@ -15,6 +16,11 @@
 /** Maximum number of connections to an endpoint whose pool is not in the configuration. */
 const DEFAULT_MAX_CONNECTIONS = 64;
 
+/** Whether a newer list shows that an endpoint may have started since the list before. */
+function mayHaveStarted(before: ListedEndpoint | undefined, after: ListedEndpoint): boolean {
+  return before === undefined || (before.isDraining && !after.isDraining);
+}
+
 /** Endpoints of all pools, by the latest list of endpoints. @internal */
 export class EndpointDirectory implements Disposable {
   readonly #timer: Timer;
@@ -41,12 +47,16 @@
   /** Whether a leader allocates the permits of endpoints with a limit. */
   hasPermitLeader: () => boolean = () => false;
 
+  /** What cold endpoints of a pool accept; undefined if they are never cold. */
+  coldStart: (pool: PoolName) => ColdStart | undefined = () => undefined;
+
   constructor(timer: Timer, journal: Journal, random: Random) {
     this.#timer = timer;
     this.#journal = journal;
     const fleet = {
       instances: () => this.instances(),
       hasPermitLeader: () => this.hasPermitLeader(),
+      coldStart: (pool: PoolName) => this.coldStart(pool),
     };
     this.#parts = { timer, journal, random, fleet };
   }
@@ -89,6 +99,13 @@
     }
   }
 
+  /** Records that a data centre is in service again: a start of its endpoints may have gone unseen. */
+  dataCentreReturned(dataCentre: string): void {
+    for (const endpoint of this.#endpoints.values()) {
+      if (endpoint.listed.dataCentre === dataCentre) this.#markStarted(endpoint);
+    }
+  }
+
   /** Replaces the list; endpoints that are not in it receive no more requests. */
   replace(listed: readonly ListedEndpoint[]): void {
     const before = this.#endpoints;
@@ -101,6 +118,7 @@
       if (!known) changes.push(`${item.id} new`);
       const limit = this.#connectionLimit(item.pool);
       const endpoint = known ?? new Endpoint(item, limit, this.#parts);
+      if (this.isLoaded && mayHaveStarted(known?.listed, item)) this.#markStarted(endpoint);
       endpoint.update(item);
       endpoint.setMaxConnections(limit);
       after.set(key, endpoint);
@@ -124,6 +142,10 @@
     for (const endpoint of this.#endpoints.values()) endpoint[Symbol.dispose]();
   }
 
+  #markStarted({ statements }: Endpoint): void {
+    statements.coldness.mayHaveStarted(this.#timer.now());
+  }
+
   #rebuildPools(): void {
     this.#pools = new Map();
     for (const endpoint of this.#endpoints.values()) {
--- a/packages/gateway/src/lib/EndpointGauges.ts
+++ b/packages/gateway/src/lib/EndpointGauges.ts
@@ -8,6 +8,7 @@
 const CONDITIONS: Record<string, (statements: EndpointStatements) => boolean> = {
   limited: ({ isLimited }) => isLimited,
   paused: ({ pausedMs }) => pausedMs > 0,
+  cold: ({ isCold }) => isCold,
   leaving: ({ isLeaving }) => isLeaving,
 };
 
--- a/packages/gateway/src/lib/EndpointServices.ts
+++ b/packages/gateway/src/lib/EndpointServices.ts
@@ -54,6 +54,7 @@
     directory.onLoaded = options.onLoaded;
     directory.instances = instances;
     directory.maxConnections = (pool) => table()?.findPool(pool)?.maxConnections;
+    directory.coldStart = (pool) => table()?.findPool(pool)?.coldStart;
     const held = this.#store.add(new HeldRequests({ directory, timer, journal, metrics }));
     this.held = held;
     this.#store.add(new EndpointGauges({ directory, timer, metrics }));
--- a/packages/gateway/src/lib/EndpointStatements.ts
+++ b/packages/gateway/src/lib/EndpointStatements.ts
@@ -1,7 +1,9 @@
 import type { Journal, Random, Timer } from '@berylwood/base';
 import { EndpointPermits, StatedLimit, type LimitStatement } from '@berylwood/policy';
+import type { EndpointColdness } from './EndpointColdness';
 import { gatewayEvents } from './events';
-import type { AttemptId, EndpointId } from './ids';
+import type { AttemptId, EndpointId, PoolName } from './ids';
+import type { ColdStart } from './RoutingConfiguration';
 import type { StatedConditions } from './Wire';
 
 /** What an instance knows about the fleet that shares the endpoints. */
@@ -10,6 +12,8 @@
   readonly instances: () => number;
   /** Whether a leader allocates the permits of endpoints with a limit. */
   readonly hasPermitLeader: () => boolean;
+  /** What cold endpoints of a pool accept; undefined if they are never cold. */
+  readonly coldStart?: (pool: PoolName) => ColdStart | undefined;
 }
 
 /** @internal */
@@ -77,7 +81,14 @@
 
   #hasLoggedInvalid = false;
 
-  constructor(endpoint: EndpointId, parts: EndpointParts) {
+  #wasCold = false;
+
+  constructor(
+    endpoint: EndpointId,
+    parts: EndpointParts,
+    /** Whether the endpoint may be cold, which limits it beside its own statements. */
+    readonly coldness: EndpointColdness,
+  ) {
     this.#endpoint = endpoint;
     this.#parts = parts;
     this.permits = new EndpointPermits(parts.random);
@@ -85,11 +96,16 @@
 
   /** Requests per second that the endpoint accepts from all instances together; Infinity without a limit. */
   get requestsPerS(): number {
-    return this.#stated.rate.value;
+    return Math.min(this.#stated.rate.value, this.coldness.requestsPerS(this.#parts.timer.now()));
   }
 
   get isLimited(): boolean {
-    return this.#stated.rate.isLimited;
+    return this.#stated.rate.isLimited || this.isCold;
+  }
+
+  /** Whether the endpoint is, or may be, cold after a start. */
+  get isCold(): boolean {
+    return this.coldness.remainingMs(this.#parts.timer.now()) > 0;
   }
 
   /** Whether the endpoint states that it is leaving; it receives no more requests. */
@@ -135,6 +151,7 @@
 
   /** Whether a request to the endpoint is within its limit. */
   get hasPermit(): boolean {
+    this.updateColdness();
     if (!this.isLimited) return true;
     const { fleet, timer } = this.#parts;
     const hasLeader = fleet.hasPermitLeader();
@@ -166,6 +183,25 @@
     }
   }
 
+  /** Adds permits that the leader has granted. */
+  grant(count: number): void {
+    this.updateColdness();
+    this.permits.grant(count, this.#parts.timer.now(), this.isCold);
+  }
+
+  /** Logs whether the endpoint has become cold or is no longer so; in the first case, its permits end. */
+  updateColdness(): void {
+    const { isCold } = this;
+    if (isCold === this.#wasCold) return;
+    this.#wasCold = isCold;
+    const { timer, journal } = this.#parts;
+    if (isCold) this.permits.drop();
+    const event = isCold ? gatewayEvents.endpointCold : gatewayEvents.endpointWarm;
+    const remainingMs = Math.round(this.coldness.remainingMs(timer.now()));
+    const requestsPerS = this.isLimited ? this.requestsPerS : undefined;
+    journal.record(event, { endpoint: this.#endpoint, remainingMs, requestsPerS });
+  }
+
   /** Merges a statement, which may be another instance's. */
   merge(kind: StatementKind, statement: LimitStatement, source: StatementSource): void {
     if (!this.#stated[kind].merge(statement)) return;
--- a/packages/gateway/src/lib/FleetPermits.ts
+++ b/packages/gateway/src/lib/FleetPermits.ts
@@ -12,6 +12,8 @@
 export interface LimitedEndpoint {
   readonly key: string;
   readonly requestsPerS: number;
+  /** Whether the limit holds in every second, not only over several. */
+  readonly isStrict: boolean;
   /** By rank, the permits that this instance wants. */
   readonly wanted: readonly number[];
   /** Permits of this instance that have expired unused. */
@@ -85,12 +87,12 @@
   }
 
   #allocateFor(
-    { key, requestsPerS, wanted: ownWanted, returned, onGranted }: LimitedEndpoint,
+    { key, requestsPerS, isStrict, wanted: ownWanted, returned, onGranted }: LimitedEndpoint,
     now: number,
   ): void {
     const allocator = this.#allocators.get(key) ?? new PermitAllocator(now);
     this.#allocators.set(key, allocator);
-    allocator.setRate(requestsPerS, now);
+    allocator.setRate(requestsPerS, now, isStrict);
     allocator.return(returned, now);
     const demands: PermitDemand<string>[] = [{ source: OWN, wanted: ownWanted }];
     for (const [source, { wanted }] of this.#instances) {
--- a/packages/gateway/src/lib/HeldRequests.test.ts
+++ b/packages/gateway/src/lib/HeldRequests.test.ts
@@ -27,17 +27,20 @@
   } as unknown as ResolvedRequest;
 }
 
-function createPool(requestsPerS: number | undefined, pauseMs?: number) {
+function createPool(requestsPerS: number | undefined, pauseMs?: number, coldPerS?: number) {
   const timer = new VirtualTimer();
   const journal = createSilentJournal(timer);
   const directory = new EndpointDirectory(timer, journal, new Random(1));
   directory.hasPermitLeader = () => true;
+  directory.coldStart = () =>
+    coldPerS === undefined ? undefined : { durationMs: 3000, requestsPerS: coldPerS };
   const listed = {
     id: asId<'endpoint'>('e-1'),
     pool: POOL,
     address: asId<'address'>('127.0.0.1:1'),
   };
   directory.replace([{ ...listed, dataCentre: 'a', slots: 4, isDraining: false }]);
+  if (coldPerS !== undefined) directory.dataCentreReturned('a');
   const [endpoint] = directory.endpointsOf(POOL);
   assert.ok(endpoint);
   const { statements } = endpoint;
@@ -134,3 +137,16 @@
   hold('a', 0, new Set(['e-1']));
   assert.equal(rejected[0]?.code.name, 'noEndpoint');
 });
+
+test('requests wait for a permit of a cold endpoint, or are rejected if it accepts too few', () => {
+  const { timer, hold, grant, placed } = createPool(undefined, undefined, 17);
+  hold('a');
+  timer.advance(50);
+  assert.deepEqual(placed, []);
+  grant(1);
+  timer.advance(50);
+  assert.deepEqual(placed, ['a-0']);
+  const slow = createPool(undefined, undefined, 0.5);
+  slow.hold('a');
+  assert.equal(slow.rejected[0]?.code.name, 'limited');
+});
--- a/packages/gateway/src/lib/LeavingCheck.ts
+++ b/packages/gateway/src/lib/LeavingCheck.ts
@@ -94,7 +94,8 @@
       response.on('error', () => check.destroy());
       const isWellFormed = findMalformedHeader(rawHeaders) === undefined;
       if (status !== OK || !isWellFormed) return;
-      const { conditions } = wire.readResponse(status, rawHeaders);
+      const { conditions, coldRemainingMs } = wire.readResponse(status, rawHeaders);
+      statements.coldness.observeResponse(coldRemainingMs, sentAt, timer.now());
       statements.observe(conditions, undefined, sentAt);
     });
     check.on('response', onResponse);
--- a/packages/gateway/src/lib/PermitSharing.ts
+++ b/packages/gateway/src/lib/PermitSharing.ts
@@ -3,7 +3,7 @@
 import type { z } from 'zod';
 import type { Endpoint } from './Endpoint';
 import type { EndpointDirectory } from './EndpointDirectory';
-import type { StatementKind } from './EndpointStatements';
+import type { EndpointStatements, StatementKind } from './EndpointStatements';
 import { gatewayEvents } from './events';
 import { FleetPermits, type LimitedEndpoint } from './FleetPermits';
 import type { HeldRequests } from './HeldRequests';
@@ -25,6 +25,17 @@
  */
 const MAX_TRANSIT_MS = 1500;
 
+/** Endpoints that count as cold, with the remaining time. */
+function coldOf(
+  endpoints: readonly Endpoint[],
+  remainingMsOf: (statements: EndpointStatements) => number,
+): [string, number][] {
+  return endpoints.flatMap(({ key, statements }): [string, number][] => {
+    const remainingMs = remainingMsOf(statements);
+    return remainingMs > 0 ? [[key, remainingMs]] : [];
+  });
+}
+
 /** Parts that the sharing of permits connects. @internal */
 export interface PermitSharingOptions {
   readonly directory: EndpointDirectory;
@@ -75,6 +86,7 @@
   /** Starts a round of the exchange; on the leader, allocates its permits. */
   startRound(): void {
     const { mesh, timer, directory } = this.#options;
+    for (const { statements } of directory.endpoints) statements.updateColdness();
     this.#shared = directory.endpoints.filter(({ statements }) => statements.isShared);
     if (!mesh.isLeader) {
       this.#fleet.clear();
@@ -91,9 +103,10 @@
   #limitOf(endpoint: Endpoint, now: number): LimitedEndpoint {
     const { key, statements } = endpoint;
     const { requestsPerS, permits } = statements;
-    const onGranted = (count: number): void => permits.grant(count, now);
+    const onGranted = (count: number): void => statements.grant(count);
     const returned = permits.takeReturned(now);
-    return { key, requestsPerS, wanted: this.#wantedOf(endpoint), returned, onGranted };
+    const isStrict = statements.isCold;
+    return { key, requestsPerS, isStrict, wanted: this.#wantedOf(endpoint), returned, onGranted };
   }
 
   #createReport(): PermitReport | undefined {
@@ -108,6 +121,8 @@
         this.#wantedOf(endpoint),
         endpoint.statements.permits.takeReturned(now),
       ]),
+      // Only what this instance has seen itself: what it has learnt would be extended with each repetition.
+      cold: coldOf(endpoints, ({ coldness }) => coldness.ownRemainingMs(now)),
     };
   }
 
@@ -115,6 +130,7 @@
     const report = this.#parse(permitReportSchema, instance, value);
     if (!report) return;
     this.#mergeStatements(report.statements, instance);
+    this.#learnCold(report.cold);
     this.#fleet.report(instance, report, this.#options.timer.now());
   }
 
@@ -123,14 +139,17 @@
     // The instance may believe in a restriction that has ended long ago.
     const asked = this.#fleet.statementsOf(instance);
     if (this.#shared.length === 0 && asked.length === 0) return undefined;
+    const now = this.#options.timer.now();
+    const endpoints = this.#batch.take(this.#shared);
     const statements = [
       ...asked.flatMap(([key, kind]) => {
         const endpoint = directory.find(key);
         return endpoint ? [this.#share(endpoint, kind)] : [];
       }),
-      ...this.#batch.take(this.#shared).flatMap((endpoint) => this.#sharedOf(endpoint)),
+      ...endpoints.flatMap((endpoint) => this.#sharedOf(endpoint)),
     ];
-    return { statements, grants: this.#fleet.takeGrants(instance) };
+    const cold = coldOf(endpoints, ({ coldness }) => coldness.remainingMs(now));
+    return { statements, grants: this.#fleet.takeGrants(instance), cold };
   }
 
   #receiveUpdate(value: unknown): void {
@@ -140,8 +159,14 @@
     const now = timer.now();
     this.#updatedAt = now;
     this.#mergeStatements(update.statements, 'leader');
-    for (const [key, count] of update.grants) {
-      directory.find(key)?.statements.permits.grant(count, now);
+    this.#learnCold(update.cold);
+    for (const [key, count] of update.grants) directory.find(key)?.statements.grant(count);
+  }
+
+  #learnCold(cold: PermitReport['cold']): void {
+    const { timer, directory } = this.#options;
+    for (const [key, remainingMs] of cold) {
+      directory.find(key)?.statements.coldness.learn(remainingMs, timer.now());
     }
   }
 
--- a/packages/gateway/src/lib/RoutingConfiguration.ts
+++ b/packages/gateway/src/lib/RoutingConfiguration.ts
@@ -46,6 +46,14 @@
   readonly kvCacheTokens: number;
 }
 
+/** What the endpoints of a pool accept for some time after a start. @public */
+export interface ColdStart {
+  /** Time for which an endpoint is cold after a start, in milliseconds. */
+  readonly durationMs: number;
+  /** Requests per second that a cold endpoint accepts from all instances together. */
+  readonly requestsPerS: number;
+}
+
 /** @public */
 export interface Pool {
   readonly name: PoolName;
@@ -54,6 +62,8 @@
   readonly maxConnections: number;
   /** Absent for plain services. */
   readonly engine: EngineTraits | undefined;
+  /** Absent if the endpoints are never cold. */
+  readonly coldStart?: ColdStart | undefined;
 }
 
 /** Limits on callers' requests and connections. @public */
--- a/packages/gateway/src/lib/Wire.ts
+++ b/packages/gateway/src/lib/Wire.ts
@@ -73,6 +73,8 @@
   readonly isAuthentic: boolean;
   readonly load: ReportedLoad | undefined;
   readonly conditions: StatedConditions;
+  /** Time for which the endpoint is still cold after a start, in milliseconds; missing if not stated. */
+  readonly coldRemainingMs?: number | undefined;
   /** Time for which the endpoint keeps an idle connection open, in milliseconds. */
   readonly keepAliveMs: number | undefined;
   /** Whether the endpoint closes the connection after this response. */
@@ -89,6 +91,8 @@
   readonly isDraining: boolean;
   /** Missing if an instance that publishes the list does not know it. */
   readonly softwareVersion?: SoftwareVersion;
+  /** Time for which the endpoint is still cold after a start, in milliseconds; missing if not stated. */
+  readonly coldRemainingMs?: number | undefined;
 }
 
 /** One page of the list of endpoints, without the entries that cannot be decoded. @public */
--- a/packages/gateway/src/lib/decodeListedEndpoints.ts
+++ b/packages/gateway/src/lib/decodeListedEndpoints.ts
@@ -15,6 +15,7 @@
   slots: z.number().positive(),
   isDraining: z.boolean(),
   softwareVersion: softwareVersionSchema.optional(),
+  coldRemainingMs: z.number().optional(),
 });
 
 /**
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -190,6 +190,19 @@
       'A request waits for an endpoint with a limit, or is rejected because it would wait too long; at most 20 a second.',
     action: 'See the limits in the line.',
   },
+  endpointCold: {
+    number: 9070,
+    level: 'info',
+    meaning:
+      'An endpoint is, or may be, cold after a start; all instances together send it few requests.',
+    action: 'none',
+  },
+  endpointWarm: {
+    number: 9071,
+    level: 'info',
+    meaning: 'An endpoint no longer counts as cold.',
+    action: 'none',
+  },
   limitsInvalid: {
     number: 9044,
     level: 'warn',
--- a/packages/gateway/src/lib/permitMessages.ts
+++ b/packages/gateway/src/lib/permitMessages.ts
@@ -45,16 +45,24 @@
 /** Endpoint and the number of permits. */
 const grantSchema = z.tuple([keySchema, z.number().int().nonnegative().max(MAX_PERMITS)]);
 
+/** Endpoint and the time for which it counts as cold, in milliseconds; earlier versions attach none. */
+const coldSchema = z
+  .array(z.tuple([keySchema, z.number().nonnegative()]))
+  .max(MAX_ENDPOINTS)
+  .default([]);
+
 /** @internal */
 export const permitReportSchema = z.object({
   statements: statementsSchema,
   demands: z.array(demandSchema).max(MAX_ENDPOINTS).default([]),
+  cold: coldSchema,
 });
 
 /** @internal */
 export const permitUpdateSchema = z.object({
   statements: statementsSchema,
   grants: z.array(grantSchema).max(MAX_ENDPOINTS).default([]),
+  cold: coldSchema,
 });
 
 /** @internal */
--- a/packages/policy/src/lib/limits/EndpointPermits.ts
+++ b/packages/policy/src/lib/limits/EndpointPermits.ts
@@ -5,6 +5,12 @@
 /** Time for which an unused permit is valid, in milliseconds. */
 const VALID_MS = 1000;
 
+/**
+ * The same for a limit that holds in every second, in milliseconds: with a second's permits held back, two
+ * seconds' permits could be used within one.
+ */
+const STRICT_VALID_MS = 300;
+
 /**
  * Fraction of the limit that instances use together while no leader allocates permits. The rest covers an
  * instance that has lost the leader while others have not.
@@ -44,8 +50,15 @@
     return this.#expiries.length;
   }
 
-  grant(count: number, now: number): void {
-    for (let added = 0; added < count; added += 1) this.#expiries.push(now + VALID_MS);
+  /** Adds permits. @param isStrict whether the limit holds in every second, not only over several */
+  grant(count: number, now: number, isStrict = false): void {
+    const expiresAt = now + (isStrict ? STRICT_VALID_MS : VALID_MS);
+    for (let added = 0; added < count; added += 1) this.#expiries.push(expiresAt);
+  }
+
+  /** Drops all unused permits, as they were granted for another limit. */
+  drop(): void {
+    this.#expiries = [];
   }
 
   /** Whether a request may be sent now. */
--- a/packages/policy/src/lib/limits/PermitAllocator.ts
+++ b/packages/policy/src/lib/limits/PermitAllocator.ts
@@ -17,6 +17,9 @@
 /** Time whose permits may accumulate unused, in milliseconds: a few rounds of allocation. */
 const ACCUMULATION_MS = 300;
 
+/** The same for a limit that holds in every second, in milliseconds. */
+const STRICT_ACCUMULATION_MS = 150;
+
 /** Rate at which requests are sent to an endpoint with a limit, in requests per second. @internal */
 export function effectiveRate(requestsPerS: number): number {
   return Math.max(MIN_RATE_PER_S, requestsPerS);
@@ -44,21 +47,29 @@
 
   #requestsPerS = 0;
 
+  #isStrict = false;
+
   constructor(now: number) {
     // Starts empty, since instances may have used permits of another leader.
     this.#bucket = new TokenBucket(0, 0, now);
   }
 
-  setRate(requestsPerS: number, now: number): void {
-    if (requestsPerS === this.#requestsPerS) return;
+  /** Sets the rate. @param isStrict whether it holds in every second, not only over several */
+  setRate(requestsPerS: number, now: number, isStrict = false): void {
+    if (requestsPerS === this.#requestsPerS && isStrict === this.#isStrict) return;
     this.#requestsPerS = requestsPerS;
+    this.#isStrict = isStrict;
     const rate = effectiveRate(requestsPerS);
-    this.#bucket.resize(rate, Math.max(1, (rate * ACCUMULATION_MS) / 1000), now);
+    const accumulationMs = isStrict ? STRICT_ACCUMULATION_MS : ACCUMULATION_MS;
+    this.#bucket.resize(rate, Math.max(1, (rate * accumulationMs) / 1000), now);
   }
 
-  /** Takes back permits that an instance has not used in time. */
+  /**
+   * Takes back permits that an instance has not used in time. Those of a strict limit lapse: granted again,
+   * they would add to the permits of the next second.
+   */
   return(count: number, now: number): void {
-    this.#bucket.consume(-count, now);
+    if (!this.#isStrict) this.#bucket.consume(-count, now);
   }
 
   /** Allocates the available permits, urgent ranks first and in proportion to the demand within a rank. */
