--- a/packages/gateway/src/lib/EndpointColdness.test.ts
+++ b/packages/gateway/src/lib/EndpointColdness.test.ts
@@ -15,6 +15,7 @@
   coldness.observeList(3000, 0);
   coldness.setEjected(true, 0);
   assert.equal(coldness.requestsPerS(1), Infinity);
+  assert.ok(!coldness.isCold(1));
   assert.equal(coldness.remainingMs(1), 0);
 });
 
--- a/packages/gateway/src/lib/EndpointColdness.ts
+++ b/packages/gateway/src/lib/EndpointColdness.ts
@@ -40,6 +40,14 @@
   /** Time at which what is known was last extended. */
   #extendedAt = -Infinity;
 
+  /** Time for which an endpoint counts as cold after an event, in milliseconds; 0 if it is never cold. */
+  #holdMs = 0;
+
+  #coldPerS = Infinity;
+
+  /** Kept up to date, since it is read several times for each request and endpoint. */
+  #coldUntil = -Infinity;
+
   /** @param start what the configuration in force states for the pool */
   constructor(start: () => ColdStart | undefined) {
     this.#start = start;
@@ -47,15 +55,16 @@
 
   /** Requests per second that all instances together may send; Infinity if the endpoint is not cold. */
   requestsPerS(now: number): number {
-    const start = this.#start();
-    return start && this.remainingMs(now) > 0 ? start.requestsPerS * USED_FRACTION : Infinity;
+    return this.isCold(now) ? this.#coldPerS * USED_FRACTION : Infinity;
+  }
+
+  isCold(now: number): boolean {
+    return now < this.#coldUntil;
   }
 
   /** Time for which the endpoint counts as cold, in milliseconds; 0 if it does not. */
   remainingMs(now: number): number {
-    if (this.#holdMs === 0) return 0;
-    const learntMs = Math.max(this.#learntUntil, this.#statedUntil) - now;
-    return Math.max(this.ownRemainingMs(now), learntMs, 0);
+    return this.#isEjected ? this.#holdMs : Math.max(0, this.#coldUntil - now);
   }
 
   /** The same by the events of this instance alone, which other instances don't know otherwise. */
@@ -68,20 +77,24 @@
   mayHaveStarted(now: number): void {
     this.#eventAt = now;
     this.#extendedAt = now;
+    this.refresh();
   }
 
   /** Records whether the endpoint is ejected; a start may be hidden behind the whole time of an ejection. */
   setEjected(isEjected: boolean, now: number): void {
     if (isEjected || this.#isEjected) this.mayHaveStarted(now);
     this.#isEjected = isEjected;
+    this.refresh();
   }
 
   /** Records what another instance knows. */
   learn(remainingMs: number, now: number): void {
+    this.refresh();
     const until = now + Math.min(remainingMs, this.#holdMs);
     if (until <= this.#learntUntil) return;
     this.#learntUntil = until;
     this.#extendedAt = now;
+    this.refresh();
   }
 
   /** Records what a list that has just arrived states, if anything. */
@@ -95,6 +108,7 @@
   }
 
   #observe(remainingMs: number, now: number, certainlyAfter: number): void {
+    this.refresh();
     const until = now + Math.max(0, Math.min(remainingMs, this.#holdMs));
     if (this.#extendedAt <= certainlyAfter) {
       this.#eventAt = -Infinity;
@@ -104,11 +118,16 @@
       this.#statedUntil = until;
       if (remainingMs > 0) this.#extendedAt = now;
     }
+    this.refresh();
   }
 
-  /** Time for which an endpoint counts as cold after an event, in milliseconds. */
-  get #holdMs(): number {
+  /** Applies the configuration in force. */
+  refresh(): void {
     const start = this.#start();
-    return start ? start.durationMs + LIST_LAG_MS : 0;
+    this.#holdMs = start ? start.durationMs + LIST_LAG_MS : 0;
+    this.#coldPerS = start?.requestsPerS ?? Infinity;
+    const known = Math.max(this.#eventAt + this.#holdMs, this.#learntUntil, this.#statedUntil);
+    const until = this.#isEjected ? Infinity : known;
+    this.#coldUntil = start ? until : -Infinity;
   }
 }
--- a/packages/gateway/src/lib/EndpointStatements.ts
+++ b/packages/gateway/src/lib/EndpointStatements.ts
@@ -105,7 +105,7 @@
 
   /** Whether the endpoint is, or may be, cold after a start. */
   get isCold(): boolean {
-    return this.coldness.remainingMs(this.#parts.timer.now()) > 0;
+    return this.coldness.isCold(this.#parts.timer.now());
   }
 
   /** Whether the endpoint states that it is leaving; it receives no more requests. */
--- a/packages/gateway/src/lib/PermitSharing.ts
+++ b/packages/gateway/src/lib/PermitSharing.ts
@@ -86,7 +86,10 @@
   /** Starts a round of the exchange; on the leader, allocates its permits. */
   startRound(): void {
     const { mesh, timer, directory } = this.#options;
-    for (const { statements } of directory.endpoints) statements.updateColdness();
+    for (const { statements } of directory.endpoints) {
+      statements.coldness.refresh();
+      statements.updateColdness();
+    }
     this.#shared = directory.endpoints.filter(({ statements }) => statements.isShared);
     if (!mesh.isLeader) {
       this.#fleet.clear();
