Pace requests to endpoints after a start or an ejection over all instances

With pace_after_start, a window of requests in flight grows with first events in time and halves on late or failed ones. The leader divides it into allotments, so that not every instance sends its own probe, and what one instance learns ends the ejections of the others. A gauge states the time to the first served request.

--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -1,31 +1,16 @@
 import type { Agent } from 'node:http';
 import type { Journal, Timer } from '@berylwood/base';
-import {
-  CircuitBreaker,
-  URGENCY_LEVELS,
-  type EngineView,
-  type EndpointView,
-} from '@berylwood/policy';
+import { URGENCY_LEVELS, type EngineView, type EndpointView } from '@berylwood/policy';
 import type { EndpointWork } from '@berylwood/registry';
 import { CrashProbe } from './CrashProbe';
 import { createEndpointAgent } from './createEndpointAgent';
 import { EndpointColdness } from './EndpointColdness';
+import { EndpointHealth } from './EndpointHealth';
+import type { EndpointPace } from './EndpointPace';
 import { EndpointStatements, type EndpointParts } from './EndpointStatements';
-import { gatewayEvents } from './events';
 import { ReachabilityProbe } from './ReachabilityProbe';
 import type { ListedEndpoint, ReportedLoad } from './Wire';
 
-/**
- * First time for which a failed endpoint is ejected, in milliseconds. Afterwards one request probes it;
- * each failed probe doubles the time, up to `MAX_EJECTION_MS`.
- */
-const EJECTION_MS = 1500;
-
-const MAX_EJECTION_MS = 6000;
-
-/** Consecutive failed responses after which an endpoint is ejected even though it accepts connections. */
-const CONSECUTIVE_FAILURES = 4;
-
 /** Time after which a reported load of other instances counts half, in milliseconds. */
 const LOAD_HALF_LIFE_MS = 600;
 
@@ -65,19 +50,7 @@
 
   #listed: ListedEndpoint;
 
-  /** Opens on the first failed connection. */
-  readonly #connectBreaker = new CircuitBreaker({
-    failureThreshold: 1,
-    openMs: EJECTION_MS,
-    maxOpenMs: MAX_EJECTION_MS,
-  });
-
-  /** Opens on consecutive failed responses. */
-  readonly #responseBreaker = new CircuitBreaker({
-    failureThreshold: CONSECUTIVE_FAILURES,
-    openMs: EJECTION_MS,
-    maxOpenMs: MAX_EJECTION_MS,
-  });
+  readonly #health: EndpointHealth;
 
   readonly #timer: Timer;
 
@@ -115,6 +88,12 @@
     this.#journal = journal;
     const coldness = new EndpointColdness(() => parts.fleet.coldStart?.(listed.pool));
     this.statements = new EndpointStatements(listed.id, parts, coldness);
+    this.#health = new EndpointHealth({
+      parts,
+      coldness,
+      listed: () => this.#listed,
+      inFlight: () => this.#inFlight,
+    });
     this.agent = createEndpointAgent(maxConnections);
     this.#probe = new ReachabilityProbe(listed.address, timer);
     this.#crashProbe = new CrashProbe(listed.address, timer);
@@ -129,12 +108,14 @@
     return endpointKey(this.#listed);
   }
 
+  /** Pace of requests after a start or an ejection. */
+  get pace(): EndpointPace {
+    return this.#health.pace;
+  }
+
   /** Whether requests may be sent to the endpoint now: in service and not ejected. */
   get isUsable(): boolean {
-    const now = this.#timer.now();
-    return (
-      this.isInService && this.#connectBreaker.allows(now) && this.#responseBreaker.allows(now)
-    );
+    return this.isInService && this.#health.allowsRequest;
   }
 
   /** Whether the endpoint is neither draining nor leaving; it may be ejected. */
@@ -147,6 +128,11 @@
     return this.hasFreeConnection && this.statements.acceptsRequest;
   }
 
+  /** Requests that the endpoint runs concurrently, as listed. */
+  get slots(): number {
+    return Math.max(1, this.#listed.slots);
+  }
+
   /** Whether requests of this instance are in flight. */
   get isBusy(): boolean {
     return this.#inFlight > 0;
@@ -225,7 +211,7 @@
     return {
       key: this.#listed.id,
       load: this.#inFlight + others,
-      slots: Math.max(1, this.#listed.slots),
+      slots: this.slots,
       isLocal: this.#listed.dataCentre === dataCentre,
       endpoint: this,
     };
@@ -233,8 +219,7 @@
 
   attemptStarted(): void {
     this.#inFlight += 1;
-    this.#connectBreaker.sent();
-    this.#responseBreaker.sent();
+    this.#health.sent();
   }
 
   attemptFinished(): void {
@@ -265,17 +250,24 @@
     this.#remoteRequestsAt = this.#timer.now();
   }
 
+  /** Records the first event of a response without a server error; an ejected endpoint recovers with it. */
+  responded(isInTime: boolean): void {
+    this.#health.responded(isInTime);
+  }
+
+  /** Records that the endpoint recovers, as other instances have seen. */
+  othersAnswered(): void {
+    this.#health.othersAnswered();
+  }
+
   /** Records a complete response without a server error. */
   answered(): void {
-    this.#connectBreaker.succeeded();
-    this.#responseBreaker.succeeded();
-    this.#updateEjected();
+    this.#health.answered();
   }
 
   /** Records a failed or incomplete response. */
   failed(): void {
-    this.#connectBreaker.abandoned();
-    this.#recordFailure(this.#responseBreaker, 'consecutive failed responses');
+    this.#health.failed();
   }
 
   /** Records that data was received from the endpoint. */
@@ -303,8 +295,7 @@
 
   /** Records a failed connection, which ejects the endpoint. */
   unreachable(): void {
-    this.#responseBreaker.abandoned();
-    this.#recordFailure(this.#connectBreaker, 'no connection');
+    this.#health.unreachable();
   }
 
   /** Records a rejection by the endpoint: it is full, or it is another incarnation (misdirected). */
@@ -318,29 +309,13 @@
 
   /** Records a request whose end tells nothing about the endpoint's health. */
   abandoned(): void {
-    this.#connectBreaker.abandoned();
-    this.#responseBreaker.abandoned();
+    this.#health.abandoned();
   }
 
   get #isRemoteWorkFresh(): boolean {
     return this.#timer.now() - this.#remoteWork.at < REMOTE_WORK_TTL_MS;
   }
 
-  #recordFailure(breaker: CircuitBreaker, reason: string): void {
-    const before: string = breaker.state;
-    breaker.failed(this.#timer.now());
-    this.#updateEjected();
-    if (before === 'open' || breaker.state !== 'open') return;
-    const { id, pool } = this.#listed;
-    this.#journal.record(gatewayEvents.endpointSpared, { endpoint: id, pool, reason });
-  }
-
-  #updateEjected(): void {
-    const isEjected =
-      this.#connectBreaker.state !== 'closed' || this.#responseBreaker.state !== 'closed';
-    this.statements.coldness.setEjected(isEjected, this.#timer.now());
-  }
-
   [Symbol.dispose](): void {
     for (const sockets of Object.values(this.agent.freeSockets)) {
       sockets?.forEach((socket) => socket.destroy());
--- a/packages/gateway/src/lib/EndpointDirectory.ts
+++ b/packages/gateway/src/lib/EndpointDirectory.ts
@@ -1,4 +1,5 @@
 import type { Journal, Random, Timer } from '@berylwood/base';
+import type { RecoveryEnd } from '@berylwood/policy';
 import type { EndpointWork } from '@berylwood/registry';
 import { Endpoint, endpointKey } from './Endpoint';
 import type { EndpointParts } from './EndpointStatements';
@@ -50,6 +51,12 @@
   /** What cold endpoints of a pool accept; undefined if they are never cold. */
   coldStart: (pool: PoolName) => ColdStart | undefined = () => undefined;
 
+  /** Whether endpoints are paced after a start or an ejection. */
+  isPaced = false;
+
+  /** Called at the end of a recovery of an endpoint. */
+  onRecovered: (cause: RecoveryEnd) => void = () => {};
+
   constructor(timer: Timer, journal: Journal, random: Random) {
     this.#timer = timer;
     this.#journal = journal;
@@ -57,6 +64,8 @@
       instances: () => this.instances(),
       hasPermitLeader: () => this.hasPermitLeader(),
       coldStart: (pool: PoolName) => this.coldStart(pool),
+      isPaced: () => this.isPaced,
+      onRecovered: (cause: RecoveryEnd) => this.onRecovered(cause),
     };
     this.#parts = { timer, journal, random, fleet };
   }
@@ -142,7 +151,8 @@
     for (const endpoint of this.#endpoints.values()) endpoint[Symbol.dispose]();
   }
 
-  #markStarted({ statements }: Endpoint): void {
+  #markStarted({ statements, pace }: Endpoint): void {
+    pace.begin('started');
     statements.coldness.mayHaveStarted(this.#timer.now());
   }
 
--- a/packages/gateway/src/lib/EndpointGauges.ts
+++ b/packages/gateway/src/lib/EndpointGauges.ts
@@ -25,12 +25,16 @@
 
   readonly #restricted;
 
+  readonly #recovering;
+
   readonly #updates: Disposable;
 
   constructor(options: EndpointGaugesOptions) {
     this.#options = options;
     const help = 'Endpoints that restrict the requests that they accept, by condition';
     this.#restricted = options.metrics.gauge('restricted_endpoints', help, ['condition']);
+    const recoveringHelp = 'Endpoints that are paced after a start or an ejection';
+    this.#recovering = options.metrics.gauge('recovering_endpoints', recoveringHelp);
     this.#updates = options.timer.every(UPDATE_INTERVAL_MS, () => this.#update());
   }
 
@@ -40,6 +44,7 @@
 
   #update(): void {
     const { endpoints } = this.#options.directory;
+    this.#recovering.set(endpoints.filter(({ pace }) => pace.isRecovering).length);
     for (const [condition, holds] of Object.entries(CONDITIONS)) {
       const count = endpoints.filter(({ statements }) => holds(statements)).length;
       this.#restricted.set({ condition }, count);
--- a/packages/gateway/src/lib/EndpointServices.ts
+++ b/packages/gateway/src/lib/EndpointServices.ts
@@ -13,6 +13,7 @@
 import type { PoolName } from './ids';
 import { LeaderExchange } from './LeaderExchange';
 import { LeavingCheck } from './LeavingCheck';
+import { PaceSharing } from './PaceSharing';
 import { PermitSharing } from './PermitSharing';
 import type { RoutingTable } from './RoutingTable';
 import type { Wire } from './Wire';
@@ -30,6 +31,8 @@
   readonly instances: () => number;
   /** The routing table in force, if any. */
   readonly table: () => RoutingTable | undefined;
+  /** Whether endpoints are paced after a start or an ejection. */
+  readonly paceAfterStart: boolean;
   /** Called when the first list of endpoints is loaded. */
   readonly onLoaded: () => void;
 }
@@ -46,6 +49,8 @@
 
   readonly #permits: PermitSharing;
 
+  readonly #pace: PaceSharing;
+
   constructor(options: EndpointServicesOptions) {
     this.#options = options;
     const { wire, mesh, timer, journal, metrics, random, faults, instances, table } = options;
@@ -63,6 +68,12 @@
     const exchange = new LeaderExchange();
     mesh.attachments = exchange;
     exchange.add(this.#permits.attachments);
+    directory.isPaced = options.paceAfterStart;
+    const help = 'Endpoints whose pace after a start or an ejection was lifted, by cause';
+    const recoveries = metrics.counter('recoveries_total', help, ['cause']);
+    directory.onRecovered = (cause) => recoveries.inc({ cause });
+    this.#pace = new PaceSharing({ directory, mesh, timer, journal, random });
+    exchange.add(this.#pace.attachments);
     const healthPath = (pool: PoolName): string => table()?.findPool(pool)?.healthPath ?? '/';
     const isChecker = (): boolean => mesh.isLeader;
     const leaving = { directory, wire, timer, journal, faults, healthPath, isChecker };
@@ -72,8 +83,10 @@
   /** Exchanges the work of this instance, and what parts attach to it, with the leader. */
   share(): void {
     this.#permits.startRound();
+    this.#pace.startRound();
     this.#options.mesh.publishWork(this.directory.ownWork());
     this.held.endRound();
+    this.#pace.endRound();
   }
 
   [Symbol.dispose](): void {
--- a/packages/gateway/src/lib/EndpointStatements.ts
+++ b/packages/gateway/src/lib/EndpointStatements.ts
@@ -1,5 +1,10 @@
 import type { Journal, Random, Timer } from '@berylwood/base';
-import { EndpointPermits, StatedLimit, type LimitStatement } from '@berylwood/policy';
+import {
+  EndpointPermits,
+  StatedLimit,
+  type LimitStatement,
+  type RecoveryEnd,
+} from '@berylwood/policy';
 import type { EndpointColdness } from './EndpointColdness';
 import { gatewayEvents } from './events';
 import type { AttemptId, EndpointId, PoolName } from './ids';
@@ -14,6 +19,10 @@
   readonly hasPermitLeader: () => boolean;
   /** What cold endpoints of a pool accept; undefined if they are never cold. */
   readonly coldStart?: (pool: PoolName) => ColdStart | undefined;
+  /** Whether endpoints are paced after a start or an ejection. */
+  readonly isPaced?: () => boolean;
+  /** Called at the end of a recovery. */
+  readonly onRecovered?: (cause: RecoveryEnd) => void;
 }
 
 /** @internal */
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -142,6 +142,7 @@
       faults: this.#faults,
       instances: () => this.#instances,
       table: () => this.#table,
+      paceAfterStart: settings.paceAfterStart,
       onLoaded: () => this.#updateReadiness(),
     });
     this.#callerServer = new CallerServer(this.#createContext());
--- a/packages/gateway/src/lib/RequestLog.ts
+++ b/packages/gateway/src/lib/RequestLog.ts
@@ -68,6 +68,12 @@
 
   readonly #requestSeconds;
 
+  readonly #firstServedSeconds;
+
+  readonly #startedAt: number;
+
+  #hasServed = false;
+
   #secondStartedAt = -Infinity;
 
   #written = 0;
@@ -83,11 +89,17 @@
       'route',
     ]);
     this.#requestSeconds = metrics.histogram('request_seconds', 'Time to the end', ['route']);
+    this.#startedAt = timer.now();
+    const help =
+      'Time from the start of the instance to the end of the first request that it served';
+    this.#firstServedSeconds = metrics.gauge('first_served_seconds', help);
   }
 
   served(record: RequestRecord): void {
     this.#count(record, 'served');
     const now = this.#timer.now();
+    if (!this.#hasServed) this.#firstServedSeconds.set((now - this.#startedAt) / SECOND_MS);
+    this.#hasServed = true;
     if (now - this.#secondStartedAt >= SECOND_MS) this.#startSecond(now);
     if (this.#written >= MAX_SERVED_LINES_PER_S) {
       this.#omitted += 1;
--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -177,5 +177,9 @@
     const { resolved, guard } = this.#answered as AnsweredRequest;
     this.#parts.context.countStartedRequest(resolved.workspace?.name);
     guard?.answered();
+    const { attempt } = this;
+    if (!attempt || this.#parts.relay.isFailure) return;
+    const tookMs = this.#parts.context.timer.now() - attempt.startedAt;
+    attempt.endpoint.responded(tookMs <= resolved.route.objectiveMs);
   }
 }
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -203,6 +203,26 @@
     meaning: 'An endpoint no longer counts as cold.',
     action: 'none',
   },
+  recoveryBegan: {
+    number: 9072,
+    level: 'info',
+    meaning:
+      'An endpoint has started or answers again (`cause`); requests to it are paced by its answers.',
+    action: 'none',
+  },
+  recoveryEnded: {
+    number: 9073,
+    level: 'info',
+    meaning:
+      'Requests to an endpoint are no longer paced: the window covers its slots or the demand, it failed, or the time is over (`cause`).',
+    action: 'If the cause is `failed` again and again, check the endpoint.',
+  },
+  paceInvalid: {
+    number: 9074,
+    level: 'warn',
+    meaning: 'What another instance attached about recoveries cannot be read and is ignored.',
+    action: 'Check that all instances run versions that fit together.',
+  },
   limitsInvalid: {
     number: 9044,
     level: 'warn',
--- a/packages/gateway/src/lib/placeRequest.ts
+++ b/packages/gateway/src/lib/placeRequest.ts
@@ -31,6 +31,14 @@
   return { sharedPart: shared?.id, sharedTokens: shared?.tokens ?? 0, ownTokens, answerTokens };
 }
 
+/** Leaves out endpoints beyond their pace after a start, unless there are no others. */
+function selectPaced(endpoints: readonly Endpoint[]): readonly Endpoint[] {
+  const paced = endpoints.filter(({ pace }) => pace.allowsRequest);
+  if (paced.length === endpoints.length) return endpoints;
+  for (const { pace } of endpoints) if (!pace.allowsRequest) pace.passedOver();
+  return paced.length > 0 ? paced : endpoints;
+}
+
 /**
  * Chooses an endpoint for a request among the usable ones. If all of them are ejected, any endpoint
  * that is in service is tried, since rejecting all requests would be worse; but none beyond its limit.
@@ -50,8 +58,8 @@
       !tried.has(endpoint.listed.id) && binding.allows(endpoint) && endpoint.acceptsRequest,
   );
   const usable = untried.filter(({ isUsable }) => isUsable);
-  const candidates =
-    usable.length > 0 ? usable : untried.filter(({ isInService: isStaying }) => isStaying);
+  const staying = (): Endpoint[] => untried.filter(({ isInService }) => isInService);
+  const candidates = selectPaced(usable.length > 0 ? usable : staying());
   const engine = table.findPool(target)?.engine;
   if (!route.hasAffinity || !engine) {
     const places = candidates.map((endpoint) => endpoint.view(dataCentre));
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -86,3 +86,5 @@
 } from './lib/placement/admits';
 export { URGENCY_LEVELS, UrgencyScale, type RankPair } from './lib/placement/UrgencyScale';
 export { retryAfterMs } from './lib/placement/retryAfter';
+export { FleetRecovery, type RecoveryReport } from './lib/health/FleetRecovery';
+export { RecoveryWindow, type RecoveryCounts, type RecoveryEnd } from './lib/health/RecoveryWindow';
--- a/packages/policy/src/lib/health/CircuitBreaker.ts
+++ b/packages/policy/src/lib/health/CircuitBreaker.ts
@@ -61,6 +61,17 @@
     return this.state === 'halfOpen' && !this.#isProbing;
   }
 
+  /** Ends the open time early, as another observer has seen that the endpoint answers. */
+  endOpenTime(): void {
+    if (this.state === 'open') this.#send('elapsed');
+  }
+
+  /** Opens the breaker on evidence of another observer; during a half-open time as if the probe had failed. */
+  trip(now: number): void {
+    if (this.state === 'halfOpen') this.failed(now);
+    else if (this.state === 'closed') this.#open('tripped', now);
+  }
+
   /** Records a sent request, which is the probe if the breaker is half open. */
   sent(): void {
     if (this.state === 'halfOpen') this.#isProbing = true;
--- a/packages/schema/src/lib/GatewaySettings.ts
+++ b/packages/schema/src/lib/GatewaySettings.ts
@@ -42,6 +42,8 @@
   repeatSlack: z.number().nonnegative().default(20),
   /** Time before a new leader takes over the duties of the previous one, in milliseconds. */
   dutyPauseMs: z.number().nonnegative().default(3000),
+  /** Whether requests to an endpoint that has just started or answers again are paced by its answers. */
+  paceAfterStart: z.boolean().default(false),
 });
 
 /** @public */
