--- a/packages/gateway/src/lib/Endpoint.ts
+++ b/packages/gateway/src/lib/Endpoint.ts
@@ -1,7 +1,6 @@
 import type { Agent } from 'node:http';
 import type { Journal, Timer } from '@berylwood/base';
 import {
-  CircuitBreaker,
   MomentaryFigure,
   URGENCY_LEVELS,
   type EngineView,
@@ -10,23 +9,15 @@
 import type { EndpointWork } from '@berylwood/registry';
 import { CrashProbe } from './CrashProbe';
 import { createEndpointAgent } from './createEndpointAgent';
+import { EndpointColdness } from './EndpointColdness';
+import { EndpointHealth } from './EndpointHealth';
+import type { EndpointPace } from './EndpointPace';
 import { EndpointStatements, type EndpointParts } from './EndpointStatements';
-import { gatewayEvents } from './events';
 import { PrefillPeriod } from './PrefillPeriod';
 import { ReachabilityProbe } from './ReachabilityProbe';
+import { StartOrder } from './StartOrder';
 import type { ListedEndpoint, ReportedLoad } from './Wire';
 
-/**
- * First time for which a failed endpoint is ejected, in milliseconds. Afterwards one request probes it;
- * each failed probe doubles the time, up to `MAX_EJECTION_MS`.
- */
-const EJECTION_MS = 1500;
-
-const MAX_EJECTION_MS = 6000;
-
-/** Consecutive failed responses after which an endpoint is ejected even though it accepts connections. */
-const CONSECUTIVE_FAILURES = 4;
-
 /** Time after which a reported load of other instances counts half, in milliseconds. */
 const LOAD_HALF_LIFE_MS = 600;
 
@@ -37,9 +28,6 @@
 /** Time for which the remote work received from the leader is used, in milliseconds. */
 const REMOTE_WORK_TTL_MS = 1000;
 
-/** Requests sent within this time of each other may start in any order, in milliseconds. */
-const OVERTAKE_MARGIN_MS = 250;
-
 /** Properties of the request and the pool for which an engine is evaluated. */
 interface EngineViewOptions {
   readonly dataCentre: string;
@@ -75,19 +63,7 @@
 
   #listed: ListedEndpoint;
 
-  /** Opens on the first failed connection. */
-  readonly #connectBreaker = new CircuitBreaker({
-    failureThreshold: 1,
-    openMs: EJECTION_MS,
-    maxOpenMs: MAX_EJECTION_MS,
-  });
-
-  /** Opens on consecutive failed responses. */
-  readonly #responseBreaker = new CircuitBreaker({
-    failureThreshold: CONSECUTIVE_FAILURES,
-    openMs: EJECTION_MS,
-    maxOpenMs: MAX_EJECTION_MS,
-  });
+  readonly #health: EndpointHealth;
 
   readonly #timer: Timer;
 
@@ -113,8 +89,7 @@
   /** Work in flight from all other instances, as last received from the leader. */
   #remoteWork = { tokens: [] as readonly number[], requests: 0, at: -Infinity };
 
-  /** By rank, the latest send time of the requests that have started to run. */
-  readonly #latestStartedSentAt = new Map<number, number>();
+  readonly #starts = new StartOrder();
 
   readonly #journal: Journal;
 
@@ -123,7 +98,14 @@
     const { timer, journal } = parts;
     this.#timer = timer;
     this.#journal = journal;
-    this.statements = new EndpointStatements(listed.id, parts);
+    const coldness = new EndpointColdness(() => parts.fleet.coldStart?.(listed.pool));
+    this.statements = new EndpointStatements(listed.id, parts, coldness);
+    this.#health = new EndpointHealth({
+      parts,
+      coldness,
+      listed: () => this.#listed,
+      inFlight: () => this.#inFlight,
+    });
     this.agent = createEndpointAgent(maxConnections);
     this.#probe = new ReachabilityProbe(listed.address, timer);
     this.#crashProbe = new CrashProbe(listed.address, timer);
@@ -138,12 +120,14 @@
     return endpointKey(this.#listed);
   }
 
+  /** Pace of requests after a start or an ejection. */
+  get pace(): EndpointPace {
+    return this.#health.pace;
+  }
+
   /** Whether requests may be sent to the endpoint now: in service and not ejected. */
   get isUsable(): boolean {
-    const now = this.#timer.now();
-    return (
-      this.isInService && this.#connectBreaker.allows(now) && this.#responseBreaker.allows(now)
-    );
+    return this.isInService && this.#health.allowsRequest;
   }
 
   /** Whether the endpoint is neither draining, leaving nor evacuated; it may be ejected. */
@@ -157,6 +141,11 @@
     return this.hasFreeConnection && this.statements.acceptsRequest;
   }
 
+  /** Requests that the endpoint runs concurrently, as listed. */
+  get slots(): number {
+    return Math.max(1, this.#listed.slots);
+  }
+
   /** Whether requests of this instance are in flight. */
   get isBusy(): boolean {
     return this.#inFlight > 0;
@@ -170,6 +159,7 @@
   /** Replaces the list entry by a newer one with the same id and address. */
   update(listed: ListedEndpoint): void {
     this.#listed = listed;
+    this.statements.coldness.observeList(listed.coldRemainingMs, this.#timer.now());
   }
 
   /** Sets the number of connections to the endpoint that this instance may use. */
@@ -244,7 +234,7 @@
     return {
       key: this.#listed.id,
       load: this.#inFlight + others,
-      slots: Math.max(1, this.#listed.slots),
+      slots: this.slots,
       momentary: this.momentary.factorAt(this.#timer.now()),
       isLocal: this.#listed.dataCentre === dataCentre,
       endpoint: this,
@@ -253,8 +243,7 @@
 
   attemptStarted(): void {
     this.#inFlight += 1;
-    this.#connectBreaker.sent();
-    this.#responseBreaker.sent();
+    this.#health.sent();
   }
 
   attemptFinished(): void {
@@ -263,20 +252,12 @@
 
   /** Records that a request has started to run which was sent at `sentAt`. */
   executionStarted(rank: number, sentAt: number): void {
-    this.#latestStartedSentAt.set(
-      rank,
-      Math.max(sentAt, this.#latestStartedSentAt.get(rank) ?? -Infinity),
-    );
+    this.#starts.started(rank, sentAt);
   }
 
-  /**
-   * Whether a request that is not more urgent and was sent clearly later has started to run. If so, the
-   * response to an earlier request without a response is probably lost.
-   */
+  /** Whether a request that is not more urgent and was sent clearly later has started to run. */
   hasOvertaken(rank: number, sentAt: number): boolean {
-    return [...this.#latestStartedSentAt].some(
-      ([other, at]) => other >= rank && at > sentAt + OVERTAKE_MARGIN_MS,
-    );
+    return this.#starts.hasOvertaken(rank, sentAt);
   }
 
   /** Records the load that the endpoint reports in a response. */
@@ -286,16 +267,24 @@
     this.#remoteRequestsAt = this.#timer.now();
   }
 
+  /** Records the first event of a response without a server error; an ejected endpoint recovers with it. */
+  responded(isInTime: boolean): void {
+    this.#health.responded(isInTime);
+  }
+
+  /** Records that the endpoint recovers, as other instances have seen. */
+  othersAnswered(): void {
+    this.#health.othersAnswered();
+  }
+
   /** Records a complete response without a server error. */
   answered(): void {
-    this.#connectBreaker.succeeded();
-    this.#responseBreaker.succeeded();
+    this.#health.answered();
   }
 
   /** Records a failed or incomplete response. */
   failed(): void {
-    this.#connectBreaker.abandoned();
-    this.#recordFailure(this.#responseBreaker, 'consecutive failed responses');
+    this.#health.failed();
   }
 
   /** Records that data was received from the endpoint. */
@@ -323,20 +312,21 @@
 
   /** Records a failed connection, which ejects the endpoint. */
   unreachable(): void {
-    this.#responseBreaker.abandoned();
-    this.#recordFailure(this.#connectBreaker, 'no connection');
+    this.#health.unreachable();
   }
 
   /** Records a rejection by the endpoint: it is full, or it is another incarnation (misdirected). */
   refused(isMisdirected: boolean): void {
-    if (isMisdirected) this.#isLeaving = true;
+    if (isMisdirected) {
+      this.#isLeaving = true;
+      this.statements.coldness.mayHaveStarted(this.#timer.now());
+    }
     this.abandoned();
   }
 
   /** Records a request whose end tells nothing about the endpoint's health. */
   abandoned(): void {
-    this.#connectBreaker.abandoned();
-    this.#responseBreaker.abandoned();
+    this.#health.abandoned();
   }
 
   get #isRemoteWorkFresh(): boolean {
@@ -349,14 +339,6 @@
     this.prefill.observe(own + sumUpToRank(this.#remoteWork.tokens, last), this.#timer.now());
   }
 
-  #recordFailure(breaker: CircuitBreaker, reason: string): void {
-    const before: string = breaker.state;
-    breaker.failed(this.#timer.now());
-    if (before === 'open' || breaker.state !== 'open') return;
-    const { id, pool } = this.#listed;
-    this.#journal.record(gatewayEvents.endpointSpared, { endpoint: id, pool, reason });
-  }
-
   [Symbol.dispose](): void {
     for (const sockets of Object.values(this.agent.freeSockets)) {
       sockets?.forEach((socket) => socket.destroy());
--- a/packages/gateway/src/lib/EndpointServices.ts
+++ b/packages/gateway/src/lib/EndpointServices.ts
@@ -17,6 +17,7 @@
 import type { PoolName } from './ids';
 import { LeaderExchange } from './LeaderExchange';
 import { LeavingCheck } from './LeavingCheck';
+import { PaceSharing } from './PaceSharing';
 import { PermitSharing } from './PermitSharing';
 import type { RoutingTable } from './RoutingTable';
 import { StreamEngineSharing } from './StreamEngineSharing';
@@ -36,6 +37,8 @@
   readonly instances: () => number;
   /** The routing table in force, if any. */
   readonly table: () => RoutingTable | undefined;
+  /** Whether endpoints are paced after a start or an ejection. */
+  readonly paceAfterStart: boolean;
   /** Called when the first list of endpoints is loaded. */
   readonly onLoaded: () => void;
 }
@@ -60,6 +63,8 @@
 
   readonly #streamSharing: StreamEngineSharing;
 
+  readonly #pace: PaceSharing;
+
   constructor(options: EndpointServicesOptions) {
     this.#options = options;
     const { wire, mesh, timer, journal, metrics, random, faults, instances, table } = options;
@@ -72,12 +77,14 @@
     this.evacuations = evacuations;
     directory.isEvacuated = (dataCentre) => evacuations.has(dataCentre);
     mesh.onEvacuations = (state) => evacuations.apply(state);
+    directory.coldStart = (pool) => table()?.findPool(pool)?.coldStart;
     const held = this.#store.add(new HeldRequests({ directory, timer, journal, metrics }));
     this.held = held;
     evacuations.onChanged = () => {
       directory.updateEvacuations();
       held.rejectUnservable();
     };
+    evacuations.onEnded = (dataCentre) => directory.dataCentreReturned(dataCentre);
     this.#store.add(new EndpointGauges({ directory, timer, metrics }));
     this.#permits = new PermitSharing({ directory, held, mesh, timer, journal, random });
     directory.hasPermitLeader = () => this.#permits.hasLeader;
@@ -94,6 +101,12 @@
       ...{ directory, mesh, timer, journal, metrics, table, streams },
     });
     exchange.add(this.#streamSharing.attachments);
+    directory.isPaced = options.paceAfterStart;
+    const help = 'Endpoints whose pace after a start or an ejection was lifted, by cause';
+    const recoveries = metrics.counter('recoveries_total', help, ['cause']);
+    directory.onRecovered = (cause) => recoveries.inc({ cause });
+    this.#pace = new PaceSharing({ directory, mesh, timer, journal, random });
+    exchange.add(this.#pace.attachments);
     const healthPath = (pool: PoolName): string => table()?.findPool(pool)?.healthPath ?? '/';
     const isChecker = (): boolean => mesh.isLeader;
     const leaving = { directory, wire, timer, journal, faults, healthPath, isChecker };
@@ -104,8 +117,10 @@
   share(): void {
     this.#permits.startRound();
     this.#streamSharing.startRound();
+    this.#pace.startRound();
     this.#options.mesh.publishWork(this.directory.ownWork());
     this.held.endRound();
+    this.#pace.endRound();
   }
 
   [Symbol.dispose](): void {
--- a/packages/gateway/src/lib/LeavingCheck.ts
+++ b/packages/gateway/src/lib/LeavingCheck.ts
@@ -95,8 +95,9 @@
       response.on('error', () => check.destroy());
       const isWellFormed = findMalformedHeader(rawHeaders) === undefined;
       if (status !== OK || !isWellFormed) return;
-      const { conditions, load } = wire.readResponse(status, rawHeaders);
+      const { conditions, load, coldRemainingMs } = wire.readResponse(status, rawHeaders);
       if (load) endpoint.observeLoad(load);
+      statements.coldness.observeResponse(coldRemainingMs, sentAt, timer.now());
       statements.observe(conditions, undefined, sentAt);
     });
     check.on('response', onResponse);
--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -47,6 +47,7 @@
 
   /** Learns from the times of the latest attempt's events. */
   #observer: EngineObserver | undefined;
+
   #run: StreamRun | undefined;
 
   /** Whether the latest attempt has brought an event. */
@@ -203,5 +204,9 @@
     const { resolved, guard } = this.#answered as AnsweredRequest;
     this.#parts.context.countStartedRequest(resolved.workspace?.name);
     guard?.answered();
+    const { attempt } = this;
+    if (!attempt || this.#parts.relay.isFailure) return;
+    const tookMs = this.#parts.context.timer.now() - attempt.startedAt;
+    attempt.endpoint.responded(tookMs <= resolved.route.objectiveMs);
   }
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -112,3 +112,5 @@
 } from './lib/streams/selectStreamEngines';
 export { StreamEngineCount } from './lib/streams/StreamEngineCount';
 export { tightPauseMs } from './lib/streams/tightPauseMs';
+export { FleetRecovery, type RecoveryReport } from './lib/health/FleetRecovery';
+export { RecoveryWindow, type RecoveryCounts, type RecoveryEnd } from './lib/health/RecoveryWindow';
