Take no reset and no invalid status for a response in the sidecar

Cause: undici 7.30 reads ECONNRESET as the end of a response without a length, and Node.js reports a reset that arrives together with data as an orderly end. The connector of the sidecar's pools now reports both as an error, and statuses outside 200 to 599 end the run before their head is forwarded. Ruled out: the gateway (Attempt, earlyResponse.test.ts holds on the unchanged code) and the status 000, which undici rejects (the statuses 600 and 999 passed).

--- a/packages/sidecar/src/lib/EngineEndpoint.ts
+++ b/packages/sidecar/src/lib/EngineEndpoint.ts
@@ -1,6 +1,6 @@
 import { Pool } from 'undici';
 import type { Dispatch, EndpointAction, OrderId, Work } from '@berylwood/schema';
-import { CONNECT_TIMEOUT_MS } from './connection';
+import { createConnector } from './createConnector';
 import { Endpoint, type ResponseSink, type EndpointLoad, type OrderOutcome } from './Endpoint';
 import { EngineRun, type Engine } from './EngineRun';
 
@@ -26,7 +26,7 @@
   constructor(address: string, slots: number) {
     super();
     this.address = address;
-    const connect = { timeout: CONNECT_TIMEOUT_MS };
+    const connect = createConnector();
     const connections = slots + SPARE_CONNECTIONS;
     this.pool = new Pool(`http://${address}`, { connections, connect });
   }
--- a/packages/sidecar/src/lib/EngineRun.ts
+++ b/packages/sidecar/src/lib/EngineRun.ts
@@ -1,7 +1,9 @@
 import { Client, type Dispatcher, type Pool } from 'undici';
 import type { Dispatch, Work } from '@berylwood/schema';
-import { CONNECT_TIMEOUT_MS, isNotListening, isUnreached } from './connection';
+import { isNotListening, isUnreached } from './connection';
 import { CompletionStream } from './CompletionStream';
+import { checkStatus } from './checkStatus';
+import { createConnector } from './createConnector';
 import { EndpointError, type ResponseSink, type EndpointFault } from './Endpoint';
 import { describesEventStream, filterResponseHeaders, filterStreamHeaders } from './headers';
 import { UsageReader } from './UsageReader';
@@ -97,6 +99,7 @@
     });
     const { statusCode, headers, body } = answer;
     this.#hasHead = true;
+    checkStatus(answer);
     const isSuccess = statusCode >= 200 && statusCode < 300;
     if (isSuccess && describesEventStream(headers)) {
       this.#stream = new CompletionStream(dispatch.attempt);
@@ -172,9 +175,7 @@
     const stream = this.#stream;
     if (!stream) throw new StreamLostError('no stream');
     const form = this.#dispatch.path.includes('/chat/') ? 'chat' : 'text';
-    const client = new Client(`http://${this.#engine.address}`, {
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-    });
+    const client = new Client(`http://${this.#engine.address}`, { connect: createConnector() });
     try {
       const { statusCode, headers, body } = await client.request({
         method: 'GET',
--- a/packages/sidecar/src/lib/ServiceEndpoint.ts
+++ b/packages/sidecar/src/lib/ServiceEndpoint.ts
@@ -1,6 +1,8 @@
 import { Pool } from 'undici';
 import { noWork, type Dispatch, type Work } from '@berylwood/schema';
-import { CONNECT_TIMEOUT_MS, isConnectionLost, isUnreached, probeConnection } from './connection';
+import { checkStatus } from './checkStatus';
+import { isConnectionLost, isUnreached, probeConnection } from './connection';
+import { createConnector } from './createConnector';
 import {
   Endpoint,
   EndpointError,
@@ -19,7 +21,7 @@
   constructor(address: string, slots: number) {
     super();
     this.#address = address;
-    const connect = { timeout: CONNECT_TIMEOUT_MS };
+    const connect = createConnector();
     this.#pool = new Pool(`http://${address}`, { connections: slots, connect });
   }
 
@@ -62,6 +64,7 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
+    checkStatus(answer);
     sink.head(answer.statusCode, filterResponseHeaders(answer.headers));
     for await (const chunk of answer.body) await sink.data(chunk as Buffer, 0);
   }
--- a/packages/sidecar/src/lib/invalidResponse.test.ts
+++ b/packages/sidecar/src/lib/invalidResponse.test.ts
@@ -107,7 +107,9 @@
       const { isComplete, sink } = await run(
         t,
         kind,
-        (socket) => void socket.end(`${EARLY_HEAD}whole`),
+        (socket) => {
+          socket.end(`${EARLY_HEAD}whole`);
+        },
         Buffer.from('x'),
       );
       assert.equal(isComplete, true);
@@ -122,7 +124,9 @@
       const { isComplete, sink } = await run(
         t,
         kind,
-        (socket) => void socket.end(head),
+        (socket) => {
+          socket.end(head);
+        },
         Buffer.from('x'),
       );
       assert.equal(isComplete, false);
