--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -48,3 +48,4 @@
 export { summarize } from './lib/load/summarize';
 export { formatReport, formatTable } from './lib/load/formatReport';
 export { renderPage } from './lib/load/renderPage';
+export { Crowd, chunksOf, headOf, type CrowdRequest } from './lib/load/Crowd';
