Bound what a gateway holds for callers by one budget of bytes and unfinished bodies

Cause: readBody had a limit for one request and none over all requests, kept a buffer for each chunk (about a hundred bytes for a byte), and buffered a body up to the limit even if its head declared more. Connections without a complete head were not limited, and complete responses were kept for callers that read nothing. Change: BodyBudget (packages/policy) counts request bodies until the end of their response and bytes held for readers; when it is spent, stalled bodies end first (503, code 9030: not run). ChunkBuffer merges chunks. A declared length over the limit gets a 413 from the head. UnfinishedHeads closes connections over half of the descriptors. A paused response is read on each second, and a caller that reads nothing for 2 s is cut.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -31,3 +31,5 @@
   type JournalRecord,
 } from './lib/Journal';
 export { Metrics } from './lib/Metrics';
+export { ChunkBuffer } from './lib/ChunkBuffer';
+export { defaultBodyBudgetBytes, maxDescriptors } from './lib/processLimits';
--- a/packages/base/src/lib/Metrics.ts
+++ b/packages/base/src/lib/Metrics.ts
@@ -24,6 +24,17 @@
     return new Gauge({ name: `berylwood_${name}`, help, labelNames, registers: [this.registry] });
   }
 
+  /** Exposes a value that is read whenever the metrics are. */
+  readGauge(name: string, help: string, read: () => number): void {
+    if (this.registry.getSingleMetric(`berylwood_${name}`)) return;
+    const gauge: Gauge = new Gauge({
+      name: `berylwood_${name}`,
+      help,
+      registers: [this.registry],
+      collect: () => gauge.set(read()),
+    });
+  }
+
   histogram(
     name: string,
     help: string,
--- /dev/null
+++ b/packages/base/src/lib/processLimits.ts
@@ -0,0 +1,30 @@
+import { readFileSync } from 'node:fs';
+import { getHeapStatistics } from 'node:v8';
+
+/** Part of the heap's limit for bodies, which are held beside the heap. */
+const HEAP_SHARE = 1 / 4;
+
+/** Part of a limit on the memory of the whole process for bodies; the rest is for the heap and code. */
+const MEMORY_SHARE = 1 / 8;
+
+/** Descriptors of a process whose limit cannot be read: the usual limit of a login. */
+const USUAL_DESCRIPTORS = 1024;
+
+/** Bytes that the process may hold of bodies by the limits of its memory. @public */
+export function defaultBodyBudgetBytes(): number {
+  const constrained = process.constrainedMemory();
+  const ofMemory = constrained && constrained > 0 ? constrained * MEMORY_SHARE : Infinity;
+  return Math.floor(Math.min(getHeapStatistics().heap_size_limit * HEAP_SHARE, ofMemory));
+}
+
+/** Number of descriptors that the process may have open. @public */
+export function maxDescriptors(): number {
+  try {
+    const limits = readFileSync('/proc/self/limits', 'utf8');
+    const [, text = ''] = /^Max open files\s+(\S+)/m.exec(limits) ?? [];
+    return text === 'unlimited' ? Infinity : Number(text) || USUAL_DESCRIPTORS;
+  } catch {
+    // Systems without /proc have the usual limit.
+    return USUAL_DESCRIPTORS;
+  }
+}
--- a/packages/gateway/src/lib/Arrival.ts
+++ b/packages/gateway/src/lib/Arrival.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { DisposableStore, Failure } from '@berylwood/base';
 import { gatewayCodes } from './codes';
 import type { FaultBoundary } from './FaultBoundary';
@@ -30,6 +30,8 @@
 
   readonly #request: IncomingMessage;
 
+  readonly #response: ServerResponse;
+
   readonly #boundary: FaultBoundary;
 
   readonly #listener: ArrivalListener;
@@ -38,12 +40,13 @@
 
   constructor(
     context: GatewayContext,
-    request: IncomingMessage,
+    response: ServerResponse,
     boundary: FaultBoundary,
     listener: ArrivalListener,
   ) {
     this.#context = context;
-    this.#request = request;
+    this.#request = response.req;
+    this.#response = response;
     this.#boundary = boundary;
     this.#listener = listener;
   }
@@ -74,7 +77,9 @@
     this.#listener.onResolved(resolved.value);
     this.#context.budgets.recordRequest(target);
     const onBody = this.#boundary.wrap((body: ReadBody) => this.#onBody(body));
-    readBody(this.#request, table.configuration.limits.maxBodyBytes, onBody);
+    const { maxBodyBytes: maxBytes } = table.configuration.limits;
+    const limits = { maxBytes, bodies: this.#context.bodies };
+    this.#store.add(readBody(this.#request, this.#response, limits, onBody));
   }
 
   #onBody(body: ReadBody): void {
@@ -82,6 +87,9 @@
     else if (body === 'tooLarge') {
       const failure = new Failure(gatewayCodes.bodyTooLarge, 'the body is too large');
       this.#listener.onRejected(failure);
+    } else if (body === 'overBudget') {
+      const failure = new Failure(gatewayCodes.memorySpent, 'the body budget is spent');
+      this.#listener.onRejected(failure);
     } else this.#listener.onBody(body);
   }
 }
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -91,10 +91,10 @@
   start(): void {
     const boundary = this.#boundary;
     const onClose = boundary.wrap(() => this.#onCallerClosed());
-    const onDrain = boundary.wrap(() => this.#attempt?.resume());
+    const onDrain = boundary.wrap(() => this.#receiver.resume());
     this.#response.on('close', onClose);
     this.#response.on('drain', onDrain);
-    const arrival = new Arrival(this.#context, this.#request, boundary, {
+    const arrival = new Arrival(this.#context, this.#response, boundary, {
       onResolved: (resolved) => this.#onResolved(resolved),
       onBody: (body) => this.#onBody(body),
       onRejected: (failure) => this.#respondWithFailure(failure),
@@ -325,9 +325,9 @@
 
   #respondWithFailure(failure: Failure): void {
     if (!this.#lifecycle.send('fail')) return;
-    const { random, isStopping } = this.#context;
+    const { random, isStopping, timer } = this.#context;
     const retryMs = retryAfterOf(failure, this.#leftMs, random);
-    sendFailure(this.#response, failure, retryMs, isStopping() || !this.#request.complete);
+    sendFailure(this.#response, failure, { retryMs, isStopping: isStopping(), timer });
     this.#finish(failure.code.status, failure.code.number, failure.message);
   }
 
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -12,17 +12,16 @@
   type StoredConfiguration,
 } from '@berylwood/registry';
 import type { GatewaySettings } from '@berylwood/schema';
+import { createBodyBudget } from './createBodyBudget';
 import { drainCallers } from './drainCallers';
 import { EndpointServices } from './EndpointServices';
 import { gatewayEvents } from './events';
 import { FaultLog } from './FaultLog';
-import { CallerServer } from './CallerServer';
 import type { GatewayContext } from './GatewayContext';
+import { GatewayServers } from './GatewayServers';
 import type { WorkspaceName } from './ids';
 import { EndpointListReader } from './EndpointListReader';
-import { OperatorServer } from './OperatorServer';
 import { leaveRegistry } from './leaveRegistry';
-import { ReadinessServer } from './ReadinessServer';
 import { RetryBudgets } from './RetryBudgets';
 import { RequestLog } from './RequestLog';
 import { RoutingTable } from './RoutingTable';
@@ -78,11 +77,7 @@
 
   readonly #startGate: StartGate;
 
-  readonly #callerServer: CallerServer;
-
-  readonly #readinessServer: ReadinessServer;
-
-  readonly #operatorServer: OperatorServer;
+  readonly #servers: GatewayServers;
 
   readonly #listReader: EndpointListReader | undefined;
 
@@ -144,25 +139,20 @@
       table: () => this.#table,
       onLoaded: () => this.#updateReadiness(),
     });
-    this.#callerServer = new CallerServer(this.#createContext());
-    this.#readinessServer = new ReadinessServer(wire.paths.readiness, () => this.#isReady());
-    this.#operatorServer = new OperatorServer({
-      wire,
+    this.#servers = new GatewayServers({
+      context: this.#createContext(),
+      settings,
       mesh: this.#mesh,
-      journal,
-      faults: this.#faults,
+      isReady: () => this.#isReady(),
     });
     this.#listReader = platform && this.#createListReader(platform);
   }
 
   override async start(): Promise<void> {
-    const { settings } = this.#options;
     this.#mesh.serve(this.#links);
     this.#transport.serve(this.#links);
     await this.#links.listen(this.#address);
-    await this.#readinessServer.listen(settings.readiness);
-    await this.#callerServer.listen(settings.callers);
-    if (settings.operators) await this.#operatorServer.listen(settings.operators);
+    await this.#servers.listen();
     this.#listReader?.open();
     this.#mesh.onNotice = (value) => this.#listReader?.receive(value);
     this.#mesh.onWork = (work) => this.#endpoints.directory.share(work);
@@ -193,12 +183,10 @@
     const registry = this.#registry;
     const parts = { mesh: this.#mesh, timer, journal, graceMs };
     await Promise.all([
-      drainCallers(this.#callerServer, { timer, graceMs, onUnlisted }),
+      drainCallers(this.#servers.callers, { timer, graceMs, onUnlisted }),
       registry && leaveRegistry({ registry, ...parts }),
     ]);
-    this.#callerServer.close();
-    this.#operatorServer.close();
-    this.#readinessServer.close();
+    this.#servers.close();
     this.#listReader?.[Symbol.dispose]();
     this.#mesh[Symbol.dispose]();
     this.#registry?.[Symbol.dispose]();
@@ -253,6 +241,7 @@
       directory: this.#endpoints.directory,
       startGate: this.#startGate,
       held: this.#endpoints.held,
+      bodies: createBodyBudget({ settings, timer, journal, metrics }),
       origins: this.#mesh.origins,
       budgets: new RetryBudgets(bounds, () => this.#instances),
       quarantine: this.#quarantine,
@@ -302,7 +291,7 @@
       return;
     }
     this.#table = new RoutingTable(decoded.value);
-    this.#callerServer.applyLimits(decoded.value.limits);
+    this.#servers.callers.applyLimits(decoded.value.limits);
     const { routes, pools } = decoded.value;
     const sizes = { routes: routes.length, pools: pools.length };
     journal.record(gatewayEvents.tableReplaced, { version, ...sizes });
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -1,5 +1,5 @@
 import type { Journal, Metrics, Random, Timer } from '@berylwood/base';
-import type { ContentQuarantine } from '@berylwood/policy';
+import type { BodyBudget, ContentQuarantine } from '@berylwood/policy';
 import type { StreamOrigins } from '@berylwood/registry';
 import type { EndpointDirectory } from './EndpointDirectory';
 import type { FaultLog } from './FaultLog';
@@ -23,6 +23,8 @@
   readonly directory: EndpointDirectory;
   readonly budgets: RetryBudgets;
   readonly held: HeldRequests;
+  /** Budget of the bodies that the instance holds for callers and operators. */
+  readonly bodies: BodyBudget;
   /** Versions that began streams, known to all instances. */
   readonly origins: Pick<StreamOrigins, 'record' | 'find' | 'findOnlyVersion'>;
   readonly quarantine: ContentQuarantine;
--- /dev/null
+++ b/packages/gateway/src/lib/GatewayServers.ts
@@ -0,0 +1,67 @@
+import { maxDescriptors } from '@berylwood/base';
+import type { Mesh } from '@berylwood/registry';
+import type { GatewaySettings } from '@berylwood/schema';
+import { CallerServer } from './CallerServer';
+import type { GatewayContext } from './GatewayContext';
+import { OperatorServer } from './OperatorServer';
+import { ReadinessServer } from './ReadinessServer';
+import { UnfinishedHeads } from './UnfinishedHeads';
+
+/**
+ * Parts of the descriptors for connections that wait for a request. The rest is for requests, endpoints,
+ * other instances and files.
+ */
+const CALLER_SHARE = 1 / 2;
+const OTHER_SHARE = 1 / 16;
+
+/** Bytes of one unfinished head at most; as many heads may be unfinished as the body budget has room for. */
+const MAX_HEADS = 4096;
+
+/** @internal */
+export interface GatewayServersOptions {
+  readonly context: GatewayContext;
+  readonly settings: GatewaySettings;
+  readonly mesh: Mesh;
+  readonly isReady: () => boolean;
+}
+
+/** The HTTP servers of an instance. @internal */
+export class GatewayServers {
+  readonly callers: CallerServer;
+
+  readonly #operators: OperatorServer;
+
+  readonly #readiness: ReadinessServer;
+
+  readonly #settings: GatewaySettings;
+
+  constructor({ context, settings, mesh, isReady }: GatewayServersOptions) {
+    const { wire, journal, faults, timer, bodies } = context;
+    this.#settings = settings;
+    this.callers = new CallerServer(context);
+    this.#readiness = new ReadinessServer(wire.paths.readiness, isReady);
+    this.#operators = new OperatorServer({ wire, mesh, journal, faults, timer, bodies });
+    const descriptors = maxDescriptors();
+    const limitsOf = (share: number) => ({
+      maxWaiting: Math.min(MAX_HEADS, Math.floor(descriptors * share)),
+      timer,
+      journal,
+    });
+    this.callers.limitConnections(new UnfinishedHeads(limitsOf(CALLER_SHARE)));
+    this.#readiness.limitConnections(new UnfinishedHeads(limitsOf(OTHER_SHARE)));
+    this.#operators.limitConnections(new UnfinishedHeads(limitsOf(OTHER_SHARE)));
+  }
+
+  async listen(): Promise<void> {
+    const { readiness, callers, operators } = this.#settings;
+    await this.#readiness.listen(readiness);
+    await this.callers.listen(callers);
+    if (operators) await this.#operators.listen(operators);
+  }
+
+  close(): void {
+    this.callers.close();
+    this.#operators.close();
+    this.#readiness.close();
+  }
+}
--- a/packages/gateway/src/lib/OperatorServer.ts
+++ b/packages/gateway/src/lib/OperatorServer.ts
@@ -1,10 +1,12 @@
 import { isUtf8 } from 'node:buffer';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
-import { Failure, fail, type Journal } from '@berylwood/base';
+import { Failure, fail, type Journal, type Timer } from '@berylwood/base';
+import type { BodyBudget } from '@berylwood/policy';
 import type { Mesh } from '@berylwood/registry';
 import { gatewayEvents } from './events';
 import { gatewayCodes } from './codes';
+import { endEarly } from './endEarly';
 import type { FaultLog } from './FaultLog';
 import { HttpListener } from './HttpListener';
 import { readBody } from './readBody';
@@ -27,6 +29,8 @@
   readonly mesh: Mesh;
   readonly journal: Journal;
   readonly faults: FaultLog;
+  readonly timer: Timer;
+  readonly bodies: BodyBudget;
 }
 
 /** HTTP server for operators: PUT commits a configuration, GET returns the newest one. @internal */
@@ -49,8 +53,10 @@
     if (path !== wire.paths.configuration) {
       response.writeHead(404).end();
     } else if (request.method === 'PUT') {
-      readBody(request, MAX_CONFIGURATION_BYTES, (body) => {
-        if (body === 'tooLarge') response.writeHead(413, { Connection: 'close' }).end();
+      const { bodies } = this.#options;
+      readBody(request, response, { maxBytes: MAX_CONFIGURATION_BYTES, bodies }, (body) => {
+        if (body === 'tooLarge') this.#reject(response, 413);
+        else if (body === 'overBudget') this.#reject(response, 503);
         else if (body !== 'gone') this.#contain(response, () => this.#configure(body, response));
       });
     } else if (request.method === 'GET') {
@@ -58,23 +64,36 @@
     } else response.writeHead(405, { Allow: 'GET, PUT' }).end();
   }
 
+  /** Rejects a call whose body has not arrived completely. */
+  #reject(response: ServerResponse, status: 413 | 503): void {
+    const { timer } = this.#options;
+    const retry = status === 503 ? { 'Retry-After': String(RETRY_AFTER_MS / 1000) } : {};
+    response.writeHead(status, { Connection: 'close', 'Content-Length': '0', ...retry });
+    endEarly(response, '', timer);
+  }
+
   /** Runs a call of an operator; an exception ends this call alone. */
   #contain(response: ServerResponse, call: () => Promise<void>): void {
     call().catch((error: unknown) => {
-      this.#options.faults.record('operatorCall', error, {});
+      const { faults, timer } = this.#options;
+      faults.record('operatorCall', error, {});
       if (response.headersSent) response.destroy();
-      else sendFailure(response, new Failure(gatewayCodes.fault, String(error)), undefined, true);
+      else
+        sendFailure(response, new Failure(gatewayCodes.fault, String(error)), {
+          isStopping: true,
+          timer,
+        });
     });
   }
 
   async #configure(body: Buffer, response: ServerResponse): Promise<void> {
-    const { wire, mesh } = this.#options;
+    const { wire, mesh, timer } = this.#options;
     const decoded = isUtf8(body)
       ? wire.decodeConfiguration(body.toString('utf8'))
       : fail<RoutingConfiguration>(gatewayCodes.configurationInvalid, 'the body is not UTF-8');
     if (decoded.isErr()) {
       this.#logCall('refused', undefined, decoded.error.message);
-      sendFailure(response, decoded.error, undefined, false);
+      sendFailure(response, decoded.error, { timer });
       return;
     }
     const { version } = decoded.value;
--- /dev/null
+++ b/packages/gateway/src/lib/ResponseMemory.ts
@@ -0,0 +1,119 @@
+import type { ServerResponse } from 'node:http';
+import { DisposableStore } from '@berylwood/base';
+import type { BodyAccount } from '@berylwood/policy';
+import type { GatewayContext } from './GatewayContext';
+import { memoryEvents } from './memoryEvents';
+import type { ResponseRelay } from './ResponseRelay';
+
+/**
+ * Interval at which a paused response is read on, in milliseconds. Endpoints abort a response that stays
+ * unread for some seconds.
+ */
+const READ_ON_MS = 1000;
+
+/** Intervals without any byte read by the caller after which it is cut. */
+const MAX_SILENT_INTERVALS = 2;
+
+/** How much of a response is not sent. */
+interface Unsent {
+  readonly writable: number;
+  /** Bytes of the current write that the kernel has not taken. */
+  readonly queued: number;
+}
+
+function unsentOf(response: ServerResponse): Unsent {
+  // No public property shows the progress of one large write.
+  const handle: unknown = response.socket && Reflect.get(response.socket, '_handle');
+  const queued: unknown = handle && Reflect.get(handle, 'writeQueueSize');
+  return { writable: response.writableLength, queued: typeof queued === 'number' ? queued : 0 };
+}
+
+/**
+ * Counts the bytes that are held for a caller who reads slowly. While the response is paused for the
+ * caller, it is read on a little at intervals; a caller that reads nothing at all is cut.
+ * @internal
+ */
+export class ResponseMemory implements Disposable {
+  readonly #context: Pick<GatewayContext, 'bodies' | 'timer' | 'journal'>;
+
+  readonly #relay: ResponseRelay;
+
+  readonly #store = new DisposableStore();
+
+  #account: BodyAccount | undefined;
+
+  #unsent: Unsent = { writable: 0, queued: 0 };
+
+  #watch: Disposable | undefined;
+
+  #silentIntervals = 0;
+
+  constructor(context: Pick<GatewayContext, 'bodies' | 'timer' | 'journal'>, relay: ResponseRelay) {
+    this.#context = context;
+    this.#relay = relay;
+  }
+
+  /** Counts what is held now. */
+  update(): void {
+    const { heldBytes, response, isHeadSent } = this.#relay;
+    const before = this.#account?.bytes ?? 0;
+    if (heldBytes === before || this.#store.isDisposed) return;
+    this.#account ??= this.#open(response);
+    // Until the head is sent, the caller has nothing to read.
+    if (heldBytes < before || !isHeadSent) this.#account.move(Math.abs(heldBytes - before));
+    this.#account.resize(heldBytes);
+  }
+
+  /**
+   * The response is paused until the caller has read what was sent.
+   * @param readOn - reads on a little.
+   */
+  paused(readOn: () => void): void {
+    if (this.#watch || this.#store.isDisposed) return;
+    this.#unsent = unsentOf(this.#relay.response);
+    this.#watch = this.#context.timer.after(READ_ON_MS, () => {
+      this.#watch = undefined;
+      this.#silentIntervals = this.#hasProgress() ? 0 : this.#silentIntervals + 1;
+      if (this.#silentIntervals < MAX_SILENT_INTERVALS) {
+        this.paused(readOn);
+        readOn();
+      } else this.#cut();
+    });
+  }
+
+  /** The caller has read all that was sent. */
+  drained(): void {
+    this.#watch?.[Symbol.dispose]();
+    this.#watch = undefined;
+    this.#silentIntervals = 0;
+    this.update();
+  }
+
+  [Symbol.dispose](): void {
+    this.#watch?.[Symbol.dispose]();
+    this.#store[Symbol.dispose]();
+  }
+
+  #open(response: ServerResponse): BodyAccount {
+    const account = this.#context.bodies.open('response', () => response.destroy());
+    account.onSample = () => {
+      if (this.#hasProgress()) account.move(response.writableLength);
+    };
+    this.#store.add(account);
+    response.once('close', () => this[Symbol.dispose]());
+    return account;
+  }
+
+  /** Whether the caller has read anything since the last check. */
+  #hasProgress(): boolean {
+    const { writable, queued } = this.#unsent;
+    this.#unsent = unsentOf(this.#relay.response);
+    return this.#unsent.writable < writable || this.#unsent.queued !== queued;
+  }
+
+  #cut(): void {
+    const { heldBytes, response } = this.#relay;
+    this.#context.journal.record(memoryEvents.readerCut, { held: heldBytes });
+    response.destroy();
+  }
+}
--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -8,6 +8,7 @@
 import type { RequestReport } from './RequestReport';
 import type { ResolvedRequest } from './resolveRequest';
 import type { ResponseHead } from './readResponseHead';
+import { ResponseMemory } from './ResponseMemory';
 import type { ResponseRelay } from './ResponseRelay';
 import type { StallDetector } from './StallDetector';
 import type { StartedAttempt } from './startAttempt';
@@ -37,6 +38,8 @@
 export class ResponseReceiver implements Disposable {
   readonly #parts: ResponseReceiverParts;
 
+  readonly #memory: ResponseMemory;
+
   #started: StartedAttempt | undefined;
 
   #answered: AnsweredRequest | undefined;
@@ -52,6 +55,7 @@
 
   constructor(parts: ResponseReceiverParts) {
     this.#parts = parts;
+    this.#memory = new ResponseMemory(parts.context, parts.relay);
   }
 
   /** The latest attempt. */
@@ -89,6 +93,24 @@
 
   /** Passes a part of the body on. Returns false if the response has to pause. */
   onData(chunk: Buffer): boolean {
+    const isWritable = this.#pass(chunk);
+    this.#memory.update();
+    if (!isWritable && !this.#isHolding) this.#awaitCaller();
+    return isWritable;
+  }
+
+  /** Reads on, as the caller has read all that was sent. */
+  resume(): void {
+    this.#memory.drained();
+    this.attempt?.resume();
+  }
+
+  /** Reads on at intervals while the caller reads slowly. */
+  #awaitCaller(): void {
+    this.#memory.paused(this.#parts.boundary.wrap(() => this.attempt?.resume()));
+  }
+
+  #pass(chunk: Buffer): boolean {
     const { relay } = this.#parts;
     if (this.#isReplaced) {
       this.attempt?.abort('the endpoint is listed with another software version');
@@ -118,6 +140,8 @@
   /** Stops to watch the attempt for a stall. */
   [Symbol.dispose](): void {
     this.#detector?.[Symbol.dispose]();
+    // What was sent last may still be unread.
+    this.#memory.update();
   }
 
   /** Whether another version than that of a bound stream may answer the attempt, whose first event is still to come. */
@@ -165,6 +189,7 @@
     this.#forwarded();
     if (handleEnd) handleEnd();
     else if (isWritable) attempt.resume();
+    else this.#awaitCaller();
   }
 
   #forwarded(): void {
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -25,7 +25,8 @@
  * @internal
  */
 export class ResponseRelay {
-  readonly #response: ServerResponse;
+  /** Response to the caller. */
+  readonly response: ServerResponse;
 
   readonly #wire: Wire;
 
@@ -53,7 +54,7 @@
   readonly #readsChunks: boolean;
 
   constructor(response: ServerResponse, wire: Wire) {
-    this.#response = response;
+    this.response = response;
     this.#wire = wire;
     this.#readsChunks = response.useChunkedEncodingByDefault;
   }
@@ -63,6 +64,11 @@
     return this.#forwardedBytes;
   }
 
+  /** Bytes that are held for the caller. */
+  get heldBytes(): number {
+    return this.#bufferedBytes + this.response.writableLength;
+  }
+
   /** Whether the head was sent to the caller. */
   get isHeadSent(): boolean {
     return this.#isHeadSent;
@@ -174,12 +180,12 @@
   finish(): void {
     const body = Buffer.concat(this.#takeBuffered());
     if (!this.#isHeadSent) this.#sendHead(body.length);
-    this.#response.end(body);
+    this.response.end(body);
   }
 
   /** Ends a response whose head was sent, so that the caller sees that it is incomplete. */
   cut(): void {
-    const { socket } = this.#response;
+    const { socket } = this.response;
     // What was written leaves first, but is not waited for if the caller does not read.
     socket?.setTimeout(CUT_TIMEOUT_MS, () => socket.destroy());
     socket?.destroySoon();
@@ -188,7 +194,7 @@
   /** Sends bytes of the body, or buffers them while there are at most `maxBufferedBytes` of them. */
   #accept(bytes: Buffer, maxBufferedBytes: number): boolean {
     this.#forwardedBytes += bytes.length;
-    if (this.#isHeadSent) return this.#response.write(bytes);
+    if (this.#isHeadSent) return this.response.write(bytes);
     this.#buffered.push(bytes);
     this.#bufferedBytes += bytes.length;
     if (this.#isHeld) return false;
@@ -198,7 +204,7 @@
 
   #sendBuffered(): boolean {
     this.#sendHead(undefined);
-    return this.#response.write(Buffer.concat(this.#takeBuffered()));
+    return this.response.write(Buffer.concat(this.#takeBuffered()));
   }
 
   #takeBuffered(): Buffer[] {
@@ -229,12 +235,12 @@
     const { status = 0, rawHeaders = [] } = this.#head ?? {};
     const headers = this.#wire.responseHeaders(rawHeaders);
     const hasBody = !bodilessStatuses.has(status);
-    const isHead = this.#response.req.method === 'HEAD';
+    const isHead = this.response.req.method === 'HEAD';
     const length = isHead ? this.#statedLength : (bodyBytes ?? this.#statedLength);
-    if (this.#isUnframed) this.#response.useChunkedEncodingByDefault = false;
+    if (this.#isUnframed) this.response.useChunkedEncodingByDefault = false;
     else if (hasBody && length !== undefined) headers.push('Content-Length', String(length));
     if (this.#closesConnection || this.#isUnframed) headers.push('Connection', 'close');
     this.#isHeadSent = true;
-    this.#response.writeHead(status, headers);
+    this.response.writeHead(status, headers);
   }
 }
--- a/packages/gateway/src/lib/codes.ts
+++ b/packages/gateway/src/lib/codes.ts
@@ -136,4 +136,12 @@
       'The stream can be resumed only at the software version that began it, which is unknown or out of service.',
     remedy: 'Begin the stream anew at once, without Last-Event-Id and Resumes.',
   },
+  memorySpent: {
+    number: 9030,
+    status: 503,
+    notRun: true,
+    meaning:
+      'The instance holds as many bytes of requests, or unfinished requests, as its memory allows.',
+    remedy: 'Retry after the stated time, and send the whole request at once.',
+  },
 });
--- /dev/null
+++ b/packages/gateway/src/lib/createBodyBudget.ts
@@ -0,0 +1,60 @@
+import {
+  defaultBodyBudgetBytes,
+  maxDescriptors,
+  type Journal,
+  type Metrics,
+  type Timer,
+} from '@berylwood/base';
+import { BodyBudget } from '@berylwood/policy';
+import type { GatewaySettings } from '@berylwood/schema';
+import { LineLimit } from './LineLimit';
+import { memoryEvents } from './memoryEvents';
+
+/** Part of the descriptors for connections whose request has not arrived completely. */
+const UNFINISHED_SHARE = 1 / 4;
+
+/** Memory of one unfinished request besides its body: its connection, parser and headers, in bytes. */
+const REQUEST_BYTES = 16 * 1024;
+
+const MAX_LINES_PER_S = 10;
+
+/** @internal */
+export interface BodyBudgetParts {
+  readonly settings: Pick<GatewaySettings, 'bodyBudgetBytes' | 'maxUnfinishedBodies'>;
+  readonly timer: Timer;
+  readonly journal: Journal;
+  readonly metrics: Metrics;
+}
+
+/** Creates the budget of an instance, by its settings or else by its memory and descriptors. @internal */
+export function createBodyBudget({
+  settings,
+  timer,
+  journal,
+  metrics,
+}: BodyBudgetParts): BodyBudget {
+  const maxBytes = settings.bodyBudgetBytes ?? defaultBodyBudgetBytes();
+  const maxUnfinished =
+    settings.maxUnfinishedBodies ??
+    Math.floor(Math.min(maxDescriptors() * UNFINISHED_SHARE, maxBytes / REQUEST_BYTES));
+  const help = 'Requests and responses that were ended because the body budget is spent, by kind';
+  const ended = metrics.counter('bodies_ended_total', help, ['kind']);
+  const lines = new LineLimit(timer, MAX_LINES_PER_S);
+  const budget = new BodyBudget({
+    maxBytes,
+    maxUnfinished,
+    now: () => timer.now(),
+    onEnded: ({ kind, bytes, startedAt }) => {
+      ended.inc({ kind });
+      if (!lines.take()) return;
+      const ageMs = Math.round(timer.now() - startedAt);
+      journal.record(memoryEvents.bodyEnded, { kind, bytes, ageMs, held: budget.bytes });
+    },
+  });
+  const bytesHelp = 'Bytes of requests and responses held for callers';
+  metrics.readGauge('body_bytes', bytesHelp, () => budget.bytes);
+  const unfinishedHelp = 'Requests that have not arrived completely';
+  metrics.readGauge('unfinished_bodies', unfinishedHelp, () => budget.unfinished);
+  journal.record(memoryEvents.memoryLimited, { maxBytes, maxUnfinished });
+  return budget;
+}
--- a/packages/gateway/src/lib/readBody.ts
+++ b/packages/gateway/src/lib/readBody.ts
@@ -1,32 +1,66 @@
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { ChunkBuffer, DisposableStore } from '@berylwood/base';
+import type { BodyBudget } from '@berylwood/policy';
 
 /** A complete body, or why there is none. @internal */
-export type ReadBody = Buffer | 'tooLarge' | 'gone';
+export type ReadBody = Buffer | 'tooLarge' | 'overBudget' | 'gone';
+
+/** @internal */
+export interface BodyLimits {
+  readonly maxBytes: number;
+  /** Budget in which the body counts until the response has ended. */
+  readonly bodies: BodyBudget;
+}
 
 /**
- * Reads a complete request body. Reports `tooLarge` as soon as the limit is exceeded, and `gone` if
- * the caller closes its connection before the end.
+ * Reads a complete request body. Reports `tooLarge` as soon as its declared length or its bytes exceed the
+ * limit, `overBudget` if it ends because the budget is spent, and `gone` if the caller closes its connection
+ * before the end. After that, and after disposal, nothing more is kept.
  * @internal
  */
 export function readBody(
   request: IncomingMessage,
-  maxBytes: number,
+  response: ServerResponse,
+  { maxBytes, bodies }: BodyLimits,
   onEnd: (body: ReadBody) => void,
-): void {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  let isOver = false;
+): Disposable {
+  const buffer = new ChunkBuffer();
+  const store = new DisposableStore();
   const end = (result: ReadBody): void => {
-    if (isOver) return;
-    isOver = true;
+    if (store.isDisposed) return;
+    store[Symbol.dispose]();
     onEnd(result);
   };
-  request.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes > maxBytes) end('tooLarge');
-    else if (!isOver) chunks.push(chunk);
+  if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
+    end('tooLarge');
+    return store;
+  }
+  const account = bodies.open('request', () => end('overBudget'));
+  if (store.isDisposed) return store;
+  let isComplete = false;
+  const onData = (chunk: Buffer): void => {
+    if (buffer.length + chunk.length > maxBytes) {
+      end('tooLarge');
+      return;
+    }
+    buffer.push(chunk);
+    account.move(chunk.length);
+    account.resize(buffer.heldBytes);
+  };
+  store.defer(() => {
+    request.off('data', onData);
+    buffer.clear();
+    if (!isComplete) account[Symbol.dispose]();
+  });
+  response.once('close', () => account[Symbol.dispose]());
+  request.on('data', onData);
+  request.on('end', () => {
+    if (store.isDisposed) return;
+    isComplete = true;
+    account.complete();
+    end(buffer.take());
   });
-  request.on('end', () => end(chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks)));
   request.on('close', () => end('gone'));
   request.on('error', () => end('gone'));
+  return store;
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -86,3 +86,5 @@
 } from './lib/placement/admits';
 export { URGENCY_LEVELS, UrgencyScale, type RankPair } from './lib/placement/UrgencyScale';
 export { retryAfterMs } from './lib/placement/retryAfter';
+export { BodyBudget, type BodyAccount, type BodyBudgetOptions } from './lib/limits/BodyBudget';
+export { type HeldBody } from './lib/limits/chooseBodiesToEnd';
--- /dev/null
+++ b/packages/policy/src/lib/limits/BodyBudget.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { BodyBudget, type BodyAccount } from './BodyBudget';
+
+const MIB = 1024 * 1024;
+
+/** A budget at a time that the test moves, with the names of the bodies that it has ended. */
+function createBudget({ maxBytes = 16 * MIB, maxUnfinished = 64 } = {}) {
+  const clock = { now: 0 };
+  const ended: string[] = [];
+  const budget = new BodyBudget({
+    maxBytes,
+    maxUnfinished,
+    now: () => clock.now,
+    onEnded: () => {},
+  });
+  const open = (name: string, kind: 'request' | 'response' = 'request'): BodyAccount =>
+    budget.open(kind, () => ended.push(name));
+  const receive = (account: BodyAccount, bytes: number): void => {
+    account.move(bytes);
+    account.resize(account.bytes + bytes);
+  };
+  return { clock, ended, budget, open, receive };
+}
+
+// Guards against the end of ordinary requests in place of the bodies that fill the budget.
+test('stalled bodies end before those that make progress, the emptiest first', () => {
+  const { clock, ended, budget, open, receive } = createBudget();
+  receive(open('large stalled'), 9 * MIB);
+  receive(open('small stalled'), 1 * MIB);
+  clock.now = 20_000;
+  const active = open('active');
+  for (let second = 0; second < 6; second += 1) {
+    clock.now += 1000;
+    receive(active, MIB);
+  }
+  assert.deepEqual(ended, ['small stalled', 'large stalled']);
+  assert.equal(budget.bytes, 6 * MIB);
+  assert.equal(budget.unfinished, 1);
+});
+
+// Guards against crowds that take the bytes that ordinary requests need.
+test('large bodies leave a reserve for small ones', () => {
+  const { ended, open, receive } = createBudget();
+  for (let number = 0; number < 64; number += 1) {
+    const account = open(`large ${number}`);
+    for (let chunk = 0; chunk < 8; chunk += 1) receive(account, MIB / 8);
+  }
+  ended.length = 0;
+  for (let number = 0; number < 30; number += 1) receive(open(`small ${number}`), 60 * 1024);
+  assert.deepEqual(ended, []);
+});
+
+// Guards against bodies that end in spite of having arrived completely, and against ones that no longer count.
+test('complete requests count until they are released, and never end for others', () => {
+  const { clock, ended, budget, open, receive } = createBudget();
+  const complete = open('complete');
+  receive(complete, 13 * MIB);
+  complete.complete();
+  assert.equal(budget.unfinished, 0);
+  clock.now = 10_000;
+  receive(open('next'), 4 * MIB);
+  assert.deepEqual(ended, ['next']);
+  complete[Symbol.dispose]();
+  assert.equal(budget.bytes, 0);
+  receive(open('last'), 4 * MIB);
+  assert.deepEqual(ended, ['next']);
+});
+
+// Guards against unfinished requests without bytes, which take descriptors.
+test('the longest silent requests end if there are too many unfinished ones', () => {
+  const { clock, ended, budget, open, receive } = createBudget({ maxUnfinished: 16 });
+  const accounts = Array.from({ length: 16 }, (_, number) => open(`${number}`));
+  clock.now = 5000;
+  for (const account of accounts.slice(2)) receive(account, 50_000);
+  open('new');
+  assert.deepEqual(ended, ['0', '1']);
+  assert.equal(budget.unfinished, 15);
+});
+
+// Guards against callers that are cut while they read, or before requests that have not run.
+test('responses end only if their callers read nothing, and after stalled requests', () => {
+  const { clock, ended, open, receive } = createBudget();
+  const read = open('read', 'response');
+  receive(read, 6 * MIB);
+  receive(open('unread', 'response'), 6 * MIB);
+  receive(open('stalled request'), MIB);
+  clock.now = 5000;
+  read.onSample = () => read.move(MIB);
+  receive(open('next'), 3 * MIB);
+  assert.deepEqual(ended, ['stalled request', 'unread']);
+  receive(open('last'), 6 * MIB);
+  assert.ok(!ended.includes('read'));
+});
+
+// Guards against a budget that is exceeded if nothing else can end.
+test('a body that alone exceeds the budget ends', () => {
+  const { ended, budget, open, receive } = createBudget();
+  receive(open('only'), 17 * MIB);
+  assert.deepEqual(ended, ['only']);
+  assert.equal(budget.bytes, 0);
+});
+
+// Guards against bytes that are counted twice or never given back.
+test('a body that has ended or was disposed of no longer counts', () => {
+  const { budget, open, receive } = createBudget();
+  const account = open('one');
+  receive(account, MIB);
+  account[Symbol.dispose]();
+  account[Symbol.dispose]();
+  receive(account, MIB);
+  account.complete();
+  assert.equal(budget.bytes, 0);
+  assert.equal(budget.unfinished, 0);
+});
--- /dev/null
+++ b/packages/policy/src/lib/limits/BodyBudget.ts
@@ -0,0 +1,179 @@
+import {
+  chooseBodiesToEnd,
+  recentBytesOf,
+  SMALL_BODY_BYTES,
+  type HeldBody,
+} from './chooseBodiesToEnd';
+
+/** Part of the budget that large bodies leave to small ones. */
+const RESERVE_SHARE = 1 / 8;
+
+/** Part of the budget that is freed beyond the excess, so that not each further chunk ends a body. */
+const SLACK_SHARE = 1 / 16;
+
+/** @public */
+export interface BodyBudgetOptions {
+  /** Bytes of all bodies that the process holds. */
+  readonly maxBytes: number;
+  /** Requests that have not arrived completely. */
+  readonly maxUnfinished: number;
+  readonly now: () => number;
+  /** Called for each body that ends because the budget is spent. */
+  readonly onEnded: (body: HeldBody) => void;
+}
+
+/** A body that counts in a budget until it is disposed of. @public */
+export class BodyAccount implements HeldBody, Disposable {
+  readonly kind: HeldBody['kind'];
+
+  readonly startedAt: number;
+
+  bytes = 0;
+
+  recentBytes = 0;
+
+  movedAt: number;
+
+  readonly #budget: BodyBudget;
+
+  readonly #onEnd: () => void;
+
+  /** Updates what the account states, before bodies are chosen to end. */
+  onSample: () => void = () => {};
+
+  /** @internal */
+  constructor(budget: BodyBudget, kind: HeldBody['kind'], now: number, onEnd: () => void) {
+    this.#budget = budget;
+    this.kind = kind;
+    this.startedAt = now;
+    this.movedAt = now;
+    this.#onEnd = onEnd;
+  }
+
+  /** Counts bytes that the peer has sent or read. */
+  move(bytes: number): void {
+    const now = this.#budget.now();
+    this.recentBytes = recentBytesOf(this, now) + bytes;
+    this.movedAt = now;
+  }
+
+  /** Sets the number of bytes held. Ends bodies, this one perhaps, if that exceeds the budget. */
+  resize(bytes: number): void {
+    this.#budget.resize(this, bytes);
+  }
+
+  /** The request has arrived completely: it keeps its bytes, and no longer ends for others. */
+  complete(): void {
+    this.#budget.complete(this);
+  }
+
+  /** @internal */
+  end(): void {
+    this.#onEnd();
+  }
+
+  [Symbol.dispose](): void {
+    this.#budget.release(this);
+  }
+}
+
+/**
+ * Budget of the bytes of bodies that a process holds for callers, and of requests that have not arrived
+ * completely.
+ * @public
+ */
+export class BodyBudget {
+  readonly #options: BodyBudgetOptions;
+
+  /** Accounts that count. */
+  readonly #accounts = new Set<BodyAccount>();
+
+  /** Accounts that may end for others: unfinished requests, and responses. */
+  readonly #open = new Set<BodyAccount>();
+
+  #bytes = 0;
+
+  #unfinished = 0;
+
+  constructor(options: BodyBudgetOptions) {
+    this.#options = options;
+  }
+
+  /** @internal */
+  now(): number {
+    return this.#options.now();
+  }
+
+  /** Bytes held. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
+  /** Requests that have not arrived completely. */
+  get unfinished(): number {
+    return this.#unfinished;
+  }
+
+  /**
+   * Counts another body.
+   * @param onEnd - ends the body, as the budget is spent; the account is disposed of before.
+   */
+  open(kind: HeldBody['kind'], onEnd: () => void): BodyAccount {
+    const { maxUnfinished, now } = this.#options;
+    const account = new BodyAccount(this, kind, now(), onEnd);
+    this.#accounts.add(account);
+    this.#open.add(account);
+    if (kind === 'response') return account;
+    this.#unfinished += 1;
+    const requests = this.#unfinished - maxUnfinished;
+    if (requests > 0) {
+      this.#end({
+        bytes: 0,
+        requests: requests + maxUnfinished * SLACK_SHARE,
+        includesSmall: true,
+      });
+    }
+    return account;
+  }
+
+  /** @internal */
+  resize(account: BodyAccount, bytes: number): void {
+    if (!this.#accounts.has(account)) return;
+    const isGrowth = bytes > account.bytes;
+    this.#bytes += bytes - account.bytes;
+    account.bytes = bytes;
+    if (!isGrowth) return;
+    const { maxBytes } = this.#options;
+    const isLarge = bytes > SMALL_BODY_BYTES;
+    const limit = isLarge ? maxBytes * (1 - RESERVE_SHARE) : maxBytes;
+    const excess = this.#bytes - limit;
+    if (excess <= 0) return;
+    this.#end({ bytes: excess + maxBytes * SLACK_SHARE, requests: 0, includesSmall: !isLarge });
+    // Bodies that can't end fill the budget.
+    if (this.#bytes > limit && this.#open.has(account)) this.#endOne(account);
+  }
+
+  /** @internal */
+  complete(account: BodyAccount): void {
+    if (this.#open.delete(account) && account.kind === 'request') this.#unfinished -= 1;
+  }
+
+  /** @internal */
+  release(account: BodyAccount): void {
+    if (!this.#accounts.delete(account)) return;
+    this.complete(account);
+    this.#bytes -= account.bytes;
+  }
+
+  #end(excess: Parameters<typeof chooseBodiesToEnd>[1]): void {
+    for (const account of this.#open) account.onSample();
+    const chosen = chooseBodiesToEnd(this.#open, excess, this.#options.now());
+    for (const account of chosen) this.#endOne(account);
+  }
+
+  #endOne(account: BodyAccount): void {
+    this.release(account);
+    this.#options.onEnded(account);
+    account.end();
+  }
+}
--- a/packages/schema/src/lib/GatewaySettings.ts
+++ b/packages/schema/src/lib/GatewaySettings.ts
@@ -42,6 +42,10 @@
   repeatSlack: z.number().nonnegative().default(20),
   /** Time before a new leader takes over the duties of the previous one, in milliseconds. */
   dutyPauseMs: z.number().nonnegative().default(3000),
+  /** Bytes of bodies held for callers and operators; by the limits of the process's memory if omitted. */
+  bodyBudgetBytes: z.number().int().positive().optional(),
+  /** Requests that have not arrived completely; by memory and descriptors if omitted. */
+  maxUnfinishedBodies: z.number().int().positive().optional(),
 });
 
 /** @public */
