--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -31,5 +31,6 @@
   type JournalRecord,
 } from './lib/Journal';
 export { Metrics } from './lib/Metrics';
+export { LineLimit } from './lib/LineLimit';
 export { ChunkBuffer } from './lib/ChunkBuffer';
-export { defaultBodyBudgetBytes, maxDescriptors } from './lib/processLimits';
+export { defaultBodyBudgetBytes, defaultMaxUnfinished, maxDescriptors } from './lib/processLimits';
--- a/packages/gateway/src/lib/LineLimit.ts
+++ b/packages/base/src/lib/LineLimit.ts
@@ -2,7 +2,7 @@
 
 const SECOND_MS = 1000;
 
-/** Limits the log lines of one kind in each second. @internal */
+/** Limits the log lines of one kind in each second. @public */
 export class LineLimit {
   readonly #timer: Timer;
 
--- a/packages/base/src/lib/processLimits.ts
+++ b/packages/base/src/lib/processLimits.ts
@@ -7,6 +7,12 @@
 /** Part of a limit on the memory of the whole process for bodies; the rest is for the heap and code. */
 const MEMORY_SHARE = 1 / 8;
 
+/** Part of the descriptors for connections whose request has not arrived completely. */
+const UNFINISHED_SHARE = 1 / 4;
+
+/** Memory of one unfinished request besides its body: its connection, parser and headers, in bytes. */
+const REQUEST_BYTES = 16 * 1024;
+
 /** Descriptors of a process whose limit cannot be read: the usual limit of a login. */
 const USUAL_DESCRIPTORS = 1024;
 
@@ -28,3 +34,8 @@
     return USUAL_DESCRIPTORS;
   }
 }
+
+/** Number of requests that may be unfinished at the same time, by the budget of their bytes. @public */
+export function defaultMaxUnfinished(budgetBytes: number): number {
+  return Math.floor(Math.min(maxDescriptors() * UNFINISHED_SHARE, budgetBytes / REQUEST_BYTES));
+}
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -10,7 +10,7 @@
 } from '@berylwood/base';
 import { Subscription } from '@berylwood/feed';
 import type { LinkIdentity } from '@berylwood/link';
-import { WorkspaceLimiter, type Scheduler } from '@berylwood/policy';
+import { WorkspaceLimiter, type BodyBudget, type Scheduler } from '@berylwood/policy';
 import {
   requestCodes,
   type EntrySettings,
@@ -32,6 +32,7 @@
 import { Exchange } from './Exchange';
 import { FailureLimiter } from './FailureLimiter';
 import { findRoute, type Route } from './findRoute';
+import { createBodyBudget } from './createBodyBudget';
 import { readBody } from './readBody';
 import { Recovery } from './Recovery';
 import { sendFailure } from './sendFailure';
@@ -72,6 +73,8 @@
 
   readonly #admission: Admission;
 
+  readonly #bodies: BodyBudget;
+
   readonly #failures: FailureLimiter;
 
   readonly #limiter: WorkspaceLimiter;
@@ -108,6 +111,7 @@
         mayStart: () => this.#subscription.isFresh,
       }),
     );
+    this.#bodies = createBodyBudget(options);
     this.#failures = new FailureLimiter(timer);
     this.#limiter = new WorkspaceLimiter(timer.now());
     const { certificate, journal } = options;
@@ -209,7 +213,10 @@
       sendFailure(response, new Failure(overloaded, overloaded.meaning, { retryAfterMs: 1000 }));
       return;
     }
-    const body = await readBody(request, settings.maxBodyBytes);
+    const body = await readBody(request, response, {
+      maxBytes: settings.maxBodyBytes,
+      bodies: this.#bodies,
+    });
     // Freshness and key are checked again: they may have changed while the body was read.
     const { state, isFresh } = this.#subscription;
     const { configuration } = state;
--- a/packages/entry/src/lib/events.ts
+++ b/packages/entry/src/lib/events.ts
@@ -68,4 +68,11 @@
     meaning: 'The certificate files cannot be used; the previous certificate stays in use.',
     action: 'Correct the files named in [tls.callers].',
   },
+  bodyRejected: {
+    number: 5011,
+    level: 'warn',
+    meaning:
+      'A request that had not arrived completely was rejected because the body budget is spent; at most 10 lines a second.',
+    action: 'See OPERATIONS.md, "Memory taken by callers".',
+  },
 });
--- a/packages/gateway/src/lib/Arrival.ts
+++ b/packages/gateway/src/lib/Arrival.ts
@@ -1,9 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { DisposableStore, Failure } from '@berylwood/base';
+import { readBody, type ReadBody } from '@berylwood/link';
 import { gatewayCodes } from './codes';
 import type { FaultBoundary } from './FaultBoundary';
 import type { GatewayContext } from './GatewayContext';
-import { readBody, type ReadBody } from './readBody';
 import { resolveRequest, type ResolvedRequest } from './resolveRequest';
 
 /** Receives a request as it arrives. @internal */
--- a/packages/gateway/src/lib/OperatorServer.ts
+++ b/packages/gateway/src/lib/OperatorServer.ts
@@ -3,13 +3,12 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { Failure, fail, type Journal, type Timer } from '@berylwood/base';
 import type { BodyBudget } from '@berylwood/policy';
+import { endEarly, readBody } from '@berylwood/link';
 import type { Mesh } from '@berylwood/registry';
 import { gatewayEvents } from './events';
 import { gatewayCodes } from './codes';
-import { endEarly } from './endEarly';
 import type { FaultLog } from './FaultLog';
 import { HttpListener } from './HttpListener';
-import { readBody } from './readBody';
 import type { RoutingConfiguration } from './RoutingConfiguration';
 import { sendFailure } from './sendFailure';
 import type { Wire } from './Wire';
--- a/packages/gateway/src/lib/UnfinishedHeads.ts
+++ b/packages/gateway/src/lib/UnfinishedHeads.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Journal, Timer } from '@berylwood/base';
-import { LineLimit } from './LineLimit';
+import { LineLimit, type Journal, type Timer } from '@berylwood/base';
 import { memoryEvents } from './memoryEvents';
 
 /** Part of the connections that is closed beyond the excess. */
--- a/packages/gateway/src/lib/createBodyBudget.ts
+++ b/packages/gateway/src/lib/createBodyBudget.ts
@@ -1,21 +1,15 @@
 import {
   defaultBodyBudgetBytes,
-  maxDescriptors,
+  defaultMaxUnfinished,
+  LineLimit,
   type Journal,
   type Metrics,
   type Timer,
 } from '@berylwood/base';
 import { BodyBudget } from '@berylwood/policy';
 import type { GatewaySettings } from '@berylwood/schema';
-import { LineLimit } from './LineLimit';
 import { memoryEvents } from './memoryEvents';
 
-/** Part of the descriptors for connections whose request has not arrived completely. */
-const UNFINISHED_SHARE = 1 / 4;
-
-/** Memory of one unfinished request besides its body: its connection, parser and headers, in bytes. */
-const REQUEST_BYTES = 16 * 1024;
-
 const MAX_LINES_PER_S = 10;
 
 /** @internal */
@@ -34,9 +28,7 @@
   metrics,
 }: BodyBudgetParts): BodyBudget {
   const maxBytes = settings.bodyBudgetBytes ?? defaultBodyBudgetBytes();
-  const maxUnfinished =
-    settings.maxUnfinishedBodies ??
-    Math.floor(Math.min(maxDescriptors() * UNFINISHED_SHARE, maxBytes / REQUEST_BYTES));
+  const maxUnfinished = settings.maxUnfinishedBodies ?? defaultMaxUnfinished(maxBytes);
   const help = 'Requests and responses that were ended because the body budget is spent, by kind';
   const ended = metrics.counter('bodies_ended_total', help, ['kind']);
   const lines = new LineLimit(timer, MAX_LINES_PER_S);
--- a/packages/gateway/src/lib/sendFailure.ts
+++ b/packages/gateway/src/lib/sendFailure.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import type { Failure, Timer } from '@berylwood/base';
-import { endEarly } from './endEarly';
+import { endEarly } from '@berylwood/link';
 import { gatewayCodes } from './codes';
 
 const SECOND_MS = 1000;
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -9,3 +9,5 @@
 export { closeNow } from './lib/closeNow';
 export { resetSocket } from './lib/resetSocket';
 export { listenOn } from './lib/listenOn';
+export { readBody, type BodyCounter, type BodyLimits, type ReadBody } from './lib/readBody';
+export { endEarly } from './lib/endEarly';
--- a/packages/gateway/src/lib/endEarly.ts
+++ b/packages/link/src/lib/endEarly.ts
@@ -11,7 +11,7 @@
  * Ends a response whose head was written, before its request has arrived completely. The rest of the request is
  * discarded for a short time: closing a connection with unread bytes resets it, and the caller might lose
  * the response. Then the connection is closed, also if the caller goes on sending or does not read.
- * @internal
+ * @public
  */
 export function endEarly(response: ServerResponse, body: string, timer: Timer): void {
   const { req: request } = response;
--- a/packages/gateway/src/lib/readBody.ts
+++ b/packages/link/src/lib/readBody.ts
@@ -1,22 +1,31 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { ChunkBuffer, DisposableStore } from '@berylwood/base';
-import type { BodyBudget } from '@berylwood/policy';
 
-/** A complete body, or why there is none. @internal */
+/** A complete body, or why there is none. @public */
 export type ReadBody = Buffer | 'tooLarge' | 'overBudget' | 'gone';
 
-/** @internal */
+/** Counts one body in the memory of a process until it is disposed of. @public */
+export interface BodyCounter extends Disposable {
+  /** Counts bytes that have arrived. */
+  move(bytes: number): void;
+  /** Sets the number of bytes held. */
+  resize(bytes: number): void;
+  /** Records that the body has arrived completely. */
+  complete(): void;
+}
+
+/** Limits of bodies. @public */
 export interface BodyLimits {
   readonly maxBytes: number;
   /** Budget in which the body counts until the response has ended. */
-  readonly bodies: BodyBudget;
+  readonly bodies: { open(kind: 'request', onEnd: () => void): BodyCounter };
 }
 
 /**
  * Reads a complete request body. Reports `tooLarge` as soon as its declared length or its bytes exceed the
  * limit, `overBudget` if it ends because the budget is spent, and `gone` if the caller closes its connection
  * before the end. After that, and after disposal, nothing more is kept.
- * @internal
+ * @public
  */
 export function readBody(
   request: IncomingMessage,
--- a/packages/schema/src/lib/Settings.ts
+++ b/packages/schema/src/lib/Settings.ts
@@ -26,6 +26,10 @@
   headersTimeoutMs: z.number().int().positive().default(10_000),
   /** Time-out for receiving a complete request, in milliseconds. */
   bodyTimeoutMs: z.number().int().positive().default(30_000),
+  /** Bytes of bodies held for callers; by the limits of the process's memory if omitted. */
+  bodyBudgetBytes: z.number().int().positive().optional(),
+  /** Requests that have not arrived completely; by memory and descriptors if omitted. */
+  maxUnfinishedBodies: z.number().int().positive().optional(),
   maxConnections: z.number().int().positive().default(20_000),
   /** Maximum number of waiting and running requests. */
   maxRequests: z.number().int().positive().default(20_000),
