Let requests that fill the body budget end no response whose caller reads

Found in the re-reading of the change: small writes that had left meanwhile stayed counted, so that a stream with pauses of 2 s could look unread and be cut once the budget was spent. Up to 16 KiB of a response don't count, the account is read again before a choice, and responses may exceed the budget by a quarter. A connection whose next request was sent ahead no longer counts as waiting.

--- a/packages/gateway/src/lib/ResponseMemory.ts
+++ b/packages/gateway/src/lib/ResponseMemory.ts
@@ -14,6 +14,9 @@
 /** Intervals without any byte read by the caller after which it is cut. */
 const MAX_SILENT_INTERVALS = 2;
 
+/** Bytes held that are usual while a caller reads, and don't count. */
+const USUAL_BYTES = 16 * 1024;
+
 /** How much of a response is not sent. */
 interface Unsent {
   readonly writable: number;
@@ -55,13 +58,14 @@
 
   /** Counts what is held now. */
   update(): void {
-    const { heldBytes, response, isHeadSent } = this.#relay;
+    const { response, isHeadSent } = this.#relay;
+    const bytes = this.#countedBytes;
     const before = this.#account?.bytes ?? 0;
-    if (heldBytes === before || this.#store.isDisposed) return;
+    if (bytes === before || this.#store.isDisposed) return;
     this.#account ??= this.#open(response);
     // Until the head is sent, the caller has nothing to read.
-    if (heldBytes < before || !isHeadSent) this.#account.move(Math.abs(heldBytes - before));
-    this.#account.resize(heldBytes);
+    if (bytes < before || !isHeadSent) this.#account.move(Math.abs(bytes - before));
+    this.#account.resize(bytes);
   }
 
   /**
@@ -94,10 +98,17 @@
     this.#store[Symbol.dispose]();
   }
 
+  get #countedBytes(): number {
+    const { heldBytes } = this.#relay;
+    return heldBytes > USUAL_BYTES ? heldBytes : 0;
+  }
+
   #open(response: ServerResponse): BodyAccount {
     const account = this.#context.bodies.open('response', () => response.destroy());
     account.onSample = () => {
       if (this.#hasProgress()) account.move(response.writableLength);
+      // What the caller has read since the last update no longer counts.
+      if (this.#countedBytes < account.bytes) this.update();
     };
     this.#store.add(account);
     response.once('close', () => this[Symbol.dispose]());
--- a/packages/gateway/src/lib/UnfinishedHeads.test.ts
+++ b/packages/gateway/src/lib/UnfinishedHeads.test.ts
@@ -12,7 +12,11 @@
   const timer = new SystemTimer();
   const journal = createSilentJournal(timer);
   const heads = new UnfinishedHeads({ maxWaiting: MAX_WAITING, timer, journal });
-  const server = createServer((_, response) => response.end('ok'));
+  const slow = { count: 0 };
+  const server = createServer((request, response) => {
+    if (request.url === '/slow') slow.count += 1;
+    else response.end('ok');
+  });
   heads.watch(server);
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -21,6 +25,7 @@
   t.after(() => {
     for (const socket of sockets) socket.destroy();
     server.close();
+    server.closeAllConnections();
   });
   const open = async (text: string): Promise<Socket> => {
     const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
@@ -33,7 +38,7 @@
     });
     return socket;
   };
-  return { heads, open };
+  return { heads, open, slow };
 }
 
 const REQUEST = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
@@ -49,6 +54,16 @@
   assert.ok(heads.size <= MAX_WAITING);
 });
 
+// Guards against the end of a connection whose second request was sent before the first response.
+test('a connection with a request that was sent ahead does not count as waiting', async (t) => {
+  const { heads, open, slow } = await startServer(t);
+  await open(`${REQUEST}GET /slow HTTP/1.1\r\nHost: a\r\n\r\n`);
+  await until('the second request has come', () => slow.count === 1);
+  // The first response ends in the meantime.
+  await open('');
+  assert.equal(heads.size, 1, 'only the connection without a request waits');
+});
+
 // Guards against connections that still count after they have ended.
 test('a connection that has ended no longer counts', async (t) => {
   const { heads, open } = await startServer(t);
--- a/packages/gateway/src/lib/UnfinishedHeads.ts
+++ b/packages/gateway/src/lib/UnfinishedHeads.ts
@@ -29,6 +29,9 @@
   /** Waiting connections in the order in which their wait began, with the bytes read before it. */
   readonly #waiting = new Map<Socket, number>();
 
+  /** Requests of a connection without a complete response; several if the client sends them ahead. */
+  readonly #requests = new WeakMap<Socket, number>();
+
   constructor(options: UnfinishedHeadsOptions) {
     this.#options = options;
     this.#lines = new LineLimit(options.timer, 1);
@@ -43,8 +46,11 @@
     server.on('connection', (socket: Socket) => this.#wait(socket));
     server.on('request', ({ socket }: IncomingMessage, response: ServerResponse) => {
       this.#waiting.delete(socket);
+      this.#requests.set(socket, (this.#requests.get(socket) ?? 0) + 1);
       response.once('close', () => {
-        if (!socket.destroyed) this.#wait(socket);
+        const left = (this.#requests.get(socket) ?? 1) - 1;
+        this.#requests.set(socket, left);
+        if (left === 0 && !socket.destroyed) this.#wait(socket);
       });
     });
   }
--- a/packages/policy/src/lib/limits/BodyBudget.test.ts
+++ b/packages/policy/src/lib/limits/BodyBudget.test.ts
@@ -93,6 +93,18 @@
   assert.ok(!ended.includes('read'));
 });
 
+// Guards against ready responses that end because requests fill the budget.
+test('requests that fill the budget end no response, and responses have a bound of their own', () => {
+  const { ended, open, receive } = createBudget();
+  const complete = open('complete');
+  receive(complete, 14 * MIB);
+  complete.complete();
+  receive(open('ready', 'response'), 5 * MIB);
+  assert.deepEqual(ended, []);
+  receive(open('next', 'response'), 5 * MIB);
+  assert.deepEqual(ended, ['next']);
+});
+
 // Guards against a budget that is exceeded if nothing else can end.
 test('a body that alone exceeds the budget ends', () => {
   const { ended, budget, open, receive } = createBudget();
--- a/packages/policy/src/lib/limits/BodyBudget.ts
+++ b/packages/policy/src/lib/limits/BodyBudget.ts
@@ -8,6 +8,9 @@
 /** Part of the budget that large bodies leave to small ones. */
 const RESERVE_SHARE = 1 / 8;
 
+/** Part of the budget beyond it that only responses may take, so that requests never end a ready response. */
+const RESPONSE_SHARE = 1 / 4;
+
 /** Part of the budget that is freed beyond the excess, so that not each further chunk ends a body. */
 const SLACK_SHARE = 1 / 16;
 
@@ -145,12 +148,14 @@
     if (!isGrowth) return;
     const { maxBytes } = this.#options;
     const isLarge = bytes > SMALL_BODY_BYTES;
-    const limit = isLarge ? maxBytes * (1 - RESERVE_SHARE) : maxBytes;
+    const isResponse = account.kind === 'response';
+    const limit = isLarge && !isResponse ? maxBytes * (1 - RESERVE_SHARE) : maxBytes;
     const excess = this.#bytes - limit;
     if (excess <= 0) return;
     this.#end({ bytes: excess + maxBytes * SLACK_SHARE, requests: 0, includesSmall: !isLarge });
     // Bodies that can't end fill the budget.
-    if (this.#bytes > limit && this.#open.has(account)) this.#endOne(account);
+    const hardLimit = isResponse ? maxBytes * (1 + RESPONSE_SHARE) : limit;
+    if (this.#bytes > hardLimit && this.#open.has(account)) this.#endOne(account);
   }
 
   /** @internal */
