--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -31,3 +31,6 @@
   type JournalRecord,
 } from './lib/Journal';
 export { Metrics } from './lib/Metrics';
+export { LineLimit } from './lib/LineLimit';
+export { ChunkBuffer } from './lib/ChunkBuffer';
+export { defaultBodyBudgetBytes, defaultMaxUnfinished, maxDescriptors } from './lib/processLimits';
--- a/packages/gateway/src/lib/EvacuationCalls.test.ts
+++ b/packages/gateway/src/lib/EvacuationCalls.test.ts
@@ -21,7 +21,8 @@
       return evacuate(dataCentre, isEvacuated);
     },
   };
-  const calls = new EvacuationCalls({ mesh, journal: createSilentJournal(new VirtualTimer()) });
+  const timer = new VirtualTimer();
+  const calls = new EvacuationCalls({ mesh, journal: createSilentJournal(timer), timer });
   const server = createServer((request, response) => {
     calls.serve(request, (request.url ?? '').slice(PREFIX.length), response);
   });
--- a/packages/gateway/src/lib/EvacuationCalls.ts
+++ b/packages/gateway/src/lib/EvacuationCalls.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { Failure, type Journal } from '@berylwood/base';
+import { Failure, type Journal, type Timer } from '@berylwood/base';
 import type { EvacuateOutcome, Mesh } from '@berylwood/registry';
 import { gatewayCodes } from './codes';
 import { decodeDataCentre } from './decodeDataCentre';
@@ -10,6 +10,7 @@
 interface EvacuationCallsOptions {
   readonly mesh: Pick<Mesh, 'evacuate'>;
   readonly journal: Journal;
+  readonly timer: Timer;
 }
 
 /** Reasons for which an order that the registry has received is not in force. */
@@ -68,7 +69,7 @@
     failure: Failure,
   ): void {
     this.#log('refused', { method, dataCentre, reason: failure.message });
-    sendFailure(response, failure, undefined, false);
+    sendFailure(response, failure, { timer: this.#options.timer });
   }
 
   #postpone(response: ServerResponse, method: string, dataCentre: string, reason: string): void {
--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -10,6 +10,7 @@
 import type { RequestReport } from './RequestReport';
 import type { ResolvedRequest } from './resolveRequest';
 import type { ResponseHead } from './readResponseHead';
+import { ResponseMemory } from './ResponseMemory';
 import type { ResponseRelay } from './ResponseRelay';
 import type { StallDetector } from './StallDetector';
 import type { StartedAttempt } from './startAttempt';
@@ -41,6 +42,8 @@
 export class ResponseReceiver implements Disposable {
   readonly #parts: ResponseReceiverParts;
 
+  readonly #memory: ResponseMemory;
+
   #started: StartedAttempt | undefined;
 
   #answered: AnsweredRequest | undefined;
@@ -61,6 +64,7 @@
 
   constructor(parts: ResponseReceiverParts) {
     this.#parts = parts;
+    this.#memory = new ResponseMemory(parts.context, parts.relay);
   }
 
   /** The latest attempt. */
@@ -100,6 +104,24 @@
 
   /** Passes a part of the body on. Returns false if the response has to pause. */
   onData(chunk: Buffer): boolean {
+    const isWritable = this.#pass(chunk);
+    this.#memory.update();
+    if (!isWritable && !this.#isHolding) this.#awaitCaller();
+    return isWritable;
+  }
+
+  /** Reads on, as the caller has read all that was sent. */
+  resume(): void {
+    this.#memory.drained();
+    this.attempt?.resume();
+  }
+
+  /** Reads on at intervals while the caller reads slowly. */
+  #awaitCaller(): void {
+    this.#memory.paused(this.#parts.boundary.wrap(() => this.attempt?.resume()));
+  }
+
+  #pass(chunk: Buffer): boolean {
     const { relay } = this.#parts;
     if (this.#isReplaced) {
       this.attempt?.abort('the endpoint is listed with another software version');
@@ -134,6 +156,8 @@
   [Symbol.dispose](): void {
     this.#detector?.[Symbol.dispose]();
     this.#run?.[Symbol.dispose]();
+    // What was sent last may still be unread.
+    this.#memory.update();
   }
 
   /** A stream that is resumed prefills a part of its response, too, so that its times say little. */
@@ -192,6 +216,7 @@
     this.#forwarded();
     if (handleEnd) handleEnd();
     else if (isWritable) attempt.resume();
+    else this.#awaitCaller();
   }
 
   #forwarded(): void {
--- a/packages/gateway/src/lib/codes.ts
+++ b/packages/gateway/src/lib/codes.ts
@@ -151,4 +151,12 @@
     meaning: 'So many data centres are evacuated that no other one can be.',
     remedy: 'End evacuations that are no longer needed.',
   },
+  memorySpent: {
+    number: 9030,
+    status: 503,
+    notRun: true,
+    meaning:
+      'The instance holds as many bytes of requests, or unfinished requests, as its memory allows.',
+    remedy: 'Retry after the stated time, and send the whole request at once.',
+  },
 });
--- a/packages/gateway/src/lib/postponeCall.ts
+++ b/packages/gateway/src/lib/postponeCall.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http';
 
-/** Time after which operators should retry on another instance, in milliseconds. */
-const RETRY_AFTER_MS = 200;
+/** Time after which operators should retry on another instance, in milliseconds. @internal */
+export const RETRY_AFTER_MS = 200;
 
 /** Responds to an operator call with 503 and `Retry-After`. @internal */
 export function postponeCall(response: ServerResponse, reason: string): void {
--- a/packages/schema/src/lib/GatewaySettings.ts
+++ b/packages/schema/src/lib/GatewaySettings.ts
@@ -44,6 +44,11 @@
   dutyPauseMs: z.number().nonnegative().default(3000),
   /** Whether requests to an endpoint that has just started or answers again are paced by its answers. */
   paceAfterStart: z.boolean().default(false),
+
+  /** Bytes of bodies held for callers and operators; by the limits of the process's memory if omitted. */
+  bodyBudgetBytes: z.number().int().positive().optional(),
+  /** Requests that have not arrived completely; by memory and descriptors if omitted. */
+  maxUnfinishedBodies: z.number().int().positive().optional(),
 });
 
 /** @public */
