--- a/packages/gateway/src/lib/unevenEngines.test.ts
+++ b/packages/gateway/src/lib/unevenEngines.test.ts
@@ -1,11 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Random, VirtualTimer, asId, createSilentJournal } from '@berylwood/base';
+import { Metrics, Random, VirtualTimer, asId, createSilentJournal } from '@berylwood/base';
 import { EndpointDirectory } from './EndpointDirectory';
 import { EngineModel } from './EngineModel';
 import type { GatewayContext } from './GatewayContext';
 import { placeRequest } from './placeRequest';
 import type { ResolvedRequest } from './resolveRequest';
+import { StreamEngines } from './StreamEngines';
 
 const POOL = asId<'pool'>('pool');
 
@@ -25,7 +26,9 @@
     })),
   );
   const engines = new EngineModel(directory, timer);
-  const context = { directory, random, dataCentre: 'a', engines } as unknown as GatewayContext;
+  const streamEngines = new StreamEngines({ directory, timer, metrics: new Metrics() });
+  const parts = { directory, random, dataCentre: 'a', engines, streamEngines };
+  const context = parts as unknown as GatewayContext;
   const engine = isEngine ? { slots: 4, kvCacheTokens: 100_000 } : undefined;
   const resolved = {
     target: POOL,
