Divide the prefill capacity fairly among workspaces during a shortage

Each instance reports asked, admitted and served prompt tokens by pool, rank and workspace; the leader divides the capacity max-min fairly and sends fractions below 1. Off by default (fair_admission). Without a shortage all decisions stay the same.

--- a/packages/gateway/src/lib/EndpointServices.ts
+++ b/packages/gateway/src/lib/EndpointServices.ts
@@ -6,12 +6,14 @@
   type Timer,
 } from '@berylwood/base';
 import type { Mesh } from '@berylwood/registry';
+import { admissionPools } from './admissionPools';
 import { EndpointDirectory } from './EndpointDirectory';
 import { EndpointGauges } from './EndpointGauges';
 import { Evacuations } from './Evacuations';
 import { EngineModel } from './EngineModel';
 import { EngineModelReport } from './EngineModelReport';
 import { EngineSpeedSharing } from './EngineSpeedSharing';
+import { FairAdmission } from './FairAdmission';
 import type { FaultLog } from './FaultLog';
 import { HeldRequests } from './HeldRequests';
 import type { PoolName } from './ids';
@@ -39,6 +41,8 @@
   readonly table: () => RoutingTable | undefined;
   /** Whether endpoints are paced after a start or an ejection. */
   readonly paceAfterStart: boolean;
+  /** Whether the prefill capacity is divided among workspaces during a shortage. */
+  readonly fairAdmission: boolean;
   /** Called when the first list of endpoints is loaded. */
   readonly onLoaded: () => void;
 }
@@ -55,6 +59,9 @@
 
   readonly streamEngines: StreamEngines;
 
+  /** Undefined unless the settings ask for it. */
+  readonly admission: FairAdmission | undefined;
+
   readonly #options: EndpointServicesOptions;
 
   readonly #store = new DisposableStore();
@@ -107,6 +114,14 @@
     directory.onRecovered = (cause) => recoveries.inc({ cause });
     this.#pace = new PaceSharing({ directory, mesh, timer, journal, random });
     exchange.add(this.#pace.attachments);
+    const pools = (): ReturnType<typeof admissionPools> => {
+      const current = table();
+      return current ? admissionPools(current, directory, engines) : [];
+    };
+    if (options.fairAdmission) {
+      this.admission = new FairAdmission({ mesh, timer, journal, metrics, random, pools });
+      exchange.add(this.admission.attachments);
+    }
     const healthPath = (pool: PoolName): string => table()?.findPool(pool)?.healthPath ?? '/';
     const isChecker = (): boolean => mesh.isLeader;
     const leaving = { directory, wire, timer, journal, faults, healthPath, isChecker };
@@ -118,6 +133,7 @@
     this.#permits.startRound();
     this.#streamSharing.startRound();
     this.#pace.startRound();
+    this.admission?.startRound();
     this.#options.mesh.publishWork(this.directory.ownWork());
     this.held.endRound();
     this.#pace.endRound();
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -9,6 +9,7 @@
 import { ContentGuard } from './ContentGuard';
 import { FaultBoundary } from './FaultBoundary';
 import { exchangeTable, type ExchangeEvent } from './exchangeMachine';
+import { findRejection } from './findRejection';
 import type { GatewayContext } from './GatewayContext';
 import { placeRequest } from './placeRequest';
 import { retryAfterOf } from './retryAfterOf';
@@ -16,7 +17,6 @@
 import { RequestReport } from './RequestReport';
 import { sendFailure } from './sendFailure';
 import { startAttempt } from './startAttempt';
-import { startsTooLate } from './startsTooLate';
 import { StreamBinding } from './StreamBinding';
 
 /** One attempt of a caller, from its arrival to the end of its response. @internal */
@@ -191,8 +191,10 @@
     }
     const { endpoint, tokens } = placement;
     this.#report.placement = placement;
-    if (this.#history.sends === 0 && startsTooLate(resolved, placement, this.#leftMs)) {
-      this.#abort(gatewayCodes.overloaded, 'expected to start too late');
+    const isFirst = this.#history.sends === 0;
+    const rejection = isFirst && findRejection(context, resolved, placement, this.#leftMs);
+    if (rejection) {
+      this.#abort(gatewayCodes.overloaded, rejection.reason, rejection.retryAfterMs);
       return;
     }
     this.#history.sent(endpoint.listed.id);
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -143,6 +143,7 @@
       instances: () => this.#instances,
       table: () => this.#table,
       paceAfterStart: settings.paceAfterStart,
+      fairAdmission: settings.fairAdmission,
       onLoaded: () => this.#updateReadiness(),
     });
     this.#callerServer = new CallerServer(this.#createContext());
@@ -256,6 +257,7 @@
       held: this.#endpoints.held,
       engines: this.#endpoints.engines,
       streamEngines: this.#endpoints.streamEngines,
+      admission: this.#endpoints.admission,
       origins: this.#mesh.origins,
       budgets: new RetryBudgets(bounds, () => this.#instances),
       quarantine: this.#quarantine,
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -3,6 +3,7 @@
 import type { StreamOrigins } from '@berylwood/registry';
 import type { EndpointDirectory } from './EndpointDirectory';
 import type { EngineModel } from './EngineModel';
+import type { FairAdmission } from './FairAdmission';
 import type { FaultLog } from './FaultLog';
 import type { HeldRequests } from './HeldRequests';
 import type { RequestLog } from './RequestLog';
@@ -28,6 +29,8 @@
   readonly budgets: RetryBudgets;
   readonly held: HeldRequests;
   readonly streamEngines: StreamEngines;
+  /** Division of the prefill capacity among workspaces; undefined unless the settings ask for it. */
+  readonly admission: FairAdmission | undefined;
   /** Versions that began streams, known to all instances. */
   readonly origins: Pick<StreamOrigins, 'record' | 'find' | 'findOnlyVersion'>;
   readonly quarantine: ContentQuarantine;
--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -4,6 +4,7 @@
 import type { ContentGuard } from './ContentGuard';
 import type { ExchangeEvent } from './exchangeMachine';
 import type { FaultBoundary } from './FaultBoundary';
+import { countedRequest } from './findRejection';
 import { findStreamProblem } from './findStreamProblem';
 import type { GatewayContext } from './GatewayContext';
 import type { Placement } from './placeRequest';
@@ -200,13 +201,20 @@
     if (relay.isHeadSent && lifecycle.can('answer')) lifecycle.send('answer');
   }
 
+  #countServed(resolved: ResolvedRequest, placement: Placement): void {
+    const { context, report } = this.#parts;
+    const isInTime = context.timer.now() - report.arrivedAt <= resolved.route.objectiveMs;
+    context.admission?.served(countedRequest(resolved, placement), isInTime);
+  }
+
   #responseBegan(): void {
-    const { resolved, guard } = this.#answered as AnsweredRequest;
+    const { resolved, guard, placement } = this.#answered as AnsweredRequest;
     this.#parts.context.countStartedRequest(resolved.workspace?.name);
     guard?.answered();
     const { attempt } = this;
     if (!attempt || this.#parts.relay.isFailure) return;
     const tookMs = this.#parts.context.timer.now() - attempt.startedAt;
     attempt.endpoint.responded(tookMs <= resolved.route.objectiveMs);
+    if (placement.tokens > 0) this.#countServed(resolved, placement);
   }
 }
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -276,4 +276,31 @@
       'What another instance reports or decides about stream engines cannot be read and is ignored; at most one line in ten seconds.',
     action: 'Check that all instances run versions that fit together.',
   },
+  admissionShortageBegan: {
+    number: 9110,
+    level: 'warn',
+    meaning:
+      'More prompt tokens arrive at a pool than its engines prefill; the leader now divides the capacity among the workspaces.',
+    action: 'See the rates in the line and OPERATIONS.md; add engines if this persists.',
+  },
+  admissionShortageEnded: {
+    number: 9111,
+    level: 'info',
+    meaning: 'The shortage of prefill capacity of a pool is over; all workspaces are unrestricted.',
+    action: 'none',
+  },
+  admissionFractions: {
+    number: 9112,
+    level: 'info',
+    meaning:
+      'Rates and the lowest admitted fraction of first tries during a shortage; at most one line a second for each pool.',
+    action: 'none',
+  },
+  admissionInvalid: {
+    number: 9113,
+    level: 'warn',
+    meaning:
+      'What another instance reports or decides about admission cannot be read and is ignored; at most one line in ten seconds.',
+    action: 'Check that all instances run versions that fit together.',
+  },
 });
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -90,6 +90,8 @@
 export {
   DEFAULT_ADMISSION_OPTIONS,
   admits,
+  canFinish,
+  isReturning,
   type AdmissionInput,
   type AdmissionOptions,
 } from './lib/placement/admits';
@@ -114,3 +116,20 @@
 export { tightPauseMs } from './lib/streams/tightPauseMs';
 export { FleetRecovery, type RecoveryReport } from './lib/health/FleetRecovery';
 export { RecoveryWindow, type RecoveryCounts, type RecoveryEnd } from './lib/health/RecoveryWindow';
+export { AdmissionCredits } from './lib/admission/AdmissionCredits';
+export {
+  divideAdmission,
+  type AdmissionBudget,
+  type AdmissionDemand,
+  type AdmittedFraction,
+} from './lib/admission/divideAdmission';
+export { divideFairly, type Claim } from './lib/admission/divideFairly';
+export { PrefillCapacity, type PoolLoad } from './lib/admission/PrefillCapacity';
+export { returnAfterMs } from './lib/admission/returnAfter';
+export {
+  Shortage,
+  admissiblePerS,
+  backlogMs,
+  excessMs,
+  type ShortageInput,
+} from './lib/admission/Shortage';
--- a/packages/policy/src/lib/placement/admits.ts
+++ b/packages/policy/src/lib/placement/admits.ts
@@ -37,6 +37,22 @@
 /** Fraction of the remaining time that the prefill may take in any case. */
 const REMAINING_TIME_SHARE = 0.7;
 
+/** Whether a caller has tried before: it states a deadline well below the timeout of its route. @public */
+export function isReturning({
+  timeoutMs,
+  budgetMs = timeoutMs,
+}: Pick<AdmissionInput, 'timeoutMs' | 'budgetMs'>): boolean {
+  return budgetMs < timeoutMs * FIRST_TRY_DEADLINE_SHARE;
+}
+
+/** Whether the prefill leaves enough of the remaining time for the response. @public */
+export function canFinish({
+  prefillMs,
+  leftMs,
+}: Pick<AdmissionInput, 'prefillMs' | 'leftMs'>): boolean {
+  return prefillMs <= leftMs * REMAINING_TIME_SHARE;
+}
+
 /**
  * Whether to admit a request. Load pattern: more long prompts arrive than engines can prefill. If all
  * were admitted, the queue would grow until every response begins late. Therefore only as many are
@@ -51,8 +67,6 @@
   input: AdmissionInput,
   options: AdmissionOptions = DEFAULT_ADMISSION_OPTIONS,
 ): boolean {
-  const { prefillMs, objectiveMs, timeoutMs, leftMs, budgetMs = timeoutMs } = input;
-  const isRetry = budgetMs < timeoutMs * FIRST_TRY_DEADLINE_SHARE;
-  const share = isRetry ? options.retryShare : options.firstTryShare;
-  return prefillMs <= Math.min(objectiveMs * share, leftMs * REMAINING_TIME_SHARE);
+  const share = isReturning(input) ? options.retryShare : options.firstTryShare;
+  return input.prefillMs <= input.objectiveMs * share && canFinish(input);
 }
--- a/packages/schema/src/lib/GatewaySettings.ts
+++ b/packages/schema/src/lib/GatewaySettings.ts
@@ -44,6 +44,8 @@
   dutyPauseMs: z.number().nonnegative().default(3000),
   /** Whether requests to an endpoint that has just started or answers again are paced by its answers. */
   paceAfterStart: z.boolean().default(false),
+  /** Whether workspaces get fair shares of the prefill capacity of a pool during a shortage. */
+  fairAdmission: z.boolean().default(false),
 });
 
 /** @public */
