--- a/packages/policy/src/lib/admission/AdmissionCredits.ts
+++ b/packages/policy/src/lib/admission/AdmissionCredits.ts
@@ -28,7 +28,7 @@
     const key = `${Math.floor(Math.log2(Math.max(1, tokens)))} ${kind}`;
     // A random start: many instances with one request each would otherwise all reject it.
     const credit = (this.#credits.get(key) ?? this.#random.next()) + fraction;
-    const isAdmitted = credit >= 1 - EPSILON;
+    const isAdmitted = fraction > 0 && credit >= 1 - EPSILON;
     this.#credits.delete(key);
     this.#credits.set(key, isAdmitted ? Math.max(0, credit - 1) : credit);
     const [oldest] = this.#credits.keys();
