--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -138,6 +138,7 @@
       instances: () => this.#instances,
       table: () => this.#table,
       paceAfterStart: settings.paceAfterStart,
+      fairAdmission: settings.fairAdmission,
       onLoaded: () => this.#updateReadiness(),
     });
     this.#servers = new GatewayServers({
@@ -245,6 +246,7 @@
       engines: this.#endpoints.engines,
       streamEngines: this.#endpoints.streamEngines,
       bodies: createBodyBudget({ settings, timer, journal, metrics }),
+      admission: this.#endpoints.admission,
       origins: this.#mesh.origins,
       budgets: new RetryBudgets(bounds, () => this.#instances),
       quarantine: this.#quarantine,
--- a/packages/schema/src/lib/GatewaySettings.ts
+++ b/packages/schema/src/lib/GatewaySettings.ts
@@ -49,6 +49,9 @@
   bodyBudgetBytes: z.number().int().positive().optional(),
   /** Requests that have not arrived completely; by memory and descriptors if omitted. */
   maxUnfinishedBodies: z.number().int().positive().optional(),
+
+  /** Whether workspaces get fair shares of the prefill capacity of a pool during a shortage. */
+  fairAdmission: z.boolean().default(false),
 });
 
 /** @public */
