Let only instances that have ejected an endpoint pace it, and hold the window on late answers

Cause, by reading: an instance that had no trouble with an endpoint joined its recovery when another one had, and first events that were late in an overload halved the window, so that sound endpoints stayed underused.

--- a/packages/gateway/src/lib/EndpointHealth.ts
+++ b/packages/gateway/src/lib/EndpointHealth.ts
@@ -91,10 +91,10 @@
 
   /** Records that the endpoint recovers, as other instances have seen; an ejection becomes a probe. */
   othersAnswered(): void {
-    const { isRecovering, isEnabled, isSound } = this.pace;
-    if (!isEnabled || (!this.#isEjected && (isRecovering || isSound))) return;
+    // An instance that has no trouble with the endpoint must not use it less because another one had.
+    if (!this.pace.isEnabled || !this.#isEjected) return;
     this.pace.begin('learnt');
-    if (!this.#isEjected || !this.pace.takeRetry()) return;
+    if (!this.pace.takeRetry()) return;
     this.#connectBreaker.endOpenTime();
     this.#responseBreaker.endOpenTime();
   }
--- a/packages/gateway/src/lib/EndpointPace.ts
+++ b/packages/gateway/src/lib/EndpointPace.ts
@@ -17,9 +17,6 @@
  */
 const REPLY_MS = 1200;
 
-/** Time for which a first event in time shows that an endpoint is sound, in milliseconds. */
-const SOUND_MS = 1000;
-
 /** Factor by which earlier wanted requests count less in each round of the exchange. */
 const WANTED_DECAY = 0.5;
 
@@ -66,9 +63,6 @@
 
   #recovery: Recovery | undefined;
 
-  /** Time of the latest first event in time. */
-  #inTimeAt = -Infinity;
-
   constructor(options: EndpointPaceOptions) {
     this.#options = options;
   }
@@ -77,11 +71,6 @@
     return this.#options.isEnabled();
   }
 
-  /** Whether the endpoint has recently served this instance, which then has no need of the others' view. */
-  get isSound(): boolean {
-    return this.#options.timer.now() - this.#inTimeAt < SOUND_MS;
-  }
-
   get isRecovering(): boolean {
     return this.#recovery !== undefined;
   }
@@ -121,7 +110,6 @@
 
   /** Counts a first event, or a failed request. */
   observe(outcome: keyof RecoveryCounts): void {
-    if (outcome === 'inTime') this.#inTimeAt = this.#options.timer.now();
     const recovery = this.#recovery;
     if (!recovery) return;
     recovery.counts = { ...recovery.counts, [outcome]: recovery.counts[outcome] + 1 };
--- a/packages/policy/src/lib/health/RecoveryWindow.ts
+++ b/packages/policy/src/lib/health/RecoveryWindow.ts
@@ -74,11 +74,14 @@
   observe({ inTime, late, failed }: RecoveryCounts, now: number): void {
     if (inTime > 0 && !this.#hasAnswered) this.#answered();
     if (this.#end !== undefined || now < this.#settledAt) return;
-    if (late > 0 || failed > 0) {
+    if (failed > 0) {
       // A single instance that cannot reach the endpoint must not end the recovery for all.
-      if (failed > 0 && this.#size <= 1) this.#end = 'failed';
+      if (this.#size <= 1) this.#end = 'failed';
       this.#size = Math.max(1, Math.floor(this.#size / 2));
       this.#settledAt = now + SETTLE_MS;
+    } else if (late > 0) {
+      // Only held: in an overload of the whole pool, first events are late at every endpoint.
+      this.#settledAt = now + SETTLE_MS;
     } else this.#size += inTime * GROWTH;
   }
 
