--- a/packages/gateway/src/lib/slowReader.test.ts
+++ b/packages/gateway/src/lib/slowReader.test.ts
@@ -57,7 +57,8 @@
   caller.on('data', (chunk) => {
     received.bytes += chunk.length;
   });
-  for (let round = 0; round < 10; round += 1) {
+  // On a fast machine, fewer rounds read everything.
+  for (let round = 0; round < 10 && received.bytes < BODY_BYTES; round += 1) {
     caller.pause();
     await sleep(700);
     const before = received.bytes;
