--- a/review/6/play.mjs
+++ b/review/6/play.mjs
@@ -3,10 +3,10 @@
 import { join } from 'node:path';
 import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { createConfiguration } from '../common-2/createConfiguration.mjs';
-import { EngineStandIn } from '../common-2/EngineStandIn.mjs';
-import { Fleet } from '../common-2/Fleet.mjs';
-import { runCase } from '../common-2/runCase.mjs';
+import { createConfiguration } from '../createConfiguration-2.mjs';
+import { EngineStandIn } from '../EngineStandIn-2.mjs';
+import { Fleet } from '../Fleet-2.mjs';
+import { runCase } from '../runCase-2.mjs';
 
 /** Deployments that are played one after the other until one breaks the rule. */
 const ROUNDS = 3;
@@ -71,9 +71,19 @@
   return undefined;
 }
 
-/** Replaces all three machines, one loss at a time; resolves to the successors. */
+/**
+ * Replaces one machine as planned and, in trouble, loses the other two, one at a time. Resolves to the machines that
+ * are there in the end.
+ */
 async function replaceMachines(parts) {
-  const { fleet, record } = parts;
+  const { fleet, record, hasTrouble } = parts;
+  const lose = (node) => hasTrouble && fleet.signal(node, 'SIGKILL');
+  const succeed = (node, seeds) => {
+    if (!hasTrouble) return node;
+    const successor = fleet.addNode(seeds);
+    record.add(`${successor.name} starts, the successor of ${node.name}, which is gone for good`);
+    return successor;
+  };
   const leader = await findHolder(parts);
   const lost = findFirstJoined(parts, leader);
   const other = fleet.nodes.find((node) => node !== leader && node !== lost);
@@ -81,24 +91,22 @@
   const planned = fleet.addNode([leader, lost, other]);
   record.add(`${planned.name} starts, the successor of ${leader.name} in a planned replacement`);
   await sleep(CATCH_UP_MS + MARGIN_MS);
-  fleet.signal(lost, 'SIGKILL');
+  lose(lost);
   await sleep(SUCCESSOR_MS);
-  const successor = fleet.addNode([leader, other, planned]);
-  record.add(`${successor.name} starts, the successor of ${lost.name}, which is gone for good`);
+  const successor = succeed(lost, [leader, other, planned]);
   await sleep(STOP_MS - SUCCESSOR_MS);
   fleet.signal(leader, 'SIGTERM');
   await sleep(CATCH_UP_MS + MARGIN_MS - (STOP_MS - SUCCESSOR_MS));
-  fleet.signal(other, 'SIGKILL');
+  lose(other);
   await sleep(SUCCESSOR_MS);
-  const last = fleet.addNode([other, planned, successor]);
-  record.add(`${last.name} starts, the successor of ${other.name}, which is gone for good`);
+  const last = succeed(other, [other, planned, successor]);
   return [planned, successor, last];
 }
 
 /** Resolves to whether the acknowledged configuration can't be read back. */
 async function playRound(parts) {
   await parts.fleet.configure(configurationOf(NEWEST_VERSION));
-  const nodes = parts.hasTrouble ? await replaceMachines(parts) : parts.fleet.nodes;
+  const nodes = await replaceMachines(parts);
   return (await readConfiguration(parts, nodes)) !== NEWEST_VERSION;
 }
 
--- a/review/common-2/Fleet.mjs
+++ b/review/Fleet-2.mjs
@@ -6,7 +6,7 @@
 import { join } from 'node:path';
 import process from 'node:process';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { renderSettings } from './renderSettings.mjs';
+import { renderSettings } from './renderSettings-2.mjs';
 
 /** Bounds of the small deployments of the users' pages. */
 const BOUNDS = {
--- a/review/common-2/runCase.mjs
+++ b/review/runCase-2.mjs
@@ -4,9 +4,9 @@
 import { clearTimeout, setTimeout } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
-import { CaseRecord } from './CaseRecord.mjs';
-import { Fleet } from './Fleet.mjs';
-import { PlatformStandIn } from './PlatformStandIn.mjs';
+import { CaseRecord } from './CaseRecord-2.mjs';
+import { Fleet } from './Fleet-2.mjs';
+import { PlatformStandIn } from './PlatformStandIn-2.mjs';
 
 const HELD = 0;
 const BROKEN = 1;
