--- a/packages/testing/src/lib/load/Crowd.ts
+++ b/packages/testing/src/lib/load/Crowd.ts
@@ -7,9 +7,10 @@
 export interface CrowdRequest {
   readonly host: string;
   readonly port: number;
-  readonly head: string;
-  /** Bytes that follow the head, as they are sent. */
-  readonly piece: Buffer;
+  /** Bytes that each client sends first, or what a client sends by its number from 0. */
+  readonly head: string | ((client: number) => string);
+  /** Bytes that follow the head, as they are sent, or those of each piece from 0. */
+  readonly piece: Buffer | ((client: number, at: number) => Buffer);
   readonly pieces: number;
   /** Whether the client reads what it is sent; true by default. */
   readonly isReader?: boolean;
@@ -31,25 +32,31 @@
 export class Crowd implements Disposable {
   readonly #sockets: Socket[] = [];
 
+  /** Number of connections that are open. */
+  get openConnections(): number {
+    return this.#sockets.filter(({ readyState }) => readyState === 'open').length;
+  }
+
   /** Starts `count` clients and resolves once each has sent its part or has lost its connection. */
   async send(count: number, request: CrowdRequest): Promise<void> {
-    await Promise.all(Array.from({ length: count }, () => this.#sendOne(request)));
+    await Promise.all(Array.from({ length: count }, (_, client) => this.#sendOne(client, request)));
   }
 
   [Symbol.dispose](): void {
     for (const socket of this.#sockets) socket.destroy();
   }
 
-  #sendOne(request: CrowdRequest): Promise<void> {
+  #sendOne(client: number, request: CrowdRequest): Promise<void> {
     const { host, port, head, piece, pieces, isReader = true } = request;
     const socket = connect(port, host);
     this.#sockets.push(socket);
     return new Promise((resolve) => {
-      let left = pieces;
+      let at = 0;
       const sendMore = (): void => {
-        while (left > 0 && !socket.destroyed) {
-          left -= 1;
-          if (!socket.write(piece)) {
+        while (at < pieces && !socket.destroyed) {
+          const bytes = typeof piece === 'function' ? piece(client, at) : piece;
+          at += 1;
+          if (!socket.write(bytes)) {
             socket.once('drain', sendMore);
             return;
           }
@@ -62,7 +69,7 @@
       if (isReader) socket.resume();
       else socket.pause();
       socket.on('connect', () => {
-        socket.write(head);
+        socket.write(typeof head === 'function' ? head(client) : head);
         sendMore();
       });
       // A connection that is never accepted sends nothing.
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -10,6 +10,12 @@
 /** Number of test files run in parallel. It is limited because process tests need their own cores. */
 const CONCURRENCY = 4;
 
+/**
+ * Files whose tests run one at a time, apart from other load: they measure how a process withstands a crowd of
+ * clients.
+ */
+const CROWD_FILE = /\/crowd[^/]*\.process\.test\.ts$/;
+
 /** Time limit of one test file, so that a hanging test fails. */
 const TEST_LIMIT_MS = 180_000;
 
@@ -38,10 +44,10 @@
   return [...new Set(names)].filter((name) => !name.endsWith('.test.ts'));
 }
 
-function runUnitTests(files) {
+function runUnitTests(files, concurrency = CONCURRENCY) {
   mkdirSync('build', { recursive: true });
   const options = [
-    `--test-concurrency=${CONCURRENCY}`,
+    `--test-concurrency=${concurrency}`,
     `--test-timeout=${TEST_LIMIT_MS}`,
     '--test-reporter=spec',
     '--test-reporter-destination=stdout',
@@ -69,10 +75,11 @@
 if (testFiles.length > 0) process.exit(runUnitTests(testFiles) ? 0 : 1);
 const build = spawnSync(process.execPath, ['scripts/build.mjs'], { stdio: 'inherit' });
 if (build.status !== 0) process.exit(1);
-const unitTestsPass = runUnitTests([
-  ...findTests('packages'),
-  ...findTests('platform'),
-  ...findTests('apps'),
-]);
+const allFiles = ['packages', 'platform', 'apps'].flatMap(findTests);
+const unitTestsPass = runUnitTests(allFiles.filter((file) => !CROWD_FILE.test(file)));
+const crowdTestsPass = runUnitTests(
+  allFiles.filter((file) => CROWD_FILE.test(file)),
+  1,
+);
 const scenariosPass = runScenarios();
-process.exit(unitTestsPass && scenariosPass ? 0 : 1);
+process.exit(unitTestsPass && crowdTestsPass && scenariosPass ? 0 : 1);
