Hold responses up for space instead of destroying them

Cause: ResponseRelay buffers a plain response up to 256 KiB, so that another endpoint can still serve it. When the body budget was spent, the response that grew was destroyed, also before its head was sent, so its caller got neither the answer nor a status.

Change: a response is never ended to make space unless its caller has read nothing for 2 s. Without space, what is buffered is passed on at once, which frees it as fast as the caller reads; if the caller couldn't tell the end (HTTP/1.0 without a length), the endpoint is read later, and the oldest response goes on so that space becomes free.

--- a/packages/gateway/src/lib/Arrival.ts
+++ b/packages/gateway/src/lib/Arrival.ts
@@ -73,6 +73,11 @@
       this.#listener.onRejected(resolved.error);
       return;
     }
+    if (!this.#context.bodies.admitsRequest()) {
+      const failure = new Failure(gatewayCodes.memorySpent, 'responses fill the body budget');
+      this.#listener.onRejected(failure);
+      return;
+    }
     const { table, target } = resolved.value;
     this.#listener.onResolved(resolved.value);
     this.#context.budgets.recordRequest(target);
--- a/packages/gateway/src/lib/ResponseMemory.ts
+++ b/packages/gateway/src/lib/ResponseMemory.ts
@@ -11,6 +11,9 @@
  */
 const READ_ON_MS = 1000;
 
+/** Interval at which a response that waits for space in the budget checks for it, in milliseconds. */
+const SPACE_CHECK_MS = 100;
+
 /** Intervals without any byte read by the caller after which it is cut. */
 const MAX_SILENT_INTERVALS = 2;
 
@@ -49,6 +52,8 @@
 
   #watch: Disposable | undefined;
 
+  #spaceCheck: Disposable | undefined;
+
   #silentIntervals = 0;
 
   constructor(context: Pick<GatewayContext, 'bodies' | 'timer' | 'journal'>, relay: ResponseRelay) {
@@ -68,6 +73,31 @@
     this.#account.resize(bytes);
   }
 
+  /**
+   * Makes space if the budget has none: what can be sent before the response is complete is sent. Returns false if
+   * the endpoint is to be read later.
+   */
+  makeSpace(): boolean {
+    if (this.#hasSpace) return true;
+    if (!this.#relay.canPassOn) return this.#relay.isHeadSent;
+    const isWritable = this.#relay.passOn();
+    this.update();
+    return isWritable;
+  }
+
+  /**
+   * The endpoint is read on once the budget has space. The oldest response need not wait, so that some response is
+   * always completed and its space becomes free.
+   */
+  awaitSpace(readOn: () => void): void {
+    if (this.#spaceCheck || this.#store.isDisposed) return;
+    this.#spaceCheck = this.#context.timer.after(SPACE_CHECK_MS, () => {
+      this.#spaceCheck = undefined;
+      if (this.#hasSpace) readOn();
+      else this.awaitSpace(readOn);
+    });
+  }
+
   /**
    * The response is paused until the caller has read what was sent.
    * @param readOn - reads on a little.
@@ -95,9 +125,18 @@
 
   [Symbol.dispose](): void {
     this.#watch?.[Symbol.dispose]();
+    this.#spaceCheck?.[Symbol.dispose]();
     this.#store[Symbol.dispose]();
   }
 
+  get #hasSpace(): boolean {
+    const { bodies } = this.#context;
+    return (
+      bodies.hasResponseSpace ||
+      (this.#account !== undefined && bodies.isOldestResponse(this.#account))
+    );
+  }
+
   get #countedBytes(): number {
     const { heldBytes } = this.#relay;
     return heldBytes > USUAL_BYTES ? heldBytes : 0;
@@ -106,7 +145,8 @@
   #open(response: ServerResponse): BodyAccount {
     const account = this.#context.bodies.open('response', () => response.destroy());
     account.onSample = () => {
-      if (this.#hasProgress()) account.move(response.writableLength);
+      // Until the head is sent, the caller has nothing to read.
+      if (this.#hasProgress() || !this.#relay.isHeadSent) account.move(response.writableLength);
       // What the caller has read since the last update no longer counts.
       if (this.#countedBytes < account.bytes) this.update();
     };
--- a/packages/gateway/src/lib/ResponseReceiver.ts
+++ b/packages/gateway/src/lib/ResponseReceiver.ts
@@ -107,8 +107,9 @@
   onData(chunk: Buffer): boolean {
     const isWritable = this.#pass(chunk);
     this.#memory.update();
-    if (!isWritable && !this.#isHolding) this.#awaitCaller();
-    return isWritable;
+    const hasSpace = this.#isHolding || this.#memory.makeSpace();
+    if (!this.#isHolding) this.#awaitTurn(isWritable, hasSpace);
+    return isWritable && hasSpace;
   }
 
   /** Reads on, as the caller has read all that was sent. */
@@ -117,6 +118,13 @@
     this.attempt?.resume();
   }
 
+  /** Reads on when the caller has read, or when the budget has space for what it can't read yet. */
+  #awaitTurn(isWritable: boolean, hasSpace: boolean): void {
+    if (isWritable && hasSpace) return;
+    if (this.#parts.relay.isHeadSent) this.#awaitCaller();
+    else this.#memory.awaitSpace(this.#parts.boundary.wrap(() => this.attempt?.resume()));
+  }
+
   /** Reads on at intervals while the caller reads slowly. */
   #awaitCaller(): void {
     this.#memory.paused(this.#parts.boundary.wrap(() => this.attempt?.resume()));
--- a/packages/gateway/src/lib/ResponseRelay.ts
+++ b/packages/gateway/src/lib/ResponseRelay.ts
@@ -169,6 +169,16 @@
     this.#isHeld = !this.#isHeadSent;
   }
 
+  /** Whether buffered data can be sent before the response is complete. */
+  get canPassOn(): boolean {
+    return !this.#isHeadSent && !this.#isHeld && this.#bufferedBytes > 0 && this.#canDelimit;
+  }
+
+  /** Sends buffered data to the caller; false if the caller reads too slowly. */
+  passOn(): boolean {
+    return this.#sendBuffered();
+  }
+
   /** Sends what was held to the caller. Returns false if the caller reads too slowly. */
   release(): boolean {
     this.#isHeld = false;
--- a/packages/policy/src/lib/limits/BodyBudget.ts
+++ b/packages/policy/src/lib/limits/BodyBudget.ts
@@ -8,9 +8,12 @@
 /** Part of the budget that large bodies leave to small ones. */
 const RESERVE_SHARE = 1 / 8;
 
-/** Part of the budget beyond it that only responses may take, so that requests never end a ready response. */
+/** Part of the budget beyond it that only responses may take, so that requests don't hold up ready responses. */
 const RESPONSE_SHARE = 1 / 4;
 
+/** Part of the budget beyond it at which no further request is taken, as its response would find no space. */
+const ADMISSION_SHARE = 1 / 2;
+
 /** Part of the budget that is freed beyond the excess, so that not each further chunk ends a body. */
 const SLACK_SHARE = 1 / 16;
 
@@ -117,6 +120,25 @@
     return this.#unfinished;
   }
 
+  /** Whether responses may grow; otherwise they are passed on early or read later. */
+  get hasResponseSpace(): boolean {
+    return this.#bytes <= this.#options.maxBytes * (1 + RESPONSE_SHARE);
+  }
+
+  /** Whether the response of another request would find space, once responses that nobody reads have ended. */
+  admitsRequest(): boolean {
+    const excess = this.#bytes - this.#options.maxBytes * (1 + ADMISSION_SHARE);
+    if (excess <= 0) return true;
+    this.#end({ bytes: excess, requests: 0, includesSmall: false });
+    return this.#bytes <= this.#options.maxBytes * (1 + ADMISSION_SHARE);
+  }
+
+  /** Whether a response was opened before all others, so that it may grow in any case. */
+  isOldestResponse(account: BodyAccount): boolean {
+    for (const other of this.#open) if (other.kind === 'response') return other === account;
+    return false;
+  }
+
   /**
    * Counts another body.
    * @param onEnd - ends the body, as the budget is spent; the account is disposed of before.
@@ -153,9 +175,8 @@
     const excess = this.#bytes - limit;
     if (excess <= 0) return;
     this.#end({ bytes: excess + maxBytes * SLACK_SHARE, requests: 0, includesSmall: !isLarge });
-    // Bodies that can't end fill the budget.
-    const hardLimit = isResponse ? maxBytes * (1 + RESPONSE_SHARE) : limit;
-    if (this.#bytes > hardLimit && this.#open.has(account)) this.#endOne(account);
+    // Bodies that can't end fill the budget. A response that has run is held up and not ended.
+    if (!isResponse && this.#bytes > limit && this.#open.has(account)) this.#endOne(account);
   }
 
   /** @internal */
--- a/packages/policy/src/lib/limits/chooseBodiesToEnd.ts
+++ b/packages/policy/src/lib/limits/chooseBodiesToEnd.ts
@@ -43,8 +43,10 @@
 /** Class of a body: those of a lower one end first. */
 function classOf(body: HeldBody, now: number): number {
   const isYoung = now - body.startedAt < MIN_AGE_MS;
-  const isSlow = now - body.movedAt >= MAX_IDLE_MS || recentBytesOf(body, now) < STALLED_BYTES;
-  const isStalled = !isYoung && isSlow;
+  const isIdle = now - body.movedAt >= MAX_IDLE_MS;
+  // A response of which anything is read is never ended for others.
+  const isSlow = body.kind === 'request' && recentBytesOf(body, now) < STALLED_BYTES;
+  const isStalled = !isYoung && (isIdle || isSlow);
   if (isStalled) return body.kind === 'request' ? 0 : 1;
   return isYoung ? 3 : 2;
 }
