Read callers' connections in turns of the event loop

What callers saw: while many clients sent bodies in chunks of one byte, ordinary requests got no answer, also for a minute after; the process kept a core busy. Bodies that went on after the limit did the same.

Cause: Node.js parses each read of up to 64 KiB, and up to 32 reads of a connection, in one go, with a callback for each chunk. A turn of the event loop with reads of hundreds of connections takes seconds.

Ruled out: pausing requests or sockets. A paused request keeps the chunks of the current read, some 10,000 buffers. A minimum size of chunks would refuse bodies inside the limits.

Change: a server's connection is a PacedConnection, a Duplex before the socket, which hands what arrives to the parser in slices of 4 KiB. ReadScheduler gives slices in turn, 16 KiB in each turn of the loop; connections with little to read come first, and one of the others has a slice in each turn. If they wait for 2 s, the costliest unfinished request ends with a true "not run" (9030). A request counts in the budget from its first byte, with the bytes that wait to be parsed; one that waits for this process isn't stalled. The rest of a refused body is thrown away unparsed, in turns.

The tests of the gateway that speak to its server byte by byte run through the new connections, too.

--- a/packages/gateway/src/lib/Arrival.ts
+++ b/packages/gateway/src/lib/Arrival.ts
@@ -57,6 +57,8 @@
       this.#resolve();
       return;
     }
+    // What arrives meanwhile is not kept.
+    this.#request.socket.pause();
     const { deadlineMs } = wire.readRequest(this.#request.rawHeaders);
     const onTimeout = this.#boundary.wrap(() => this.#listener.onTimeout());
     const onRelease = this.#boundary.wrap(() => this.#resolve());
--- a/packages/gateway/src/lib/GatewayServers.ts
+++ b/packages/gateway/src/lib/GatewayServers.ts
@@ -1,4 +1,6 @@
 import { maxDescriptors } from '@berylwood/base';
+import { ReadScheduler } from '@berylwood/link';
+import type { BodyBudget } from '@berylwood/policy';
 import type { Mesh } from '@berylwood/registry';
 import type { GatewaySettings } from '@berylwood/schema';
 import { CallerServer } from './CallerServer';
@@ -42,14 +44,19 @@
     this.#readiness = new ReadinessServer(wire.paths.readiness, isReady);
     this.#operators = new OperatorServer({ wire, mesh, journal, faults, timer, bodies });
     const descriptors = maxDescriptors();
-    const limitsOf = (share: number) => ({
-      maxWaiting: Math.min(MAX_HEADS, Math.floor(descriptors * share)),
-      timer,
-      journal,
+    const scheduler = new ReadScheduler(() => timer.now());
+    const limitsOf = (share: number, budget: BodyBudget) => ({
+      scheduler,
+      input: { open: (onEnd: () => void) => budget.open('request', onEnd) },
+      waiting: new UnfinishedHeads({
+        maxWaiting: Math.min(MAX_HEADS, Math.floor(descriptors * share)),
+        timer,
+        journal,
+      }),
     });
-    this.callers.limitConnections(new UnfinishedHeads(limitsOf(CALLER_SHARE)));
-    this.#readiness.limitConnections(new UnfinishedHeads(limitsOf(OTHER_SHARE)));
-    this.#operators.limitConnections(new UnfinishedHeads(limitsOf(OTHER_SHARE)));
+    this.callers.limitConnections(limitsOf(CALLER_SHARE, bodies));
+    this.#readiness.limitConnections(limitsOf(OTHER_SHARE, bodies));
+    this.#operators.limitConnections(limitsOf(OTHER_SHARE, bodies));
   }
 
   async listen(): Promise<void> {
--- a/packages/gateway/src/lib/HttpListener.ts
+++ b/packages/gateway/src/lib/HttpListener.ts
@@ -1,7 +1,18 @@
 import type { Server } from 'node:http';
-import { listenOn } from '@berylwood/link';
+import {
+  listenOn,
+  paceConnections,
+  type PacedConnection,
+  type PacedConnectionParts,
+} from '@berylwood/link';
 import type { UnfinishedHeads } from './UnfinishedHeads';
 
+/** What bounds the memory and work that connections of a server cause. @internal */
+export interface ListenerLimits extends PacedConnectionParts {
+  /** Limits the connections that wait for a request. */
+  readonly waiting: UnfinishedHeads;
+}
+
 /** Base class of HTTP servers that listen on their own address. @internal */
 export abstract class HttpListener {
   protected abstract readonly server: Server;
@@ -11,9 +22,11 @@
     return listenOn(this.server, address);
   }
 
-  /** Limits the connections that wait for a request. */
-  limitConnections(limit: UnfinishedHeads): void {
-    limit.watch(this.server);
+  /** Limits what connections of the server may cost. */
+  limitConnections({ waiting, ...parts }: ListenerLimits): void {
+    const onConnection = (connection: PacedConnection): void => waiting.accept(connection);
+    paceConnections(this.server, { ...parts, onConnection });
+    waiting.watch(this.server);
   }
 
   /** Stops listening and closes open connections immediately. */
--- a/packages/gateway/src/lib/ResponseMemory.test.ts
+++ b/packages/gateway/src/lib/ResponseMemory.test.ts
@@ -19,6 +19,7 @@
   });
   const state = { isDestroyed: false, readOns: 0, writable: 0 };
   const response = Object.assign(new EventEmitter(), {
+    req: {},
     destroy: () => {
       state.isDestroyed = true;
       response.emit('close');
--- a/packages/gateway/src/lib/ResponseMemory.ts
+++ b/packages/gateway/src/lib/ResponseMemory.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import { DisposableStore } from '@berylwood/base';
+import { pacedConnectionOf, queuedBytesOf } from '@berylwood/link';
 import type { BodyAccount } from '@berylwood/policy';
 import type { GatewayContext } from './GatewayContext';
 import { memoryEvents } from './memoryEvents';
@@ -28,10 +29,8 @@
 }
 
 function unsentOf(response: ServerResponse): Unsent {
-  // No public property shows the progress of one large write.
-  const handle: unknown = response.socket && Reflect.get(response.socket, '_handle');
-  const queued: unknown = handle && Reflect.get(handle, 'writeQueueSize');
-  return { writable: response.writableLength, queued: typeof queued === 'number' ? queued : 0 };
+  const transport = pacedConnectionOf(response.req)?.transport ?? response.socket;
+  return { writable: response.writableLength, queued: transport ? queuedBytesOf(transport) : 0 };
 }
 
 /**
--- a/packages/gateway/src/lib/UnfinishedHeads.test.ts
+++ b/packages/gateway/src/lib/UnfinishedHeads.test.ts
@@ -17,6 +17,7 @@
     if (request.url === '/slow') slow.count += 1;
     else response.end('ok');
   });
+  server.on('connection', (socket: Socket) => heads.accept(socket));
   heads.watch(server);
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
--- a/packages/gateway/src/lib/UnfinishedHeads.ts
+++ b/packages/gateway/src/lib/UnfinishedHeads.ts
@@ -1,11 +1,14 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { LineLimit, type Journal, type Timer } from '@berylwood/base';
 import { memoryEvents } from './memoryEvents';
 
 /** Part of the connections that is closed beyond the excess. */
 const SLACK_SHARE = 1 / 16;
 
+/** A connection, with the number of bytes that were received on it. */
+type Connection = Duplex & { readonly bytesRead: number };
+
 /** @internal */
 export interface UnfinishedHeadsOptions {
   /** Connections that may wait for a request at the same time. */
@@ -27,10 +30,10 @@
   readonly #lines: LineLimit;
 
   /** Waiting connections in the order in which their wait began, with the bytes read before it. */
-  readonly #waiting = new Map<Socket, number>();
+  readonly #waiting = new Map<Connection, number>();
 
   /** Requests of a connection without a complete response; several if the client sends them ahead. */
-  readonly #requests = new WeakMap<Socket, number>();
+  readonly #requests = new WeakMap<Duplex, number>();
 
   constructor(options: UnfinishedHeadsOptions) {
     this.#options = options;
@@ -42,8 +45,8 @@
     return this.#waiting.size;
   }
 
+  /** Notes the requests of a server whose connections are passed to `accept`. */
   watch(server: Server): void {
-    server.on('connection', (socket: Socket) => this.#wait(socket));
     server.on('request', ({ socket }: IncomingMessage, response: ServerResponse) => {
       this.#waiting.delete(socket);
       this.#requests.set(socket, (this.#requests.get(socket) ?? 0) + 1);
@@ -55,7 +58,12 @@
     });
   }
 
-  #wait(socket: Socket): void {
+  /** A connection has been opened. */
+  accept(connection: Connection): void {
+    this.#wait(connection);
+  }
+
+  #wait(socket: Connection): void {
     const isNew = socket.bytesRead === 0;
     this.#waiting.delete(socket);
     this.#waiting.set(socket, socket.bytesRead);
@@ -67,7 +75,7 @@
 
   #close(count: number): void {
     const all = [...this.#waiting];
-    const isIdle = ([socket, bytes]: [Socket, number]): boolean =>
+    const isIdle = ([socket, bytes]: [Connection, number]): boolean =>
       bytes > 0 && socket.bytesRead === bytes;
     const ranked = [...all.filter((item) => !isIdle(item)), ...all.filter(isIdle)];
     for (const [socket] of ranked.slice(0, count)) {
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -11,3 +11,8 @@
 export { listenOn } from './lib/listenOn';
 export { readBody, type BodyCounter, type BodyLimits, type ReadBody } from './lib/readBody';
 export { endEarly } from './lib/endEarly';
+export { type InputAccount, type InputBudget } from './lib/InputBudget';
+export { PacedConnection, type PacedConnectionParts } from './lib/PacedConnection';
+export { paceConnections, pacedConnectionOf, type PaceOptions } from './lib/paceConnections';
+export { queuedBytesOf } from './lib/queuedBytesOf';
+export { ReadScheduler, ScheduledReader } from './lib/ReadScheduler';
--- a/packages/link/src/lib/endEarly.ts
+++ b/packages/link/src/lib/endEarly.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import type { Timer } from '@berylwood/base';
+import { pacedConnectionOf } from './paceConnections';
 
 /** Time in which a caller can read a response to a request that it is still sending, in milliseconds. */
 const READ_MS = 1000;
@@ -16,17 +17,21 @@
 export function endEarly(response: ServerResponse, body: string, timer: Timer): void {
   const { req: request } = response;
   const { socket } = request;
-  let bytes = 0;
   const timeout = timer.after(READ_MS, () => socket.destroy());
   socket.once('close', () => timeout[Symbol.dispose]());
-  request.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes > MAX_DISCARDED_BYTES) socket.destroy();
-  });
-  request.once('end', () => {
-    timeout[Symbol.dispose]();
-    response.end();
-  });
+  const connection = pacedConnectionOf(request);
+  if (connection) connection.discard(MAX_DISCARDED_BYTES);
+  else {
+    let bytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > MAX_DISCARDED_BYTES) socket.destroy();
+    });
+    request.once('end', () => {
+      timeout[Symbol.dispose]();
+      response.end();
+    });
+  }
   // The stated length tells the caller that the response is complete.
   if (body.length > 0) response.write(body);
   else response.flushHeaders();
--- a/packages/link/src/lib/readBody.ts
+++ b/packages/link/src/lib/readBody.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { ChunkBuffer, DisposableStore } from '@berylwood/base';
+import { pacedConnectionOf } from './paceConnections';
 
 /** A complete body, or why there is none. @public */
 export type ReadBody = Buffer | 'tooLarge' | 'overBudget' | 'gone';
@@ -17,7 +18,7 @@
 /** Limits of bodies. @public */
 export interface BodyLimits {
   readonly maxBytes: number;
-  /** Budget in which the body counts until the response has ended. */
+  /** Budget in which the body counts until the response has ended, unless its connection already counts it. */
   readonly bodies: { open(kind: 'request', onEnd: () => void): BodyCounter };
 }
 
@@ -44,7 +45,9 @@
     end('tooLarge');
     return store;
   }
-  const account = bodies.open('request', () => end('overBudget'));
+  const counted = pacedConnectionOf(request)?.account;
+  if (counted) counted.onEnd = () => end('overBudget');
+  const account = counted ?? bodies.open('request', () => end('overBudget'));
   if (store.isDisposed) return store;
   let isComplete = false;
   const onData = (chunk: Buffer): void => {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -116,7 +116,8 @@
 export { tightPauseMs } from './lib/streams/tightPauseMs';
 export { FleetRecovery, type RecoveryReport } from './lib/health/FleetRecovery';
 export { RecoveryWindow, type RecoveryCounts, type RecoveryEnd } from './lib/health/RecoveryWindow';
-export { BodyBudget, type BodyAccount, type BodyBudgetOptions } from './lib/limits/BodyBudget';
+export { BodyAccount } from './lib/limits/BodyAccount';
+export { BodyBudget, type BodyBudgetOptions } from './lib/limits/BodyBudget';
 export { type HeldBody } from './lib/limits/chooseBodiesToEnd';
 export { AdmissionCredits } from './lib/admission/AdmissionCredits';
 export {
--- a/packages/policy/src/lib/limits/BodyBudget.test.ts
+++ b/packages/policy/src/lib/limits/BodyBudget.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { BodyBudget, type BodyAccount } from './BodyBudget';
+import type { BodyAccount } from './BodyAccount';
+import { BodyBudget } from './BodyBudget';
 
 const MIB = 1024 * 1024;
 
@@ -131,6 +132,19 @@
   assert.equal(budget.unfinished, 0);
 });
 
+// Guards against the end of a request that is slow only because this process has not read it yet.
+test('a request whose bytes wait for this process is not stalled', () => {
+  const { clock, ended, open, receive } = createBudget();
+  const waiting = open('waiting');
+  waiting.receive(70 * 1024, true);
+  const silent = open('silent');
+  silent.receive(70 * 1024, false);
+  clock.now = 10_000;
+  receive(open('large'), 15 * MIB);
+  assert.equal(ended[0], 'silent');
+  assert.ok(!ended.includes('waiting') || ended.indexOf('waiting') > 0);
+});
+
 // Guards against answers that wait for each other's space.
 test('the oldest response may grow while there is no space', () => {
   const { budget, open, receive } = createBudget();
--- a/packages/policy/src/lib/limits/BodyBudget.ts
+++ b/packages/policy/src/lib/limits/BodyBudget.ts
@@ -1,9 +1,5 @@
-import {
-  chooseBodiesToEnd,
-  recentBytesOf,
-  SMALL_BODY_BYTES,
-  type HeldBody,
-} from './chooseBodiesToEnd';
+import { BodyAccount, type AccountBook } from './BodyAccount';
+import { chooseBodiesToEnd, SMALL_BODY_BYTES, type HeldBody } from './chooseBodiesToEnd';
 
 /** Part of the budget that large bodies leave to small ones. */
 const RESERVE_SHARE = 1 / 8;
@@ -28,67 +24,12 @@
   readonly onEnded: (body: HeldBody) => void;
 }
 
-/** A body that counts in a budget until it is disposed of. @public */
-export class BodyAccount implements HeldBody, Disposable {
-  readonly kind: HeldBody['kind'];
-
-  readonly startedAt: number;
-
-  bytes = 0;
-
-  recentBytes = 0;
-
-  movedAt: number;
-
-  readonly #budget: BodyBudget;
-
-  readonly #onEnd: () => void;
-
-  /** Updates what the account states, before bodies are chosen to end. */
-  onSample: () => void = () => {};
-
-  /** @internal */
-  constructor(budget: BodyBudget, kind: HeldBody['kind'], now: number, onEnd: () => void) {
-    this.#budget = budget;
-    this.kind = kind;
-    this.startedAt = now;
-    this.movedAt = now;
-    this.#onEnd = onEnd;
-  }
-
-  /** Counts bytes that the peer has sent or read. */
-  move(bytes: number): void {
-    const now = this.#budget.now();
-    this.recentBytes = recentBytesOf(this, now) + bytes;
-    this.movedAt = now;
-  }
-
-  /** Sets the number of bytes held. Ends bodies, this one perhaps, if that exceeds the budget. */
-  resize(bytes: number): void {
-    this.#budget.resize(this, bytes);
-  }
-
-  /** The request has arrived completely: it keeps its bytes, and no longer ends for others. */
-  complete(): void {
-    this.#budget.complete(this);
-  }
-
-  /** @internal */
-  end(): void {
-    this.#onEnd();
-  }
-
-  [Symbol.dispose](): void {
-    this.#budget.release(this);
-  }
-}
-
 /**
- * Budget of the bytes of bodies that a process holds for callers, and of requests that have not arrived
+ * Budget of what a process holds for callers: bytes of requests and responses, and requests that have not arrived
  * completely.
  * @public
  */
-export class BodyBudget {
+export class BodyBudget implements AccountBook {
   readonly #options: BodyBudgetOptions;
 
   /** Accounts that count. */
@@ -144,8 +85,8 @@
    * @param onEnd - ends the body, as the budget is spent; the account is disposed of before.
    */
   open(kind: HeldBody['kind'], onEnd: () => void): BodyAccount {
-    const { maxUnfinished, now } = this.#options;
-    const account = new BodyAccount(this, kind, now(), onEnd);
+    const { maxUnfinished } = this.#options;
+    const account = new BodyAccount(this, kind, onEnd);
     this.#accounts.add(account);
     this.#open.add(account);
     if (kind === 'response') return account;
@@ -174,9 +115,21 @@
     const limit = isLarge && !isResponse ? maxBytes * (1 - RESERVE_SHARE) : maxBytes;
     const excess = this.#bytes - limit;
     if (excess <= 0) return;
-    this.#end({ bytes: excess + maxBytes * SLACK_SHARE, requests: 0, includesSmall: !isLarge });
+    this.#end({
+      bytes: excess + maxBytes * SLACK_SHARE,
+      requests: 0,
+      includesSmall: !isLarge,
+    });
     // Bodies that can't end fill the budget. A response that has run is held up and not ended.
-    if (!isResponse && this.#bytes > limit && this.#open.has(account)) this.#endOne(account);
+    if (!isResponse && this.#bytes > limit && this.#open.has(account)) this.end(account);
+  }
+
+  /** @internal */
+  end(account: BodyAccount): void {
+    if (!this.#accounts.has(account)) return;
+    this.release(account);
+    this.#options.onEnded(account);
+    account.onEnd();
   }
 
   /** @internal */
@@ -194,12 +147,6 @@
   #end(excess: Parameters<typeof chooseBodiesToEnd>[1]): void {
     for (const account of this.#open) account.onSample();
     const chosen = chooseBodiesToEnd(this.#open, excess, this.#options.now());
-    for (const account of chosen) this.#endOne(account);
-  }
-
-  #endOne(account: BodyAccount): void {
-    this.release(account);
-    this.#options.onEnded(account);
-    account.end();
+    for (const account of chosen) this.end(account);
   }
 }
--- a/packages/policy/src/lib/limits/chooseBodiesToEnd.ts
+++ b/packages/policy/src/lib/limits/chooseBodiesToEnd.ts
@@ -19,6 +19,8 @@
   readonly kind: 'request' | 'response';
   /** Bytes that the process holds. */
   readonly bytes: number;
+  /** Whether bytes that have arrived wait for this process, so that their sender is not to blame. */
+  readonly isWaiting: boolean;
   /** Bytes moved, as of `movedAt`; earlier ones count less. */
   readonly recentBytes: number;
   readonly movedAt: number;
@@ -45,8 +47,9 @@
   const isYoung = now - body.startedAt < MIN_AGE_MS;
   const isIdle = now - body.movedAt >= MAX_IDLE_MS;
   // A response of which anything is read is never ended for others.
-  const isSlow = body.kind === 'request' && recentBytesOf(body, now) < STALLED_BYTES;
-  const isStalled = !isYoung && (isIdle || isSlow);
+  const isSlow =
+    body.kind === 'request' && !body.isWaiting && recentBytesOf(body, now) < STALLED_BYTES;
+  const isStalled = !isYoung && ((isIdle && !body.isWaiting) || isSlow);
   if (isStalled) return body.kind === 'request' ? 0 : 1;
   return isYoung ? 3 : 2;
 }
