Begin a request of a connection once the one ahead of it is answered

What callers saw: clients that sent many requests ahead and read no answer ended the process after some seconds, and ordinary callers got nothing while they stayed.

Cause: Node.js parses and begins all requests of a read, some 500 of 130 bytes. Each of them, with its queued answer, is kept until the caller reads; one connection can fill the heap. A new id or key for each costs further work and a log line. And nothing closed a connection whose last answer was never read.

Change: a slice ends where a head may end, or with a body of stated length, so a PacedConnection can hold what follows a complete request until its response has closed. Up to 16 KiB behind it are read, so that the end of the connection is noticed: it ends the request at work and those that were not begun.

New tests: 300 requests in random pieces are answered in order, one at a time, with bodies that look like heads; requests of a caller that leaves are not begun.

--- a/packages/gateway/src/lib/GatewayServers.ts
+++ b/packages/gateway/src/lib/GatewayServers.ts
@@ -5,6 +5,7 @@
 import type { GatewaySettings } from '@berylwood/schema';
 import { CallerServer } from './CallerServer';
 import type { GatewayContext } from './GatewayContext';
+import { memoryEvents } from './memoryEvents';
 import { OperatorServer } from './OperatorServer';
 import { ReadinessServer } from './ReadinessServer';
 import { UnfinishedHeads } from './UnfinishedHeads';
@@ -47,6 +48,8 @@
     const scheduler = new ReadScheduler(() => timer.now());
     const limitsOf = (share: number, budget: BodyBudget) => ({
       scheduler,
+      timer,
+      onUnread: () => journal.record(memoryEvents.readerCut, {}),
       input: { open: (onEnd: () => void) => budget.open('request', onEnd) },
       waiting: new UnfinishedHeads({
         maxWaiting: Math.min(MAX_HEADS, Math.floor(descriptors * share)),
--- a/packages/link/src/lib/PacedConnection.test.ts
+++ b/packages/link/src/lib/PacedConnection.test.ts
@@ -3,7 +3,7 @@
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
 import { setImmediate as nextTurn } from 'node:timers/promises';
-import { Random } from '@berylwood/base';
+import { Random, SystemTimer, VirtualTimer, type Timer } from '@berylwood/base';
 import { until } from '@berylwood/testing';
 import { paceConnections, pacedConnectionOf } from './paceConnections';
 import type { InputAccount } from './InputBudget';
@@ -37,8 +37,8 @@
 }
 
 /** A server with paced connections, which calls the handler once a request is complete. */
-async function startServer(t: TestContext, handle: Handler) {
-  const state = { chunks: 0 };
+async function startServer(t: TestContext, handle: Handler, timer: Timer = new SystemTimer()) {
+  const state = { chunks: 0, unread: 0 };
   const accounts: ReturnType<typeof createAccount>[] = [];
   const server = createServer((request, response) => {
     if (request.url === '/refused') pacedConnectionOf(request)?.discard(MAX_DISCARDED_BYTES);
@@ -50,6 +50,7 @@
     request.on('end', () => handle(request, response, body));
   });
   paceConnections(server, {
+    timer,
     scheduler: new ReadScheduler(() => performance.now()),
     input: {
       open: (onEnd) => {
@@ -57,6 +58,9 @@
         return accounts.at(-1) as InputAccount;
       },
     },
+    onUnread: () => {
+      state.unread += 1;
+    },
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -94,10 +98,15 @@
 };
 
 // Guards against requests whose bytes are lost, moved or taken for another request's where slices divide them.
-test('requests sent ahead are answered in order and with their bodies', async (t) => {
+test('requests sent ahead are answered one at a time, in order and with their bodies', async (t) => {
   const random = new Random(1);
+  let atWork = 0;
+  let most = 0;
   const { open } = await startServer(t, async ({ url }, response, body) => {
+    atWork += 1;
+    most = Math.max(most, atWork);
     await nextTurn();
+    atWork -= 1;
     response.end(`<${url} ${body}>`);
   });
   const bodies = Array.from({ length: 300 }, () => {
@@ -121,6 +130,7 @@
     from = client.text.indexOf(answer, from);
     assert.ok(from >= 0, `missing or out of order: ${JSON.stringify(answer)}`);
   }
+  assert.equal(most, 1);
 });
 
 // Guards against one read of a connection that holds up all others.
@@ -140,6 +150,24 @@
   assert.ok(most <= 8000, `${most} chunks in a turn`);
 });
 
+// Guards against requests that are begun for a caller that has left.
+test('requests ahead of a caller that leaves are not begun', async (t) => {
+  const begun: string[] = [];
+  let finish = (): void => {};
+  const { open } = await startServer(t, ({ url = '' }, response) => {
+    begun.push(url);
+    finish = () => response.end();
+  });
+  const client = open();
+  client.socket.write(get('/1') + get('/2') + get('/3'));
+  await until('the first has begun', () => begun.length > 0);
+  client.socket.end();
+  await until('the connection has ended', () => client.isClosed);
+  finish();
+  await nextTurn();
+  assert.deepEqual(begun, ['/1']);
+});
+
 // Guards against a caller's leaving that is noticed only at the end of its request.
 test('the end of a connection is noticed while its request is at work', async (t) => {
   let isGone = false;
@@ -165,13 +193,40 @@
   client.socket.write('Host: a\r\n\r\n');
   await until('the answer', () => client.text.endsWith('ok'));
   await until('the first account is disposed of', () => accounts[0]?.isDisposed === true);
-  client.socket.write(get('/held'));
+  client.socket.write(get('/held') + get('/ahead'));
   await until('the second request is complete', () => accounts[1]?.isComplete === true);
+  assert.equal(accounts[1]?.receivedBytes, get('/ahead').length);
   client.socket.destroy();
   await until('all are disposed of', () => accounts.every(({ isDisposed }) => isDisposed));
   assert.equal(accounts.length, 2);
 });
 
+// Guards against callers that keep a connection and an answer by reading nothing.
+test('a connection whose peer reads nothing is closed, and one that is read is not', async (t) => {
+  const timer = new VirtualTimer();
+  const { state, open } = await startServer(
+    t,
+    (_, response) => response.end(Buffer.alloc(32 * 1024 * 1024, 'x')),
+    timer,
+  );
+  const silent = open();
+  const slow = open();
+  for (const { socket } of [silent, slow]) {
+    socket.pause();
+    socket.write(get('/'));
+  }
+  for (let round = 0; round < 4; round += 1) {
+    for (let read = 0; read < 50; read += 1) {
+      slow.socket.read(64 * 1024);
+      await nextTurn();
+    }
+    timer.advance(16_000);
+    await nextTurn();
+  }
+  await until('the silent one is closed', () => state.unread === 1);
+  assert.ok(!slow.isClosed);
+});
+
 // Guards against a refused body that is read on without end, and chunk by chunk.
 test('the rest of a refused body is thrown away up to a limit', async (t) => {
   const { state, open } = await startServer(t, () => {});
--- a/packages/link/src/lib/PacedConnection.ts
+++ b/packages/link/src/lib/PacedConnection.ts
@@ -1,14 +1,24 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { Duplex } from 'node:stream';
+import type { Timer } from '@berylwood/base';
 import { findHeadEnd, MAX_HEAD_END_TAIL } from './findHeadEnd';
 import { ReceivedBytes } from './ReceivedBytes';
 import type { InputAccount, InputBudget } from './InputBudget';
+import { queuedBytesOf } from './queuedBytesOf';
 import type { ReadScheduler, ScheduledReader } from './ReadScheduler';
 
+/** Bytes behind an unanswered request up to which its connection is read, so that the end of the peer is noticed. */
+const MAX_AHEAD_BYTES = 16 * 1024;
+
 /** Bytes of a request up to which its connection counts as one with little to read. */
 const URGENT_BYTES = 8 * 1024;
 
+/**
+ * Time in which a peer has to read something of what was written, in milliseconds; as long as callers may stay idle.
+ */
+const MAX_UNREAD_MS = 15_000;
+
 const NO_BYTES: Buffer = Buffer.alloc(0);
 
 type WriteCallback = (error?: Error | null) => void;
@@ -18,6 +28,9 @@
   readonly scheduler: ReadScheduler;
   /** Counts what the connection holds of requests. */
   readonly input: InputBudget;
+  readonly timer: Timer;
+  /** Called when a connection is closed since its peer reads nothing. */
+  readonly onUnread?: () => void;
 }
 
 /** The last bytes received, as far as they may belong to the end of a head. */
@@ -29,7 +42,9 @@
 
 /**
  * A connection of an HTTP server that hands what it receives to the server's parser in slices, when a scheduler
- * gives it a turn. What it holds of a request counts in a budget from the first byte until the response has closed.
+ * gives it a turn. A request is begun once the one before it has been answered and its answer has left; until then
+ * the connection isn't read, but for the end of the peer's bytes. What it holds of a request counts in a budget from
+ * the first byte until the response has closed.
  * @public
  */
 export class PacedConnection extends Duplex implements ScheduledReader {
@@ -84,6 +99,9 @@
 
   #account: InputAccount | undefined;
 
+  /** Check whether the peer reads what was written. */
+  #unreadCheck: Disposable | undefined;
+
   constructor(transport: Socket, parts: PacedConnectionParts) {
     super({ allowHalfOpen: true, decodeStrings: false });
     this.transport = transport;
@@ -119,7 +137,7 @@
 
   get isReadable(): boolean {
     if (this.#received.length === 0 || this.destroyed) return false;
-    return this.#isDiscarding || this.#isDemanded;
+    return this.#isDiscarding || (this.#isDemanded && !this.#isBlocked);
   }
 
   get cost(): number {
@@ -181,6 +199,7 @@
 
   override _write(chunk: Buffer | string, encoding: BufferEncoding, callback: WriteCallback): void {
     this.transport.write(chunk, encoding, callback);
+    this.#watchReader();
   }
 
   override _writev(
@@ -192,6 +211,7 @@
       this.transport.write(chunk, encoding, at === chunks.length - 1 ? callback : undefined),
     );
     this.transport.uncork();
+    this.#watchReader();
   }
 
   override _final(callback: WriteCallback): void {
@@ -200,15 +220,40 @@
 
   override _destroy(error: Error | null, callback: WriteCallback): void {
     this.#parts.scheduler.delete(this);
+    this.#unreadCheck?.[Symbol.dispose]();
     this.#account?.[Symbol.dispose]();
     this.#account = undefined;
     this.transport.destroy();
     callback(error);
   }
 
+  /** Whether the request ahead is complete and not answered yet. */
+  get #isBlocked(): boolean {
+    return this.#request?.complete ?? false;
+  }
+
+  /** Closes the connection if nothing of what was written is read for too long. */
+  #watchReader(): void {
+    const { transport } = this;
+    if (this.#unreadCheck || transport.writableLength === 0) return;
+    const unsentBytes = (): number => transport.writableLength + queuedBytesOf(transport);
+    const before = unsentBytes();
+    const written = transport.bytesWritten;
+    this.#unreadCheck = this.#parts.timer.after(MAX_UNREAD_MS, () => {
+      this.#unreadCheck = undefined;
+      const hasRead = unsentBytes() < before || transport.bytesWritten > written;
+      if (hasRead || transport.writableLength === 0) this.#watchReader();
+      else {
+        this.#parts.onUnread?.();
+        this.destroy();
+      }
+    });
+  }
+
   #receive(): void {
-    // The end behind the last bytes is noticed only by a further read.
-    if (this.transport.readableLength === 0) this.transport.read(0);
+    if (this.#isBlocked || this.transport.readableLength === 0) {
+      this.#received.lookAhead(MAX_AHEAD_BYTES);
+    }
     this.#update();
     this.#parts.scheduler.add(this);
   }
@@ -223,10 +268,10 @@
   /** Counts what is held, and passes the end on behind it. */
   #update(): void {
     if (this.destroyed || this.#isDiscarding) return;
-    const isWaiting = this.#received.length > 0;
+    const isWaiting = this.#received.length > 0 && !this.#isBlocked;
     const headBytes = this.#request ? 0 : this.#requestBytes;
     this.#account?.receive(this.#received.length + headBytes, isWaiting);
-    if (this.#request?.complete) this.#account?.complete();
+    if (this.#isBlocked) this.#account?.complete();
     if (!this.#hasEnded || this.#received.length > 0 || this.#isEndPassedOn) return;
     this.#isEndPassedOn = true;
     this.push(null);
@@ -263,9 +308,10 @@
     this.#parts.scheduler.add(this);
   }
 
-  /** The peer has sent all it will. */
+  /** The peer has sent all it will. Requests that it has sent ahead are not begun any more. */
   #end(): void {
     this.#hasEnded = true;
+    if (this.#isBlocked) this.#received.clear();
     if (this.#isDiscarding) this.destroySoon();
     else this.#update();
   }
--- a/packages/link/src/lib/ReceivedBytes.ts
+++ b/packages/link/src/lib/ReceivedBytes.ts
@@ -30,6 +30,23 @@
     this.#taken = this.#taken.length === 0 ? bytes : Buffer.concat([bytes, this.#taken]);
   }
 
+  /** Takes bytes from the transport until there are `maxBytes`, so that the end behind them is noticed. */
+  lookAhead(maxBytes: number): void {
+    while (this.#taken.length < maxBytes) {
+      const bytes = this.#transport.read() as Buffer | null;
+      if (bytes === null) return;
+      this.#taken = Buffer.concat([this.#taken, bytes]);
+    }
+  }
+
+  /** Forgets all bytes and returns how many there were. */
+  clear(): number {
+    const { length } = this;
+    this.#taken = NO_BYTES;
+    this.#transport.read();
+    return length;
+  }
+
   #read(maxBytes: number): Buffer {
     const bytes = Math.min(maxBytes, this.#transport.readableLength);
     const read = bytes > 0 ? (this.#transport.read(bytes) as Buffer | null) : null;
