Limit the heap that requests take

With more heads over the configuration's limit, memory beside the heap went beyond the machine's.

Cause: a head of 16 KB that lists 1,400 parts of a prompt decodes to 105 KB of heap, from the arrival of the head until the response has closed, and nothing counted it: the budget counted bodies, and limited unfinished requests by their number. Heads without an end were limited by number alone.

Change: the account of a request counts the heap that it takes, 8 KiB and eight times its head, and the bytes of a head that isn't complete.

With 96 MB of heap the limit is some 31 MB, 2,500 requests with usual heads; their connections and those to endpoints take as many descriptors as a machine has before that.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -33,4 +33,9 @@
 export { Metrics } from './lib/Metrics';
 export { LineLimit } from './lib/LineLimit';
 export { ChunkBuffer } from './lib/ChunkBuffer';
-export { defaultBodyBudgetBytes, defaultMaxUnfinished, maxDescriptors } from './lib/processLimits';
+export {
+  defaultBodyBudgetBytes,
+  defaultMaxUnfinished,
+  defaultRequestHeapBytes,
+  maxDescriptors,
+} from './lib/processLimits';
--- a/packages/base/src/lib/processLimits.ts
+++ b/packages/base/src/lib/processLimits.ts
@@ -4,6 +4,9 @@
 /** Part of the heap's limit for bodies, which are held beside the heap. */
 const HEAP_SHARE = 1 / 4;
 
+/** Part of the heap that is free after the start for requests; the rest is for other state and for garbage. */
+const REQUEST_HEAP_SHARE = 1 / 3;
+
 /** Part of a limit on the memory of the whole process for bodies; the rest is for the heap and code. */
 const MEMORY_SHARE = 1 / 8;
 
@@ -23,6 +26,12 @@
   return Math.floor(Math.min(getHeapStatistics().heap_size_limit * HEAP_SHARE, ofMemory));
 }
 
+/** Bytes of the heap that requests may take, by what a process that has just started leaves of it. @public */
+export function defaultRequestHeapBytes(): number {
+  const { heap_size_limit: limit, used_heap_size: used } = getHeapStatistics();
+  return Math.floor(Math.max(0, limit - used) * REQUEST_HEAP_SHARE);
+}
+
 /** Number of descriptors that the process may have open. @public */
 export function maxDescriptors(): number {
   try {
--- a/packages/link/src/lib/InputBudget.ts
+++ b/packages/link/src/lib/InputBudget.ts
@@ -9,6 +9,8 @@
    * @param isWaiting - whether they wait for this process, and not for their sender.
    */
   receive(bytes: number, isWaiting: boolean): void;
+  /** Sets the bytes of the heap that the request takes. */
+  reserve(heapBytes: number): void;
   /** Sets the bytes of the body that are held. */
   resize(bytes: number): void;
   /** Records that the request has arrived completely. */
--- a/packages/link/src/lib/PacedConnection.test.ts
+++ b/packages/link/src/lib/PacedConnection.test.ts
@@ -18,12 +18,16 @@
   const account = {
     onEnd,
     receivedBytes: 0,
+    heapBytes: 0,
     isComplete: false,
     isDisposed: false,
     move: () => {},
     receive: (bytes: number) => {
       account.receivedBytes = bytes;
     },
+    reserve: (bytes: number) => {
+      account.heapBytes = bytes;
+    },
     resize: () => {},
     complete: () => {
       account.isComplete = true;
@@ -195,6 +199,7 @@
   await until('the first account is disposed of', () => accounts[0]?.isDisposed === true);
   client.socket.write(get('/held') + get('/ahead'));
   await until('the second request is complete', () => accounts[1]?.isComplete === true);
+  assert.ok((accounts[1]?.heapBytes ?? 0) > 0);
   assert.equal(accounts[1]?.receivedBytes, get('/ahead').length);
   client.socket.destroy();
   await until('all are disposed of', () => accounts.every(({ isDisposed }) => isDisposed));
--- a/packages/link/src/lib/PacedConnection.ts
+++ b/packages/link/src/lib/PacedConnection.ts
@@ -19,6 +19,12 @@
  */
 const MAX_UNREAD_MS = 15_000;
 
+/** Heap that a request takes until its response has closed, besides its head, in bytes. */
+const REQUEST_BYTES = 8 * 1024;
+
+/** Heap that the decoded fields of a head take, as a multiple of the head. */
+const HEAD_FACTOR = 8;
+
 const NO_BYTES: Buffer = Buffer.alloc(0);
 
 type WriteCallback = (error?: Error | null) => void;
@@ -148,6 +154,7 @@
   begin(request: IncomingMessage, response: ServerResponse): void {
     this.#request = request;
     this.#bodyLeftBytes = Number(request.headers['content-length'] ?? 0);
+    this.#account?.reserve(REQUEST_BYTES + HEAD_FACTOR * this.#requestBytes);
     response.once('close', () => {
       if (this.#request === request) this.#answered();
     });
--- a/packages/policy/src/lib/limits/BodyAccount.ts
+++ b/packages/policy/src/lib/limits/BodyAccount.ts
@@ -4,6 +4,7 @@
 export interface AccountBook {
   now(): number;
   resize(account: BodyAccount, bytes: number): void;
+  resizeHeap(account: BodyAccount, bytes: number): void;
   complete(account: BodyAccount): void;
   end(account: BodyAccount): void;
   release(account: BodyAccount): void;
@@ -17,6 +18,8 @@
 
   bytes = 0;
 
+  heapBytes = 0;
+
   recentBytes = 0;
 
   movedAt: number;
@@ -68,6 +71,11 @@
     this.#book.resize(this, this.#receivedBytes + this.#bodyBytes);
   }
 
+  /** Sets the bytes of the heap that are taken. Ends bodies, this one perhaps, if that exceeds the budget. */
+  reserve(heapBytes: number): void {
+    this.#book.resizeHeap(this, heapBytes);
+  }
+
   /** The request has arrived completely: it keeps its bytes, and no longer ends for others. */
   complete(): void {
     this.#book.complete(this);
--- a/packages/policy/src/lib/limits/BodyBudget.test.ts
+++ b/packages/policy/src/lib/limits/BodyBudget.test.ts
@@ -6,11 +6,12 @@
 const MIB = 1024 * 1024;
 
 /** A budget at a time that the test moves, with the names of the bodies that it has ended. */
-function createBudget({ maxBytes = 16 * MIB, maxUnfinished = 64 } = {}) {
+function createBudget({ maxBytes = 16 * MIB, maxHeapBytes = Infinity, maxUnfinished = 64 } = {}) {
   const clock = { now: 0 };
   const ended: string[] = [];
   const budget = new BodyBudget({
     maxBytes,
+    maxHeapBytes,
     maxUnfinished,
     now: () => clock.now,
     onEnded: () => {},
@@ -132,6 +133,26 @@
   assert.equal(budget.unfinished, 0);
 });
 
+// Guards against a heap that is full of decoded heads while the budget of bytes is empty.
+test('requests are limited by the heap that they take, and stalled ones end first', () => {
+  const { clock, ended, budget, open } = createBudget({ maxHeapBytes: 4 * MIB });
+  const complete = open('complete');
+  complete.reserve(MIB);
+  complete.complete();
+  open('stalled').reserve(2 * MIB);
+  clock.now = 5000;
+  const next = open('next');
+  next.move(100_000);
+  next.reserve(2 * MIB);
+  assert.deepEqual(ended, ['stalled']);
+  assert.equal(budget.heapBytes, 3 * MIB);
+  open('last').reserve(4 * MIB);
+  assert.ok(ended.includes('last') && !ended.includes('complete'));
+  complete[Symbol.dispose]();
+  next[Symbol.dispose]();
+  assert.equal(budget.heapBytes, 0);
+});
+
 // Guards against the end of a request that is slow only because this process has not read it yet.
 test('a request whose bytes wait for this process is not stalled', () => {
   const { clock, ended, open, receive } = createBudget();
--- a/packages/policy/src/lib/limits/BodyBudget.ts
+++ b/packages/policy/src/lib/limits/BodyBudget.ts
@@ -17,6 +17,8 @@
 export interface BodyBudgetOptions {
   /** Bytes of all bodies that the process holds. */
   readonly maxBytes: number;
+  /** Bytes of the heap that all requests may take; no limit by default. */
+  readonly maxHeapBytes?: number;
   /** Requests that have not arrived completely. */
   readonly maxUnfinished: number;
   readonly now: () => number;
@@ -25,8 +27,8 @@
 }
 
 /**
- * Budget of what a process holds for callers: bytes of requests and responses, and requests that have not arrived
- * completely.
+ * Budget of what a process holds for callers: bytes of requests and responses beside the heap, the heap that
+ * requests take, and requests that have not arrived completely.
  * @public
  */
 export class BodyBudget implements AccountBook {
@@ -40,6 +42,8 @@
 
   #bytes = 0;
 
+  #heapBytes = 0;
+
   #unfinished = 0;
 
   constructor(options: BodyBudgetOptions) {
@@ -56,6 +60,11 @@
     return this.#bytes;
   }
 
+  /** Bytes of the heap that requests take. */
+  get heapBytes(): number {
+    return this.#heapBytes;
+  }
+
   /** Requests that have not arrived completely. */
   get unfinished(): number {
     return this.#unfinished;
@@ -70,7 +79,7 @@
   admitsRequest(): boolean {
     const excess = this.#bytes - this.#options.maxBytes * (1 + ADMISSION_SHARE);
     if (excess <= 0) return true;
-    this.#end({ bytes: excess, requests: 0, includesSmall: false });
+    this.#end({ bytes: excess, heapBytes: 0, requests: 0, includesSmall: false });
     return this.#bytes <= this.#options.maxBytes * (1 + ADMISSION_SHARE);
   }
 
@@ -95,6 +104,7 @@
     if (requests > 0) {
       this.#end({
         bytes: 0,
+        heapBytes: 0,
         requests: requests + maxUnfinished * SLACK_SHARE,
         includesSmall: true,
       });
@@ -117,6 +127,7 @@
     if (excess <= 0) return;
     this.#end({
       bytes: excess + maxBytes * SLACK_SHARE,
+      heapBytes: 0,
       requests: 0,
       includesSmall: !isLarge,
     });
@@ -124,6 +135,20 @@
     if (!isResponse && this.#bytes > limit && this.#open.has(account)) this.end(account);
   }
 
+  /** @internal */
+  resizeHeap(account: BodyAccount, bytes: number): void {
+    if (!this.#accounts.has(account)) return;
+    const isGrowth = bytes > account.heapBytes;
+    this.#heapBytes += bytes - account.heapBytes;
+    account.heapBytes = bytes;
+    const { maxHeapBytes = Infinity } = this.#options;
+    const excess = this.#heapBytes - maxHeapBytes;
+    if (!isGrowth || excess <= 0) return;
+    const heapBytes = excess + maxHeapBytes * SLACK_SHARE;
+    this.#end({ bytes: 0, heapBytes, requests: 0, includesSmall: true });
+    if (this.#heapBytes > maxHeapBytes && this.#open.has(account)) this.end(account);
+  }
+
   /** @internal */
   end(account: BodyAccount): void {
     if (!this.#accounts.has(account)) return;
@@ -142,6 +167,7 @@
     if (!this.#accounts.delete(account)) return;
     this.complete(account);
     this.#bytes -= account.bytes;
+    this.#heapBytes -= account.heapBytes;
   }
 
   #end(excess: Parameters<typeof chooseBodiesToEnd>[1]): void {
--- a/packages/policy/src/lib/limits/chooseBodiesToEnd.ts
+++ b/packages/policy/src/lib/limits/chooseBodiesToEnd.ts
@@ -19,6 +19,8 @@
   readonly kind: 'request' | 'response';
   /** Bytes that the process holds. */
   readonly bytes: number;
+  /** Bytes of the heap that it takes. */
+  readonly heapBytes: number;
   /** Whether bytes that have arrived wait for this process, so that their sender is not to blame. */
   readonly isWaiting: boolean;
   /** Bytes moved, as of `movedAt`; earlier ones count less. */
@@ -31,6 +33,8 @@
 export interface BodyExcess {
   /** Bytes to free. */
   readonly bytes: number;
+  /** Bytes of the heap to free. */
+  readonly heapBytes: number;
   /** Requests to end. */
   readonly requests: number;
   /** Whether small requests that make progress may end, too. */
@@ -80,13 +84,17 @@
     return a.speed - b.speed || a.body.bytes - b.body.bytes;
   });
   const chosen: T[] = [];
-  let { bytes, requests } = excess;
+  let { bytes, heapBytes, requests } = excess;
   for (const { body } of ranked) {
-    if (bytes <= 0 && requests <= 0) break;
-    const isUseful = (bytes > 0 && body.bytes > 0) || (requests > 0 && body.kind === 'request');
+    if (bytes <= 0 && heapBytes <= 0 && requests <= 0) break;
+    const isUseful =
+      (bytes > 0 && body.bytes > 0) ||
+      (heapBytes > 0 && body.heapBytes > 0) ||
+      (requests > 0 && body.kind === 'request');
     if (!isUseful) continue;
     chosen.push(body);
     bytes -= body.bytes;
+    heapBytes -= body.heapBytes;
     if (body.kind === 'request') requests -= 1;
   }
   return chosen;
