Answer plain requests to the port of links, and limit its connections

Cause: LinkServer had no listener for requests other than upgrades. Such a request was never answered nor read, so each connection kept the chunks of its first read, some 10,000 buffers, for good, and no limit counted connections without a link.

Change: a plain request gets 426 and its connection is closed. Connections are read in turns and counted like those of callers until they are links; a sixteenth of the descriptors may wait there for a request. A link leaves the PacedConnection with its socket, so its messages are read as before.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -145,6 +145,7 @@
       context: this.#createContext(),
       settings,
       mesh: this.#mesh,
+      links: this.#links,
       isReady: () => this.#isReady(),
     });
     this.#listReader = platform && this.#createListReader(platform);
--- a/packages/gateway/src/lib/GatewayServers.ts
+++ b/packages/gateway/src/lib/GatewayServers.ts
@@ -1,5 +1,5 @@
 import { maxDescriptors } from '@berylwood/base';
-import { ReadScheduler } from '@berylwood/link';
+import { ReadScheduler, type LinkServer } from '@berylwood/link';
 import type { BodyBudget } from '@berylwood/policy';
 import type { Mesh } from '@berylwood/registry';
 import type { GatewaySettings } from '@berylwood/schema';
@@ -25,6 +25,8 @@
   readonly context: GatewayContext;
   readonly settings: GatewaySettings;
   readonly mesh: Mesh;
+  /** Accepts the links of other instances. */
+  readonly links: LinkServer;
   readonly isReady: () => boolean;
 }
 
@@ -38,7 +40,7 @@
 
   readonly #settings: GatewaySettings;
 
-  constructor({ context, settings, mesh, isReady }: GatewayServersOptions) {
+  constructor({ context, settings, mesh, links, isReady }: GatewayServersOptions) {
     const { wire, journal, faults, timer, bodies } = context;
     this.#settings = settings;
     this.callers = new CallerServer(context);
@@ -60,6 +62,11 @@
     this.callers.limitConnections(limitsOf(CALLER_SHARE, bodies));
     this.#readiness.limitConnections(limitsOf(OTHER_SHARE, bodies));
     this.#operators.limitConnections(limitsOf(OTHER_SHARE, bodies));
+    const { waiting, ...parts } = limitsOf(OTHER_SHARE, bodies);
+    links.limitConnections(
+      { ...parts, onConnection: (connection) => waiting.accept(connection) },
+      (server) => waiting.watch(server),
+    );
   }
 
   async listen(): Promise<void> {
--- a/packages/gateway/src/lib/UnfinishedHeads.ts
+++ b/packages/gateway/src/lib/UnfinishedHeads.ts
@@ -47,6 +47,7 @@
 
   /** Notes the requests of a server whose connections are passed to `accept`. */
   watch(server: Server): void {
+    server.on('upgrade', ({ socket }: IncomingMessage) => this.#waiting.delete(socket));
     server.on('request', ({ socket }: IncomingMessage, response: ServerResponse) => {
       this.#waiting.delete(socket);
       this.#requests.set(socket, (this.#requests.get(socket) ?? 0) + 1);
--- a/packages/link/src/lib/LinkServer.ts
+++ b/packages/link/src/lib/LinkServer.ts
@@ -6,9 +6,12 @@
 import { MAX_FRAME_BYTES, type LinkIdentity, type LinkOptions } from './LinkOptions';
 import { closeNow } from './closeNow';
 import { listenOn } from './listenOn';
+import { paceConnections, pacedConnectionOf, type PaceOptions } from './paceConnections';
 
 type SocketHandler = (socket: import('ws').WebSocket, peer: string) => void;
 
+const UPGRADE_REQUIRED = 426;
+
 /** Accepts links of several kinds on one port; the URL path identifies the kind. @public */
 export class LinkServer {
   readonly #server: Server;
@@ -17,7 +20,10 @@
 
   readonly #handlers = new Map<string, SocketHandler>();
 
+  readonly #isSecure: boolean;
+
   constructor(identity?: LinkIdentity) {
+    this.#isSecure = identity !== undefined;
     this.#server = identity
       ? createSecureServer({
           cert: identity.certificate,
@@ -27,6 +33,9 @@
           rejectUnauthorized: true,
         })
       : createServer();
+    this.#server.on('request', (_, response) => {
+      response.writeHead(UPGRADE_REQUIRED, { Connection: 'close' }).end();
+    });
     this.#server.on('upgrade', (request: IncomingMessage, socket: Socket, head: Buffer) => {
       this.#upgrade(request, socket, head);
     });
@@ -41,6 +50,12 @@
     this.#handlers.set(path, (socket, peer) => onLink(new Link<Out, In>(socket, peer, options)));
   }
 
+  /** Limits what connections may cost until they are links; call before `listen`. */
+  limitConnections(options: Omit<PaceOptions, 'isSecure'>, watch: (server: Server) => void): void {
+    paceConnections(this.#server, { ...options, isSecure: this.#isSecure });
+    watch(this.#server);
+  }
+
   /** Listens on `IP:PORT` and resolves to the bound address. */
   listen(address: string): Promise<string> {
     return listenOn(this.#server, address);
@@ -52,7 +67,8 @@
     await closeNow(this.#server);
   }
 
-  #upgrade(request: IncomingMessage, socket: Socket, head: Buffer): void {
+  #upgrade(request: IncomingMessage, stream: Socket, head: Buffer): void {
+    const socket = pacedConnectionOf(request)?.release() ?? stream;
     const handler = this.#handlers.get(request.url ?? '');
     if (!handler) {
       socket.destroy();
--- a/packages/link/src/lib/PacedConnection.ts
+++ b/packages/link/src/lib/PacedConnection.ts
@@ -186,6 +186,20 @@
     this.#parts.scheduler.add(this);
   }
 
+  /**
+   * Returns the transport, for another protocol than HTTP, with the bytes that the parser was not given. The
+   * connection isn't used any more.
+   */
+  release(): Socket {
+    const { transport } = this;
+    for (const [event, listener] of Object.entries(this.#listeners)) transport.off(event, listener);
+    this.#parts.scheduler.delete(this);
+    this.#account?.[Symbol.dispose]();
+    this.#account = undefined;
+    this.#received.release();
+    return transport;
+  }
+
   setTimeout(timeoutMs: number, callback?: () => void): this {
     this.transport.setTimeout(timeoutMs);
     if (callback) this.once('timeout', callback);
--- a/packages/link/src/lib/ReceivedBytes.ts
+++ b/packages/link/src/lib/ReceivedBytes.ts
@@ -47,6 +47,12 @@
     return length;
   }
 
+  /** Gives all bytes back to the transport. */
+  release(): void {
+    if (this.#taken.length > 0) this.#transport.unshift(this.#taken);
+    this.#taken = NO_BYTES;
+  }
+
   #read(maxBytes: number): Buffer {
     const bytes = Math.min(maxBytes, this.#transport.readableLength);
     const read = bytes > 0 ? (this.#transport.read(bytes) as Buffer | null) : null;
