Give operators, readiness checks and peers a budget of their own

What operators saw: while complete requests of callers filled the body budget, a configuration of 150 KB was rejected with 503, again and again.

Cause: one budget counted the requests of all listeners, and complete requests don't end for others.

Descriptors were divided before.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -12,7 +12,7 @@
   type StoredConfiguration,
 } from '@berylwood/registry';
 import type { GatewaySettings } from '@berylwood/schema';
-import { createBodyBudget } from './createBodyBudget';
+import { createBodyBudgets } from './createBodyBudgets';
 import { drainCallers } from './drainCallers';
 import { EndpointServices } from './EndpointServices';
 import { gatewayEvents } from './events';
@@ -232,6 +232,7 @@
 
   #createContext(): GatewayContext {
     const { settings, wire, timer, journal, metrics } = this.#options;
+    const { callers, operators } = createBodyBudgets({ settings, timer, journal, metrics });
     const bounds = { ratio: settings.repeatRatio, slack: settings.repeatSlack };
     return {
       wire,
@@ -246,7 +247,8 @@
       held: this.#endpoints.held,
       engines: this.#endpoints.engines,
       streamEngines: this.#endpoints.streamEngines,
-      bodies: createBodyBudget({ settings, timer, journal, metrics }),
+      bodies: callers,
+      operatorBodies: operators,
       admission: this.#endpoints.admission,
       origins: this.#mesh.origins,
       budgets: new RetryBudgets(bounds, () => this.#instances),
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -30,9 +30,12 @@
   readonly held: HeldRequests;
   readonly streamEngines: StreamEngines;
 
-  /** Budget of the bodies that the instance holds for callers and operators. */
+  /** Budget of what the instance holds for callers. */
   readonly bodies: BodyBudget;
 
+  /** Budget of what operators, readiness checks and peers send. */
+  readonly operatorBodies: BodyBudget;
+
   /** Division of the prefill capacity among workspaces; undefined unless the settings ask for it. */
   readonly admission: FairAdmission | undefined;
   /** Versions that began streams, known to all instances. */
--- a/packages/gateway/src/lib/GatewayServers.ts
+++ b/packages/gateway/src/lib/GatewayServers.ts
@@ -41,11 +41,14 @@
   readonly #settings: GatewaySettings;
 
   constructor({ context, settings, mesh, links, isReady }: GatewayServersOptions) {
-    const { wire, journal, faults, timer, bodies } = context;
+    const { wire, journal, faults, timer, bodies, operatorBodies } = context;
     this.#settings = settings;
     this.callers = new CallerServer(context);
     this.#readiness = new ReadinessServer(wire.paths.readiness, isReady);
-    this.#operators = new OperatorServer({ wire, mesh, journal, faults, timer, bodies });
+    this.#operators = new OperatorServer({
+      ...{ wire, mesh, journal, faults, timer },
+      bodies: operatorBodies,
+    });
     const descriptors = maxDescriptors();
     const scheduler = new ReadScheduler(() => timer.now());
     const limitsOf = (share: number, budget: BodyBudget) => ({
@@ -60,9 +63,9 @@
       }),
     });
     this.callers.limitConnections(limitsOf(CALLER_SHARE, bodies));
-    this.#readiness.limitConnections(limitsOf(OTHER_SHARE, bodies));
-    this.#operators.limitConnections(limitsOf(OTHER_SHARE, bodies));
-    const { waiting, ...parts } = limitsOf(OTHER_SHARE, bodies);
+    this.#readiness.limitConnections(limitsOf(OTHER_SHARE, operatorBodies));
+    this.#operators.limitConnections(limitsOf(OTHER_SHARE, operatorBodies));
+    const { waiting, ...parts } = limitsOf(OTHER_SHARE, operatorBodies);
     links.limitConnections(
       { ...parts, onConnection: (connection) => waiting.accept(connection) },
       (server) => waiting.watch(server),
