Bound what the log keeps and writes for callers

What was seen: clients with a new unknown key for each request cost a log line each, and the latest 4,000 records stayed in memory with whatever text the callers had chosen for their ids, up to 16 KB each.

Change: texts of fields are cut to 512 characters; 2,500 records at most are kept for a capacity of 2,000; lines of requests that are rejected for what they are (9001, 9002, 9003, 9017, 9030) are limited to 100 a second and the others counted. Lines of other failures are always written.

--- a/packages/base/src/lib/Journal.ts
+++ b/packages/base/src/lib/Journal.ts
@@ -29,6 +29,27 @@
 const DEFAULT_CAPACITY = 2000;
 const STANDARD_ERROR = 2;
 
+/** Records beyond the capacity after which the oldest are removed together, as a multiple of the capacity. */
+const SLACK_FACTOR = 1.25;
+
+/** Longest text of a field that is recorded, in characters: callers choose ids and paths. */
+const MAX_TEXT_LENGTH = 512;
+
+/** Cuts long texts, as records are kept. */
+function shorten(fields: Readonly<Record<string, unknown>>): Readonly<Record<string, unknown>> {
+  const isLong = (value: unknown): value is string =>
+    typeof value === 'string' && value.length > MAX_TEXT_LENGTH;
+  if (!Object.values(fields).some(isLong)) return fields;
+  // A copy of the bytes, since a part of a string keeps the whole one in memory.
+  const cut = (text: string): string =>
+    Buffer.from(`${text.slice(0, MAX_TEXT_LENGTH)}…`).toString();
+  const entries = Object.entries(fields).map(([name, value]) => [
+    name,
+    isLong(value) ? cut(value) : value,
+  ]);
+  return Object.fromEntries(entries) as Record<string, unknown>;
+}
+
 /** Writes numbered events to the log and keeps the latest in memory for the timeline. @public */
 export class Journal {
   readonly clock: HybridClock;
@@ -48,13 +69,17 @@
     );
   }
 
-  /** Records one event. The fields must not contain secrets. */
+  /** Records one event; long texts are cut. The fields must not contain secrets. */
   record(event: LogEvent, fields: Record<string, unknown> = {}): void {
     const { process, incarnation, capacity = DEFAULT_CAPACITY } = this.#options;
     const stamp = this.clock.tick();
-    const record = { event: event.number, name: event.name, process, incarnation, stamp, fields };
+    const { number, name } = event;
+    const kept = shorten(fields);
+    const record = { event: number, name, process, incarnation, stamp, fields: kept };
     this.#records.push(record);
-    if (this.#records.length > 2 * capacity) this.#records = this.#records.slice(-capacity);
+    if (this.#records.length > capacity * SLACK_FACTOR) {
+      this.#records = this.#records.slice(-capacity);
+    }
     this.#logger[event.level]({ ...record }, event.name);
   }
 
--- a/packages/gateway/src/lib/RequestLog.ts
+++ b/packages/gateway/src/lib/RequestLog.ts
@@ -1,10 +1,23 @@
 import type { Journal, Metrics, Timer } from '@berylwood/base';
 import type { RecordOutcome } from '@berylwood/registry';
+import { gatewayCodes } from './codes';
 import { gatewayEvents } from './events';
 
-/** Maximum lines of served requests per second; lines of failed requests are always written. */
+/** Maximum lines of served requests per second. */
 const MAX_SERVED_LINES_PER_S = 40;
 
+/** Maximum lines per second of requests that were rejected for what they are; other failures are always written. */
+const MAX_REJECTED_LINES_PER_S = 100;
+
+/** Codes of requests that are rejected without a look at the load, so that a client can cause any number. */
+const REJECTIONS: ReadonlySet<number | undefined> = new Set([
+  gatewayCodes.noRoute.number,
+  gatewayCodes.keyUnknown.number,
+  gatewayCodes.bodyTooLarge.number,
+  gatewayCodes.requestMalformed.number,
+  gatewayCodes.memorySpent.number,
+]);
+
 const SECOND_MS = 1000;
 
 /** Fields of the log line that is written at the end of a request. @internal */
@@ -54,9 +67,9 @@
 }
 
 /**
- * Writes one log line per request and counts requests in the metrics. Load pattern: a burst of served
- * requests must not fill the log, so their lines are rate limited and omitted ones are counted. Lines
- * of failed requests are always written.
+ * Writes one log line per request and counts requests in the metrics. Load patterns: a burst of served requests, or
+ * clients whose requests are all rejected, must not fill the log, so the lines of both are rate limited and omitted
+ * ones are counted. Lines of other failed requests are always written.
  * @internal
  */
 export class RequestLog {
@@ -80,6 +93,8 @@
 
   #written = 0;
 
+  #rejected = 0;
+
   #omitted = 0;
 
   constructor(journal: Journal, timer: Timer, metrics: Metrics) {
@@ -102,7 +117,7 @@
     const now = this.#timer.now();
     if (!this.#hasServed) this.#firstServedSeconds.set((now - this.#startedAt) / SECOND_MS);
     this.#hasServed = true;
-    if (now - this.#secondStartedAt >= SECOND_MS) this.#startSecond(now);
+    this.#startSecond(now);
     if (this.#written >= MAX_SERVED_LINES_PER_S) {
       this.#omitted += 1;
       return;
@@ -113,6 +128,14 @@
 
   failed(record: RequestRecord): void {
     this.#count(record, String(record.code ?? record.status));
+    if (REJECTIONS.has(record.code)) {
+      this.#startSecond(this.#timer.now());
+      this.#rejected += 1;
+      if (this.#rejected > MAX_REJECTED_LINES_PER_S) {
+        this.#omitted += 1;
+        return;
+      }
+    }
     this.#journal.record(gatewayEvents.requestFailed, { ...record });
   }
 
@@ -122,12 +145,15 @@
     this.#requestSeconds.observe({ route }, totalMs / SECOND_MS);
   }
 
+  /** Begins to count anew if a second has passed. */
   #startSecond(now: number): void {
+    if (now - this.#secondStartedAt < SECOND_MS) return;
     if (this.#omitted > 0) {
       this.#journal.record(gatewayEvents.linesLeftOut, { lines: this.#omitted });
     }
     this.#secondStartedAt = now;
     this.#written = 0;
+    this.#rejected = 0;
     this.#omitted = 0;
   }
 }
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -24,7 +24,8 @@
   linesLeftOut: {
     number: 9003,
     level: 'info',
-    meaning: 'Log lines of served requests were omitted to limit the volume of the log.',
+    meaning:
+      'Log lines of served or rejected requests were omitted to limit the volume of the log.',
     action: 'none',
   },
   listRead: {
