Read the entry's callers in turns, and let refusals reach callers that send on

Cause: the entry had the same server as the gateway, without turns, with requests sent ahead begun at once and heads uncounted.

Change: the entry's connections, with or without TLS, are paced and counted like the gateway's. A connection that is closed after a response while its request is unfinished is ended for the peer, and up to 4 MiB of the rest are thrown away for at most 1 s, unparsed and in turns, before it is destroyed.

--- a/packages/entry/src/lib/CallerServer.test.ts
+++ b/packages/entry/src/lib/CallerServer.test.ts
@@ -1,12 +1,14 @@
 import assert from 'node:assert/strict';
 import { copyFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { get } from 'node:https';
 import { connect } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test, { type TestContext } from 'node:test';
 import { SystemTimer, VirtualTimer, createSilentJournal } from '@berylwood/base';
-import { splitAddress } from '@berylwood/link';
+import { ReadScheduler, splitAddress } from '@berylwood/link';
+import { BodyBudget } from '@berylwood/policy';
 import { settingsSchema } from '@berylwood/schema';
 import { createAuthority } from '@berylwood/testing';
 import { CallerServer } from './CallerServer';
@@ -19,13 +21,28 @@
   return settings;
 }
 
+/** What the connections of a server share, without a limit that a test meets. */
+function createPace() {
+  const bodies = new BodyBudget({
+    maxBytes: Infinity,
+    maxUnfinished: Infinity,
+    now: () => performance.now(),
+    onEnded: () => {},
+  });
+  return {
+    timer: new SystemTimer(),
+    scheduler: new ReadScheduler(() => performance.now()),
+    input: { open: (onEnd: () => void) => bodies.open('request', onEnd) },
+  };
+}
+
 async function createServer(t: TestContext, watch?: CertificateWatch): Promise<string> {
   const handlers = {
     serve: async () => {},
     isReady: () => true,
     metrics: async () => '',
   };
-  const server = new CallerServer(createSettings(), handlers, watch);
+  const server = new CallerServer(createSettings(), handlers, createPace(), watch);
   const address = await server.listen();
   t.after(() => server.close());
   return address;
@@ -96,15 +113,16 @@
 
 test('closing waits for a response in progress, then closes its persistent connection', async (t) => {
   let finish = (): void => {};
-  const server = new CallerServer(createSettings(), {
-    serve: async (_, response) => {
+  const handlers = {
+    serve: async (_: IncomingMessage, response: ServerResponse) => {
       response.writeHead(200, { 'content-length': 4 });
       response.write('an');
       finish = () => response.end('sw');
     },
     isReady: () => true,
     metrics: async () => '',
-  });
+  };
+  const server = new CallerServer(createSettings(), handlers, createPace());
   const address = await server.listen();
   const { host, port } = splitAddress(address);
   const socket = connect(port, host, () => socket.write('GET /x HTTP/1.1\r\nHost: x\r\n\r\n'));
--- a/packages/entry/src/lib/CallerServer.ts
+++ b/packages/entry/src/lib/CallerServer.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { createServer as createSecureServer, type Server as SecureServer } from 'node:https';
 import { Failure, baseCodes } from '@berylwood/base';
-import { listenOn } from '@berylwood/link';
+import { listenOn, paceConnections, type PacedConnectionParts } from '@berylwood/link';
 import type { EntrySettings } from '@berylwood/schema';
 import type { CertificateWatch } from './CertificateWatch';
 import { sendFailure } from './sendFailure';
@@ -35,7 +35,12 @@
 
   #isClosing = false;
 
-  constructor(settings: EntrySettings, handlers: CallerHandlers, watch?: CertificateWatch) {
+  constructor(
+    settings: EntrySettings,
+    handlers: CallerHandlers,
+    pace: PacedConnectionParts,
+    watch?: CertificateWatch,
+  ) {
     this.#settings = settings;
     this.#handlers = handlers;
     const options = {
@@ -57,6 +62,7 @@
         (this.#server as SecureServer).setSecureContext(certificate);
       };
     }
+    paceConnections(this.#server, { ...pace, isSecure: watch !== undefined });
     this.#server.maxConnections = settings.maxConnections;
   }
 
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -9,7 +9,7 @@
   type Timer,
 } from '@berylwood/base';
 import { Subscription } from '@berylwood/feed';
-import type { LinkIdentity } from '@berylwood/link';
+import { ReadScheduler, type LinkIdentity } from '@berylwood/link';
 import { WorkspaceLimiter, type BodyBudget, type Scheduler } from '@berylwood/policy';
 import {
   requestCodes,
@@ -122,7 +122,12 @@
       isReady: () => this.#subscription.isFresh && !this.#isDraining,
       metrics: () => options.metrics.expose(),
     };
-    this.#server = new CallerServer(settings, handlers, watch);
+    const pace = {
+      timer,
+      scheduler: new ReadScheduler(() => timer.now()),
+      input: { open: (onEnd: () => void) => this.#bodies.open('request', onEnd) },
+    };
+    this.#server = new CallerServer(settings, handlers, pace, watch);
   }
 
   override async start(): Promise<void> {
--- a/packages/entry/src/lib/createBodyBudget.ts
+++ b/packages/entry/src/lib/createBodyBudget.ts
@@ -2,6 +2,7 @@
   LineLimit,
   defaultBodyBudgetBytes,
   defaultMaxUnfinished,
+  defaultRequestHeapBytes,
   type Journal,
   type Metrics,
   type Timer,
@@ -34,6 +35,7 @@
   const lines = new LineLimit(timer, MAX_LINES_PER_S);
   const budget = new BodyBudget({
     maxBytes,
+    maxHeapBytes: defaultRequestHeapBytes(),
     maxUnfinished,
     now: () => timer.now(),
     onEnded: ({ kind, bytes }) => {
--- a/packages/link/src/lib/PacedConnection.test.ts
+++ b/packages/link/src/lib/PacedConnection.test.ts
@@ -46,6 +46,10 @@
   const accounts: ReturnType<typeof createAccount>[] = [];
   const server = createServer((request, response) => {
     if (request.url === '/refused') pacedConnectionOf(request)?.discard(MAX_DISCARDED_BYTES);
+    if (request.url === '/closed') {
+      response.writeHead(413, { Connection: 'close', 'Content-Length': '2' }).end('no');
+      return;
+    }
     let body = '';
     request.on('data', (chunk: Buffer) => {
       state.chunks += 1;
@@ -246,3 +250,21 @@
   await until('the connection is closed', () => client.isClosed);
   assert.equal(state.chunks, 0);
 });
+
+// Guards against a response that a reset hides from a peer that is still sending.
+test('a response before the end of its request reaches a peer that sends on', async (t) => {
+  const { open } = await startServer(t, () => {});
+  const client = open();
+  let hasFailed = false;
+  client.socket.on('error', () => {
+    hasFailed = true;
+  });
+  client.socket.write('POST /closed HTTP/1.1\r\nHost: a\r\nContent-Length: 2000000\r\n\r\n');
+  for (let piece = 0; piece < 20; piece += 1) {
+    client.socket.write(Buffer.alloc(100_000, 'x'));
+    await nextTurn();
+  }
+  await until('the connection is closed', () => client.isClosed);
+  assert.match(client.text, /^HTTP\/1\.1 413 .*no$/s);
+  assert.ok(!hasFailed);
+});
--- a/packages/link/src/lib/PacedConnection.ts
+++ b/packages/link/src/lib/PacedConnection.ts
@@ -19,6 +19,12 @@
  */
 const MAX_UNREAD_MS = 15_000;
 
+/** Time in which a peer that is still sending can read a response after which its connection is closed, in milliseconds. */
+const LINGER_MS = 1000;
+
+/** Bytes of the rest of such a peer's request that are thrown away. */
+const MAX_LINGER_BYTES = 4 * 1024 * 1024;
+
 /** Heap that a request takes until its response has closed, besides its head, in bytes. */
 const REQUEST_BYTES = 8 * 1024;
 
@@ -206,8 +212,23 @@
     return this;
   }
 
-  /** Closes the connection once all written bytes have been passed to the kernel. */
+  /**
+   * Closes the connection once all written bytes have been passed to the kernel, and some of the rest of an
+   * unfinished request has been thrown away: closing a connection with unread bytes resets it, and the peer might
+   * lose the response.
+   */
   destroySoon(): void {
+    if (this.#request?.complete !== false) {
+      this.#closeSoon();
+      return;
+    }
+    if (this.writable) this.end();
+    const timeout = this.#parts.timer.after(LINGER_MS, () => this.destroy());
+    this.once('close', () => timeout[Symbol.dispose]());
+    this.discard(MAX_LINGER_BYTES);
+  }
+
+  #closeSoon(): void {
     if (this.writable) this.end();
     if (this.writableFinished) this.destroy();
     else this.once('finish', () => this.destroy());
@@ -333,7 +354,7 @@
   #end(): void {
     this.#hasEnded = true;
     if (this.#isBlocked) this.#received.clear();
-    if (this.#isDiscarding) this.destroySoon();
+    if (this.#isDiscarding) this.#closeSoon();
     else this.#update();
   }
 }
