--- a/packages/gateway/src/lib/memoryEvents.ts
+++ b/packages/gateway/src/lib/memoryEvents.ts
@@ -13,7 +13,7 @@
     number: 9101,
     level: 'warn',
     meaning:
-      'The connection of a caller that did not read its response was closed, so that the endpoint is not left waiting.',
+      'The connection of a caller that did not read its response was closed: after 2 s while its endpoint waited, after 15 s otherwise.',
     action: 'Check the caller if this happens repeatedly.',
   },
   connectionsClosed: {
@@ -26,7 +26,8 @@
   memoryLimited: {
     number: 9103,
     level: 'info',
-    meaning: 'The limits on bodies and connections that this process has derived or was given.',
+    meaning:
+      'The limits on bodies, heap and unfinished requests that this process has derived or was given.',
     action: 'none',
   },
 });
--- a/packages/link/src/lib/PacedConnection.ts
+++ b/packages/link/src/lib/PacedConnection.ts
@@ -5,7 +5,7 @@
 import { findHeadEnd, MAX_HEAD_END_TAIL } from './findHeadEnd';
 import { ReceivedBytes } from './ReceivedBytes';
 import type { InputAccount, InputBudget } from './InputBudget';
-import { queuedBytesOf } from './queuedBytesOf';
+import { ReaderWatch } from './ReaderWatch';
 import type { ReadScheduler, ScheduledReader } from './ReadScheduler';
 
 /** Bytes behind an unanswered request up to which its connection is read, so that the end of the peer is noticed. */
@@ -14,11 +14,6 @@
 /** Bytes of a request up to which its connection counts as one with little to read. */
 const URGENT_BYTES = 8 * 1024;
 
-/**
- * Time in which a peer has to read something of what was written, in milliseconds; as long as callers may stay idle.
- */
-const MAX_UNREAD_MS = 15_000;
-
 /** Time in which a peer that is still sending can read a response after which its connection is closed, in milliseconds. */
 const LINGER_MS = 1000;
 
@@ -111,14 +106,17 @@
 
   #account: InputAccount | undefined;
 
-  /** Check whether the peer reads what was written. */
-  #unreadCheck: Disposable | undefined;
+  readonly #readerWatch: ReaderWatch;
 
   constructor(transport: Socket, parts: PacedConnectionParts) {
     super({ allowHalfOpen: true, decodeStrings: false });
     this.transport = transport;
     this.#parts = parts;
     this.#received = new ReceivedBytes(transport);
+    this.#readerWatch = new ReaderWatch(transport, parts.timer, () => {
+      parts.onUnread?.();
+      this.destroy();
+    });
     for (const [event, listener] of Object.entries(this.#listeners)) transport.on(event, listener);
   }
 
@@ -241,7 +239,7 @@
 
   override _write(chunk: Buffer | string, encoding: BufferEncoding, callback: WriteCallback): void {
     this.transport.write(chunk, encoding, callback);
-    this.#watchReader();
+    this.#readerWatch.written();
   }
 
   override _writev(
@@ -253,7 +251,7 @@
       this.transport.write(chunk, encoding, at === chunks.length - 1 ? callback : undefined),
     );
     this.transport.uncork();
-    this.#watchReader();
+    this.#readerWatch.written();
   }
 
   override _final(callback: WriteCallback): void {
@@ -262,7 +260,7 @@
 
   override _destroy(error: Error | null, callback: WriteCallback): void {
     this.#parts.scheduler.delete(this);
-    this.#unreadCheck?.[Symbol.dispose]();
+    this.#readerWatch[Symbol.dispose]();
     this.#account?.[Symbol.dispose]();
     this.#account = undefined;
     this.transport.destroy();
@@ -274,24 +272,6 @@
     return this.#request?.complete ?? false;
   }
 
-  /** Closes the connection if nothing of what was written is read for too long. */
-  #watchReader(): void {
-    const { transport } = this;
-    if (this.#unreadCheck || transport.writableLength === 0) return;
-    const unsentBytes = (): number => transport.writableLength + queuedBytesOf(transport);
-    const before = unsentBytes();
-    const written = transport.bytesWritten;
-    this.#unreadCheck = this.#parts.timer.after(MAX_UNREAD_MS, () => {
-      this.#unreadCheck = undefined;
-      const hasRead = unsentBytes() < before || transport.bytesWritten > written;
-      if (hasRead || transport.writableLength === 0) this.#watchReader();
-      else {
-        this.#parts.onUnread?.();
-        this.destroy();
-      }
-    });
-  }
-
   #receive(): void {
     if (this.#isBlocked || this.transport.readableLength === 0) {
       this.#received.lookAhead(MAX_AHEAD_BYTES);
