Read a connection on once its held request is released

While an instance starts, a request is held and its connection paused, so that the parser keeps no chunks of a body that nobody reads. It was resumed only by reading the request; now it is resumed explicitly, also if the request is rejected.

--- a/packages/gateway/src/lib/Arrival.ts
+++ b/packages/gateway/src/lib/Arrival.ts
@@ -57,11 +57,17 @@
       this.#resolve();
       return;
     }
+    const { socket } = this.#request;
     // What arrives meanwhile is not kept.
-    this.#request.socket.pause();
+    socket.pause();
+    const readOn = (next: () => void) =>
+      this.#boundary.wrap(() => {
+        socket.resume();
+        next();
+      });
     const { deadlineMs } = wire.readRequest(this.#request.rawHeaders);
-    const onTimeout = this.#boundary.wrap(() => this.#listener.onTimeout());
-    const onRelease = this.#boundary.wrap(() => this.#resolve());
+    const onTimeout = readOn(() => this.#listener.onTimeout());
+    const onRelease = readOn(() => this.#resolve());
     this.#store.add(startGate.wait({ onRelease, deadlineMs, onTimeout }));
   }
 
