--- a/packages/registry/src/lib/canHandVoteOver.test.ts
+++ b/packages/consensus/src/lib/canHandVoteOver.test.ts
@@ -1,12 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import {
-  createReplicaName,
-  type Incarnation,
-  type Member,
-  type MemberKind,
-} from '@berylwood/consensus';
 import { canHandVoteOver } from './canHandVoteOver';
+import { createReplicaName, type Incarnation } from './ids';
+import type { Member, MemberKind } from './Membership';
 
 function member(name: string, kind: MemberKind): Member {
   const incarnation = `${name}-1` as Incarnation;
--- a/packages/registry/src/lib/canHandVoteOver.ts
+++ b/packages/consensus/src/lib/canHandVoteOver.ts
@@ -1,9 +1,10 @@
-import type { Incarnation, Member } from '@berylwood/consensus';
+import type { Incarnation } from './ids';
+import type { Member } from './Membership';
 
 /**
  * Whether a replica that stops should wait until another one has its vote: it is a voter, and a member without a
  * vote is connected.
- * @internal
+ * @public
  */
 export function canHandVoteOver(
   members: readonly Member[],
--- a/packages/consensus/src/simulation/SimulatedCluster.ts
+++ b/packages/consensus/src/simulation/SimulatedCluster.ts
@@ -140,6 +140,7 @@
       ...DEFAULT_TIMES,
       ...this.#options.replica,
       replica: name,
+      address: name,
       machine,
       transport,
       disk,
--- a/packages/registry/src/lib/Registry.ts
+++ b/packages/registry/src/lib/Registry.ts
@@ -6,12 +6,12 @@
   FileDisk,
   MembershipKeeper,
   Replica,
+  canHandVoteOver,
   createReplicaName,
   type Transport,
 } from '@berylwood/consensus';
 import { Unpackr } from 'msgpackr';
 import { err, ok, type Result } from 'neverthrow';
-import { canHandVoteOver } from './canHandVoteOver';
 import { registryCodes } from './codes';
 import type { EvacuateOutcome, EvacuationOrder } from './EvacuationState';
 import { registryEvents } from './events';
