--- a/packages/consensus/src/simulation/SimulatedCluster.ts
+++ b/packages/consensus/src/simulation/SimulatedCluster.ts
@@ -165,6 +165,7 @@
     node.timer.end();
     if (replica) replica.onApplied = () => {};
     node.disk.crash();
+    node.disk.resume = undefined;
     this.network.attach(node.name, () => {});
   }
 
--- a/packages/consensus/src/simulation/SimulatedDisk.ts
+++ b/packages/consensus/src/simulation/SimulatedDisk.ts
@@ -18,8 +18,8 @@
  * that were synced may be flipped, or the whole disk may be lost.
  */
 export class SimulatedDisk extends Disk {
-  /** Runs the end of an operation in the process that asked for it. */
-  resume: (callback: () => void) => void = (callback) => callback();
+  /** Runs the end of an operation in the process that asked for it; undefined once that process has ended. */
+  resume: ((callback: () => void) => void) | undefined = (callback) => callback();
 
   /** Time that each write takes longer. */
   slownessMs = 0;
@@ -115,13 +115,16 @@
   }
 
   #start(operation: Operation): Promise<void> {
+    const { resume } = this;
+    // A process that has ended may still run to its next pause, but writes no more.
+    if (!resume) return new Promise(() => {});
     this.#pending.add(operation);
     return new Promise((resolve) => {
       const syncMs = this.slownessMs + MIN_SYNC_MS + this.#random.below(MAX_SYNC_MS);
       this.#timer.after(syncMs, () => {
         if (!this.#pending.delete(operation)) return;
         operation.complete();
-        this.resume(resolve);
+        resume(resolve);
       });
     });
   }
