--- a/packages/consensus/src/simulation/ReplacedGroup.ts
+++ b/packages/consensus/src/simulation/ReplacedGroup.ts
@@ -1,16 +1,12 @@
 import { AdmissionPolicy } from '../lib/AdmissionPolicy';
 import { canHandVoteOver } from '../lib/canHandVoteOver';
+import { groupTimes } from '../lib/groupTimes';
 import { MembershipKeeper } from '../lib/MembershipKeeper';
 import type { Replica } from '../lib/Replica';
 import { Invariants } from './Invariants';
 import { SimulatedCluster, type SimulatedNode } from './SimulatedCluster';
 import { Workload } from './Workload';
 
-/** Times of a registry and of the machines that it runs on, in milliseconds. */
-const TIMES = { heartbeatMs: 150, leaseMs: 900, electionTimeoutMs: 1000 };
-const LIMITS = { replaceAfterMs: 1000, removeAfterMs: 120_000 };
-const CHECK_INTERVAL_MS = 200;
-
 /** Time that a machine counts as lost after it is back, or after its start if it is new. */
 export const CATCH_UP_MS = 4000;
 
@@ -22,8 +18,6 @@
 /** Time after the last loss within which everything works again. */
 export const RECOVERY_MS = 12_000;
 
-const POLL_MS = 50;
-
 /** Size and random seed of a group whose replicas are replaced. */
 export interface ReplacedGroupOptions {
   readonly seed: number;
@@ -66,7 +60,9 @@
 
   constructor({ seed, voters }: ReplacedGroupOptions) {
     const names = ['a', 'b', 'c', 'd', 'e'].slice(0, voters);
-    const replica = { ...TIMES, admission: new AdmitAsLearner() };
+    const { heartbeatMs, leaseMs, electionTimeoutMs } = groupTimes;
+    const admission = new AdmitAsLearner();
+    const replica = { heartbeatMs, leaseMs, electionTimeoutMs, admission };
     this.cluster = new SimulatedCluster({ seed, names, replica });
     this.workload = new Workload(this.cluster);
     this.invariants = new Invariants(this.cluster, this.workload);
@@ -90,7 +86,7 @@
   async form(): Promise<void> {
     const { cluster } = this;
     await cluster.startAll();
-    cluster.base.every(CHECK_INTERVAL_MS, () => this.#checkMemberships());
+    cluster.base.every(groupTimes.checkIntervalMs, () => this.#checkMemberships());
     const isFormed = (): boolean => cluster.committedVoters.length === this.#voters;
     if (!(await cluster.runUntil(isFormed, FORMATION_MS))) this.fail('the group did not form');
     this.workload.start(1);
@@ -155,7 +151,7 @@
     const endsAt = base.now() + HAND_OVER_MS;
     do {
       if (node.replica?.holdsLease) node.replica.transferLeadership().catch(this.fail);
-      await base.sleep(POLL_MS);
+      await base.sleep(groupTimes.leaveIntervalMs);
     } while (this.#canHandVoteOver(node) && base.now() < endsAt);
     this.#leaving.delete(node);
     this.#remove(node);
@@ -227,7 +223,7 @@
       replica,
       timer,
       target: this.#voters,
-      limits: LIMITS,
+      limits: groupTimes.limits,
       onPlanned: (step, members) => {
         const kinds = members.map(({ replica: name, kind }) => `${name} ${kind}`).join(', ');
         this.log(`${node.name}: ${step.change} ${step.replica} of ${kinds}`);
--- a/packages/registry/src/lib/Registry.ts
+++ b/packages/registry/src/lib/Registry.ts
@@ -8,6 +8,7 @@
   Replica,
   canHandVoteOver,
   createReplicaName,
+  groupTimes,
   type Transport,
 } from '@berylwood/consensus';
 import { Unpackr } from 'msgpackr';
@@ -43,11 +44,6 @@
   readonly journal: Journal;
 }
 
-/** Heartbeats cost CPU time on every replica; an election may take two seconds. */
-const HEARTBEAT_INTERVAL_MS = 150;
-const LEASE_DURATION_MS = 900;
-const ELECTION_TIMEOUT_MS = 1000;
-
 /** Large enough for a document of the largest allowed body that hardly compresses. */
 const MAX_COMMAND_BYTES = 6 * 1024 * 1024;
 
@@ -57,17 +53,6 @@
 const SNAPSHOT_ENTRIES = 512;
 const TRAILING_ENTRIES = 64;
 
-/** Interval at which the membership and the state of the replica are checked, in milliseconds. */
-const CHECK_INTERVAL_MS = 200;
-
-/**
- * Silence after which a voter is replaced if a learner is there, in milliseconds. The successor of a lost
- * machine must vote within the time that a machine has to catch up, after which another one may be lost.
- */
-const REPLACE_VOTER_AFTER_MS = 1000;
-
-const REMOVE_LEARNER_AFTER_MS = 120_000;
-
 /** Delay before a replica with a failed disk is reopened. */
 const REOPEN_DELAY_MS = 500;
 
@@ -107,7 +92,7 @@
     this.#options = options;
     const { directory, timer, journal } = options;
     this.cache = this.#store.add(new StateCache(join(directory, 'cache'), timer, journal));
-    this.#store.add(timer.every(CHECK_INTERVAL_MS, () => this.#checkReplica()));
+    this.#store.add(timer.every(groupTimes.checkIntervalMs, () => this.#checkReplica()));
   }
 
   /** Opens the replica; a disk failure is logged and opening is retried later. */
@@ -132,9 +117,9 @@
         contacts: () => contacts().map(createReplicaName),
         founder: bootstrapReplicas[0] === address,
         admission: new AdmitAsLearner(),
-        heartbeatMs: HEARTBEAT_INTERVAL_MS,
-        leaseMs: LEASE_DURATION_MS,
-        electionTimeoutMs: ELECTION_TIMEOUT_MS,
+        heartbeatMs: groupTimes.heartbeatMs,
+        leaseMs: groupTimes.leaseMs,
+        electionTimeoutMs: groupTimes.electionTimeoutMs,
         maxCommandBytes: MAX_COMMAND_BYTES,
         segmentBytes: SEGMENT_BYTES,
         snapshotBytes: SNAPSHOT_BYTES,
@@ -236,10 +221,7 @@
       replica,
       timer,
       target: 2 * tolerance + 1,
-      limits: {
-        replaceAfterMs: REPLACE_VOTER_AFTER_MS,
-        removeAfterMs: REMOVE_LEARNER_AFTER_MS,
-      },
+      limits: groupTimes.limits,
       onPlanned: (step, members) =>
         journal.record(registryEvents.membershipPlanned, { ...step, members }),
       onRefused: (step, { message }) =>
