Wait with a stop until its vote is taken, and demote no voter that a new leader does not know

What callers saw: a follower stops and the leader is lost 0.2 s later; once the third replica is lost as well, 4.1 s after the start of the lost leader's successor, the configuration is never read or changed again.

Cause: the leader promotes the successor of the replica that stops, and then demotes the replica. In between `canHandVoteOver` found no member without a vote, so that the stop went on with its vote, in a group of four voters whose quorum is three. A leader elected then knew of no voter that it was silent or leaving, and demoted the last of the list at once: the successor, at times itself.

Now a stop waits while it votes and there are more voters than the target; beyond the target, a voter that is not gone loses its vote only once the leader has heard all of them, and never the leader; silent voters go before leaving ones; the learner that replied last is promoted; a stop is told to all instances, so that the next leader knows it. The log line registryLeft states whether the replica votes, in place of whether it could hand its vote over.

Evidence: the new tests of planMembership and canHandVoteOver fail before.

--- a/packages/consensus/src/lib/MembershipKeeper.ts
+++ b/packages/consensus/src/lib/MembershipKeeper.ts
@@ -6,6 +6,7 @@
   type MemberHealth,
   type MembershipLimits,
   type MembershipStep,
+  type MembershipView,
 } from './planMembership';
 import type { Replica } from './Replica';
 
@@ -56,36 +57,37 @@
 
   /** Makes the next change if one is due; call it regularly on every replica. */
   check(): void {
-    const { replica, target, limits, timer } = this.#options;
+    const { replica, timer } = this.#options;
     if (!replica.holdsLease) {
       this.#leaderSince = Infinity;
       return;
     }
     this.#leaderSince = Math.min(this.#leaderSince, timer.now());
     if (this.#isChanging) return;
-    const members = this.#memberHealth();
-    const step = planMembership(members, target, limits);
-    if (step) this.#change(step, members);
+    const view = this.#view;
+    const step = planMembership(view);
+    if (step) this.#change(step, view.members);
   }
 
-  #memberHealth(): MemberHealth[] {
-    const { replica, timer } = this.#options;
+  get #view(): MembershipView {
+    const { replica, timer, target, limits } = this.#options;
     const { identity, membership } = replica.status;
     const now = timer.now();
+    const leadershipMs = now - this.#leaderSince;
     for (const [name, until] of this.#leavingUntil) {
       if (until <= now) this.#leavingUntil.delete(name);
     }
-    return membership.members.map((member) => {
+    const members = membership.members.map((member): MemberHealth => {
       const silenceMs = replica.silenceMs(member.incarnation);
-      const isSelf = member.incarnation === identity.incarnation;
       return {
         ...member,
-        silenceMs: silenceMs ?? now - this.#leaderSince,
+        silenceMs: silenceMs ?? leadershipMs,
         hasReplied: silenceMs !== undefined,
-        // A leader hands its leadership over first, and keeps its vote if it cannot.
-        isLeaving: !isSelf && this.#leavingUntil.has(member.replica),
+        isLeaving: this.#leavingUntil.has(member.replica),
+        isSelf: member.incarnation === identity.incarnation,
       };
     });
+    return { members, target, limits, leadershipMs };
   }
 
   #change(step: MembershipStep, members: readonly MemberHealth[]): void {
--- a/packages/consensus/src/lib/canHandVoteOver.test.ts
+++ b/packages/consensus/src/lib/canHandVoteOver.test.ts
@@ -12,23 +12,33 @@
 const OWN = 'a-1' as Incarnation;
 const VOTERS = [member('a', 'voter'), member('b', 'voter'), member('c', 'voter')];
 
+function canHandOver(
+  members: readonly Member[],
+  isConnected: (address: string) => boolean = () => true,
+  own = OWN,
+): boolean {
+  return canHandVoteOver({ members, own, target: 3, isConnected });
+}
+
 // Guards against stops that wait for a learner that is gone.
 test('a stop waits only for a member that can take the vote', () => {
   const withLearner = [...VOTERS, member('d', 'learner')];
+  assert.equal(canHandOver(VOTERS), false);
+  assert.equal(canHandOver(withLearner), true);
   assert.equal(
-    canHandVoteOver(VOTERS, OWN, () => true),
+    canHandOver(withLearner, (address) => address !== 'd'),
     false,
   );
   assert.equal(
-    canHandVoteOver(withLearner, OWN, () => true),
-    true,
-  );
-  assert.equal(
-    canHandVoteOver(withLearner, OWN, (address) => address !== 'd'),
-    false,
-  );
-  assert.equal(
-    canHandVoteOver(withLearner, 'd-1' as Incarnation, () => true),
+    canHandOver(withLearner, () => true, 'd-1' as Incarnation),
     false,
   );
 });
+
+// Guards against a stop between the promotion of its successor and its own demotion.
+test('a stop waits until its own vote is taken from it', () => {
+  const withSuccessor = [...VOTERS, member('d', 'voter')];
+  assert.equal(canHandOver(withSuccessor), true);
+  const after = [member('a', 'learner'), ...withSuccessor.slice(1)];
+  assert.equal(canHandOver(after), false);
+});
--- a/packages/consensus/src/lib/groupTimes.ts
+++ b/packages/consensus/src/lib/groupTimes.ts
@@ -26,5 +26,9 @@
   electionTimeoutMs: 1000,
   checkIntervalMs: 200,
   leaveIntervalMs: 50,
-  limits: { replaceAfterMs: 1000, removeAfterMs: 120_000 },
+  limits: {
+    suspectAfterMs: 3 * HEARTBEAT_MS,
+    replaceAfterMs: 1000,
+    removeAfterMs: 120_000,
+  },
 };
--- a/packages/consensus/src/lib/planMembership.test.ts
+++ b/packages/consensus/src/lib/planMembership.test.ts
@@ -2,22 +2,53 @@
 import { test } from 'node:test';
 import { createReplicaName } from './ids';
 import type { MemberKind } from './Membership';
-import { planMembership, type MemberHealth } from './planMembership';
+import {
+  planMembership,
+  type MemberHealth,
+  type MembershipStep,
+  type MembershipView,
+} from './planMembership';
 
-const LIMITS = { replaceAfterMs: 3000, removeAfterMs: 60_000 };
+const LIMITS = {
+  suspectAfterMs: 500,
+  replaceAfterMs: 3000,
+  removeAfterMs: 60_000,
+};
+const SETTLED_MS = 60_000;
 
 function member(name: string, kind: MemberKind = 'voter', silenceMs = 0): MemberHealth {
-  return { replica: createReplicaName(name), kind, silenceMs, hasReplied: true, isLeaving: false };
+  const replica = createReplicaName(name);
+  return { replica, kind, silenceMs, hasReplied: true, isLeaving: false, isSelf: false };
+}
+
+function leader(name: string): MemberHealth {
+  return { ...member(name), isSelf: true };
+}
+
+function leaving(health: MemberHealth): MemberHealth {
+  return { ...health, isLeaving: true };
+}
+
+/** The view of a leader of three voters. */
+function viewOf(members: readonly MemberHealth[], leadershipMs = SETTLED_MS): MembershipView {
+  return { members, target: 3, limits: LIMITS, leadershipMs };
+}
+
+function plan(
+  members: readonly MemberHealth[],
+  leadershipMs = SETTLED_MS,
+): MembershipStep | undefined {
+  return planMembership(viewOf(members, leadershipMs));
 }
 
 test('learners become voters up to the target', () => {
   const members = [member('a'), member('b', 'learner'), member('c', 'learner')];
-  assert.deepEqual(planMembership(members, 3, LIMITS), { replica: 'b', change: 'promote' });
+  assert.deepEqual(plan(members), { replica: 'b', change: 'promote' });
 });
 
 test('one change is made at a time', () => {
   const members = [member('a'), member('b', 'joining'), member('c', 'learner')];
-  assert.equal(planMembership(members, 3, LIMITS), undefined);
+  assert.equal(plan(members), undefined);
 });
 
 test('a member that falls silent while it joins does not block the replacement of a voter', () => {
@@ -28,51 +59,83 @@
     member('d', 'joining', 9000),
     member('e', 'learner'),
   ];
-  assert.deepEqual(planMembership(members, 3, LIMITS), { replica: 'd', change: 'demote' });
+  assert.deepEqual(plan(members), { replica: 'd', change: 'demote' });
   const after = members.map((item) =>
     item.kind === 'joining' ? member('d', 'learner', 9000) : item,
   );
-  assert.deepEqual(planMembership(after, 3, LIMITS), { replica: 'e', change: 'promote' });
+  assert.deepEqual(plan(after), { replica: 'e', change: 'promote' });
 });
 
 test('a silent voter keeps its vote while no learner can replace it', () => {
   const members = [member('a'), member('b'), member('c', 'voter', 9000)];
-  assert.equal(planMembership(members, 3, LIMITS), undefined);
+  assert.equal(plan(members), undefined);
 });
 
 test('a learner replaces a silent voter, which becomes a learner', () => {
   const members = [member('a'), member('b'), member('c', 'voter', 9000), member('d', 'learner')];
-  assert.deepEqual(planMembership(members, 3, LIMITS), { replica: 'd', change: 'promote' });
+  assert.deepEqual(plan(members), { replica: 'd', change: 'promote' });
   const after = [member('a'), member('b'), member('c', 'voter', 9000), member('d')];
-  assert.deepEqual(planMembership(after, 3, LIMITS), { replica: 'c', change: 'demote' });
+  assert.deepEqual(plan(after), { replica: 'c', change: 'demote' });
 });
 
 test('a voter beyond the target becomes a learner', () => {
   const members = [member('a'), member('b'), member('c'), member('d')];
-  assert.deepEqual(planMembership(members, 3, LIMITS), { replica: 'd', change: 'demote' });
+  assert.deepEqual(plan(members), { replica: 'd', change: 'demote' });
 });
 
 test('a learner that stays silent is removed', () => {
   const members = [member('a'), member('b'), member('c'), member('d', 'learner', 70_000)];
-  assert.deepEqual(planMembership(members, 3, LIMITS), { replica: 'd', change: 'remove' });
+  assert.deepEqual(plan(members), { replica: 'd', change: 'remove' });
 });
 
 test('a learner replaces a voter that is about to stop, and one about to stop gets no vote', () => {
-  const leaving = { ...member('a'), isLeaving: true };
-  const spare = { ...member('d', 'learner'), isLeaving: true };
-  const members = [leaving, member('b'), member('c'), spare];
-  assert.equal(planMembership(members, 3, LIMITS), undefined);
+  const spare = leaving(member('d', 'learner'));
+  const members = [leaving(member('a')), member('b'), member('c'), spare];
+  assert.equal(plan(members), undefined);
   const withLearner = [...members, member('e', 'learner')];
-  assert.deepEqual(planMembership(withLearner, 3, LIMITS), { replica: 'e', change: 'promote' });
+  assert.deepEqual(plan(withLearner), { replica: 'e', change: 'promote' });
   const after = [...members, member('e')];
-  assert.deepEqual(planMembership(after, 3, LIMITS), { replica: 'a', change: 'demote' });
+  assert.deepEqual(plan(after), { replica: 'a', change: 'demote' });
 });
 
 // Guards against a new leader that gives a vote to a learner that has been gone for long.
 test('a learner that has not replied to this leader gets no vote', () => {
   const gone = { ...member('d', 'learner', 500), hasReplied: false };
   const members = [member('a'), member('b'), member('c', 'voter', 9000), gone];
-  assert.equal(planMembership(members, 3, LIMITS), undefined);
+  assert.equal(plan(members), undefined);
   const withLearner = [...members, member('e', 'learner')];
-  assert.deepEqual(planMembership(withLearner, 3, LIMITS), { replica: 'e', change: 'promote' });
+  assert.deepEqual(plan(withLearner), { replica: 'e', change: 'promote' });
+});
+
+// Guards against a leaving voter whose vote is moved first, while the vote of a silent one is missing.
+test('a silent voter is replaced before one that leaves', () => {
+  const voters = [leaving(member('a')), leader('b'), member('c', 'voter', 9000)];
+  assert.deepEqual(plan([...voters, member('d')]), { replica: 'c', change: 'demote' });
+});
+
+// Guards against a new leader that takes the vote of a live member, even its own, beside a voter that is gone.
+test('a new leader does not choose a voter to demote before it knows them all', () => {
+  const unheard = { ...member('a', 'voter', 100), hasReplied: false };
+  const members = [unheard, member('b'), member('c'), leader('d')];
+  assert.equal(plan(members, 100), undefined);
+  assert.equal(
+    plan([member('a', 'voter', 2000), member('b'), member('c'), leader('d')]),
+    undefined,
+  );
+  const known = [member('a'), member('b'), member('c'), leader('d')];
+  assert.equal(plan(known, 100), undefined);
+  assert.deepEqual(plan(known), { replica: 'c', change: 'demote' });
+});
+
+test('a leaving leader demotes no other voter that replies', () => {
+  const members = [leaving(leader('a')), member('b'), member('c'), member('d')];
+  assert.equal(plan(members), undefined);
+});
+
+// Guards against a promotion that waits for a learner that has just gone.
+test('the learner that has replied last is promoted, and none that is suspected to be gone', () => {
+  const voters = [leader('a'), member('b'), member('c', 'voter', 9000)];
+  const members = [...voters, member('d', 'learner', 400), member('e', 'learner', 50)];
+  assert.deepEqual(plan(members), { replica: 'e', change: 'promote' });
+  assert.equal(plan([...voters, member('d', 'learner', 600)]), undefined);
 });
--- a/packages/consensus/src/lib/planMembership.ts
+++ b/packages/consensus/src/lib/planMembership.ts
@@ -11,6 +11,8 @@
   readonly hasReplied: boolean;
   /** Whether it has said that it is about to stop. */
   readonly isLeaving: boolean;
+  /** Whether it is the leader itself, which keeps its vote until another replica leads. */
+  readonly isSelf: boolean;
 }
 
 /** One change of the membership. @public */
@@ -21,12 +23,67 @@
 
 /** Limits of the plan, in milliseconds. @public */
 export interface MembershipLimits {
+  /** Silence after which a member is given neither a vote nor leadership. */
+  readonly suspectAfterMs: number;
   /** Silence after which a voter is replaced by a learner. */
   readonly replaceAfterMs: number;
   /** Silence after which a learner is removed. */
   readonly removeAfterMs: number;
 }
 
+/** What a plan is made from. @public */
+export interface MembershipView {
+  readonly members: readonly MemberHealth[];
+  /** Number of voters that the group should have. */
+  readonly target: number;
+  readonly limits: MembershipLimits;
+  /** Time for which this replica has led, in milliseconds. */
+  readonly leadershipMs: number;
+}
+
+/** Members of a view by what can be done with them. */
+interface Candidates {
+  readonly voters: readonly MemberHealth[];
+  /** Voters to replace. Silent ones come first: unlike one that leaves, they bear no further loss. */
+  readonly gone: readonly MemberHealth[];
+  /** Learners that may become voters, the one that replied last first. */
+  readonly learners: readonly MemberHealth[];
+}
+
+function isGone(
+  { silenceMs, isLeaving }: MemberHealth,
+  { replaceAfterMs }: MembershipLimits,
+): boolean {
+  return isLeaving || silenceMs > replaceAfterMs;
+}
+
+function classify({ members, limits }: MembershipView): Candidates {
+  const isSilent = ({ silenceMs }: MemberHealth): boolean => silenceMs > limits.replaceAfterMs;
+  const voters = members.filter(({ kind }) => kind === 'voter');
+  const gone = voters
+    .filter((member) => !member.isSelf && isGone(member, limits))
+    .sort((a, b) => Number(isSilent(b)) - Number(isSilent(a)) || b.silenceMs - a.silenceMs);
+  const learners = members
+    .filter(({ kind, hasReplied }) => kind === 'learner' && hasReplied)
+    .filter(({ isLeaving, silenceMs }) => !isLeaving && silenceMs <= limits.suspectAfterMs)
+    .sort((a, b) => a.silenceMs - b.silenceMs);
+  return { voters, gone, learners };
+}
+
+/**
+ * Returns a voter to demote if there are more than the target. If none is gone, the leader waits until it has heard
+ * all of them: one of them may be the reason for the vote beyond the target.
+ */
+function findSurplus(view: MembershipView, { voters, gone }: Candidates): MemberHealth | undefined {
+  const { target, limits, leadershipMs } = view;
+  if (voters.length <= target) return undefined;
+  if (gone.length > 0) return gone[0];
+  const isKnown = ({ isSelf, hasReplied, silenceMs, isLeaving }: MemberHealth): boolean =>
+    !isLeaving && (isSelf || (hasReplied && silenceMs <= limits.suspectAfterMs));
+  const isSettled = leadershipMs > limits.replaceAfterMs && voters.every(isKnown);
+  return isSettled ? voters.findLast(({ isSelf }) => !isSelf) : undefined;
+}
+
 /**
  * Returns the next change that brings the number of voters to the target and moves votes from members that
  * are silent or leaving to others. Such a voter keeps its vote while no learner can replace it, as it may
@@ -34,27 +91,21 @@
  * becomes a learner again, so that another one can be promoted.
  * @internal
  */
-export function planMembership(
-  members: readonly MemberHealth[],
-  target: number,
-  limits: MembershipLimits,
-): MembershipStep | undefined {
-  const isGone = ({ silenceMs, isLeaving }: MemberHealth): boolean =>
-    isLeaving || silenceMs > limits.replaceAfterMs;
+export function planMembership(view: MembershipView): MembershipStep | undefined {
+  const { members, target, limits } = view;
   const joining = members.find(({ kind }) => kind === 'joining');
   if (joining) {
-    return isGone(joining) ? { replica: joining.replica, change: 'demote' } : undefined;
-  }
-  const voters = members.filter(({ kind }) => kind === 'voter');
-  const learners = members.filter(({ kind }) => kind === 'learner');
-  const gone = voters.find(isGone);
-  if (gone && voters.length > target) return { replica: gone.replica, change: 'demote' };
-  const candidate = learners.find((member) => member.hasReplied && !isGone(member));
-  if (candidate && (voters.length < target || gone)) {
-    return { replica: candidate.replica, change: 'promote' };
+    return isGone(joining, limits) ? { replica: joining.replica, change: 'demote' } : undefined;
   }
-  const surplus = voters.length > target ? voters[voters.length - 1] : undefined;
+  const candidates = classify(view);
+  const { voters, gone, learners } = candidates;
+  const surplus = findSurplus(view, candidates);
   if (surplus) return { replica: surplus.replica, change: 'demote' };
-  const expired = learners.find(({ silenceMs }) => silenceMs > limits.removeAfterMs);
+  const [learner] = learners;
+  const isVoteMissing = voters.length < target || (voters.length === target && gone.length > 0);
+  if (learner && isVoteMissing) return { replica: learner.replica, change: 'promote' };
+  const expired = members.find(
+    ({ kind, silenceMs }) => kind === 'learner' && silenceMs > limits.removeAfterMs,
+  );
   return expired && { replica: expired.replica, change: 'remove' };
 }
--- a/packages/consensus/src/simulation/ReplacedGroup.ts
+++ b/packages/consensus/src/simulation/ReplacedGroup.ts
@@ -189,7 +189,9 @@
     const { identity, settledMembership } = replica.status;
     const isConnected = (address: string): boolean =>
       this.cluster.nodes.some(({ name, active }) => name === address && active);
-    return canHandVoteOver(settledMembership.members, identity.incarnation, isConnected);
+    const { members } = settledMembership;
+    const own = identity.incarnation;
+    return canHandVoteOver({ members, own, target: this.#voters, isConnected });
   }
 
   #start(node: SimulatedNode): void {
@@ -212,7 +214,7 @@
       const replica = node.active;
       if (!replica) continue;
       const keeper = this.#keepers.get(replica) ?? this.#createKeeper(node, replica);
-      for (const { name } of this.#leaving) if (replica.holdsLease) keeper.setLeaving(name, true);
+      for (const { name } of this.#leaving) keeper.setLeaving(name, true);
       keeper.check();
     }
   }
--- a/packages/gateway/src/lib/leaveRegistry.ts
+++ b/packages/gateway/src/lib/leaveRegistry.ts
@@ -37,6 +37,6 @@
     });
     await timer.sleep(POLL_INTERVAL_MS);
   } while (canHandOver() && timer.now() < endsAt);
-  const hasVote = canHandOver();
+  const { hasVote } = registry;
   journal.record(gatewayEvents.registryLeft, { hasVote, members: registry.members });
 }
--- a/packages/registry/src/lib/LeaderReports.ts
+++ b/packages/registry/src/lib/LeaderReports.ts
@@ -28,6 +28,11 @@
     this.#options = options;
   }
 
+  /** Whether this instance is about to stop. */
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
   send(): void {
     const { address, source, timer, usage, leader } = this.#options;
     const peer = leader();
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -3,6 +3,7 @@
 import type { Result } from 'neverthrow';
 import { registryEvents } from './events';
 import { handleMeshCall } from './handleMeshCall';
+import { createStatus } from './createStatus';
 import { createStreamOrigins } from './createStreamOrigins';
 import { AddressBook } from './AddressBook';
 import { ConfigurationFetcher } from './ConfigurationFetcher';
@@ -167,9 +168,10 @@
     return this.#intake.haveAllReported(sinceMs);
   }
 
-  /** Tells each leader from now on that this instance is about to stop, so that it needs no vote. */
+  /** Tells all instances from now on that this one is about to stop, so that no leader relies on its vote. */
   leave(): void {
     this.#reports.startLeaving();
+    this.#broadcastStatus();
   }
 
   /** Sends the work in flight from this instance to the leader; the leader sends the sums to the instances. */
@@ -257,20 +259,14 @@
   }
 
   #createStatus(): Status {
-    const { registry, clock } = this.#options;
-    const { isLeader } = this;
-    return {
-      type: 'status',
-      version: this.#configuration?.version ?? -1,
-      isLeader,
-      term: registry?.term ?? 0,
+    return createStatus(this.#options, {
+      configuration: this.#configuration,
       members: this.#addressBook.members,
-      instances: isLeader ? this.#instanceCount : 0,
-      closedWindow: registry?.stateMachine.lastClosedWindow ?? -1,
-      timeMs: isLeader ? clock.now() : 0,
+      instances: this.#instanceCount,
       holdsOrigins: this.origins.log.isDurable,
       evacuations: this.#evacuations.state,
-    };
+      isLeaving: this.#reports.isLeaving,
+    });
   }
 
   #broadcastStatus(): void {
@@ -333,6 +329,7 @@
   #handleStatus(peer: Peer, link: Link<DialerMessage, AcceptorMessage>, status: Status): void {
     peer.status = status;
     this.#addMembers(status.members);
+    this.#options.registry?.setLeaving(peer.address, status.isLeaving === true);
     if (status.evacuations) this.#evacuations.receive(status.evacuations);
     if (status.suspicions) this.onSuspicions(status.suspicions);
     if (status.isLeader && peer === this.#peers.leader && !this.isLeader) {
--- a/packages/registry/src/lib/MeshMessage.ts
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -132,6 +132,8 @@
   readonly holdsOrigins?: boolean;
   /** Newest evacuations that the sender knows; missing from earlier versions. */
   readonly evacuations?: EvacuationState;
+  /** Whether the sender is about to stop; missing if not, and from earlier versions. */
+  readonly isLeaving?: boolean;
 }
 
 const isRecord = (value: unknown): value is Record<string, unknown> =>
--- a/packages/registry/src/lib/Registry.ts
+++ b/packages/registry/src/lib/Registry.ts
@@ -186,12 +186,22 @@
     if (isLeaving) this.#checkReplica();
   }
 
+  /** Whether this replica is a voter of the latest committed membership that it knows. */
+  get hasVote(): boolean {
+    const status = this.#replica?.status;
+    return (status?.settledMembership.members ?? []).some(
+      ({ incarnation, kind }) => incarnation === status?.identity.incarnation && kind === 'voter',
+    );
+  }
+
   /** Whether a stop should wait until another replica has this one's vote. */
   canHandVoteOver(isConnected: (address: string) => boolean): boolean {
     const status = this.#replica?.status;
     if (!status) return false;
     const { identity, settledMembership } = status;
-    return canHandVoteOver(settledMembership.members, identity.incarnation, isConnected);
+    const { members } = settledMembership;
+    const own = identity.incarnation;
+    return canHandVoteOver({ members, own, target: this.#voterTarget, isConnected });
   }
 
   /** Transfers leadership to another replica before a planned stop. */
@@ -205,6 +215,11 @@
     this.#close();
   }
 
+  /** Number of voters that bears the losses that the settings allow. */
+  get #voterTarget(): number {
+    return 2 * this.#options.tolerance + 1;
+  }
+
   #attachReplica(replica: Replica): void {
     this.#replica = replica;
     this.#keeper = this.#createKeeper(replica);
@@ -216,11 +231,11 @@
   }
 
   #createKeeper(replica: Replica): MembershipKeeper {
-    const { timer, journal, tolerance } = this.#options;
+    const { timer, journal } = this.#options;
     return new MembershipKeeper({
       replica,
       timer,
-      target: 2 * tolerance + 1,
+      target: this.#voterTarget,
       limits: groupTimes.limits,
       onPlanned: (step, members) =>
         journal.record(registryEvents.membershipPlanned, { ...step, members }),
