Give no vote to a joining replica that is about to stop

What callers saw: a replica that stops within a second of the first start, before it has a vote, becomes a voter in the 0.2 s until its process ends; if its disk is lost then, one of two voters is gone and the group has no quorum for good (`lostDisk.process.test` beside load, KNOWN-RED.txt).

Cause: the founder's group promotes joining members on its own, without a look at who stops. The admission policy is asked now, and that of the registry knows who stops.

Evidence: AdmissionPolicy.test fails without the question.

--- a/packages/consensus/src/lib/AdmissionPolicy.ts
+++ b/packages/consensus/src/lib/AdmissionPolicy.ts
@@ -11,6 +11,11 @@
     replica: ReplicaName,
     membership: Membership,
   ): Exclude<MemberKind, 'voter'> | undefined;
+
+  /** Whether a joining member may become a voter now; one that is about to stop may not. */
+  mayVote(_replica: ReplicaName): boolean {
+    return true;
+  }
 }
 
 /** Rejects every replica that the membership doesn't name. @public */
--- a/packages/consensus/src/lib/MembershipChanger.ts
+++ b/packages/consensus/src/lib/MembershipChanger.ts
@@ -112,7 +112,10 @@
       return;
     }
     const promotable = this.#latest.members.find(
-      (member) => member.kind === 'joining' && this.#isSynced(member),
+      (member) =>
+        member.kind === 'joining' &&
+        this.#isSynced(member) &&
+        this.#core.settings.admission.mayVote(member.replica),
     );
     if (promotable) this.#appendMembership(withPromoted(this.#latest, promotable.incarnation));
   }
--- a/packages/consensus/src/lib/MembershipKeeper.ts
+++ b/packages/consensus/src/lib/MembershipKeeper.ts
@@ -55,6 +55,12 @@
     else this.#leavingUntil.set(replica, this.#options.timer.now() + LEAVING_TTL_MS);
   }
 
+  /** Whether a member is about to stop. */
+  isLeaving(replica: ReplicaName): boolean {
+    this.#expireLeaving();
+    return this.#leavingUntil.has(replica);
+  }
+
   /** Makes the next change if one is due; call it regularly on every replica. */
   check(): void {
     const { replica, timer } = this.#options;
@@ -74,22 +80,26 @@
     const { identity, membership } = replica.status;
     const now = timer.now();
     const leadershipMs = now - this.#leaderSince;
-    for (const [name, until] of this.#leavingUntil) {
-      if (until <= now) this.#leavingUntil.delete(name);
-    }
     const members = membership.members.map((member): MemberHealth => {
       const silenceMs = replica.silenceMs(member.incarnation);
       return {
         ...member,
         silenceMs: silenceMs ?? leadershipMs,
         hasReplied: silenceMs !== undefined,
-        isLeaving: this.#leavingUntil.has(member.replica),
+        isLeaving: this.isLeaving(member.replica),
         isSelf: member.incarnation === identity.incarnation,
       };
     });
     return { members, target, limits, leadershipMs };
   }
 
+  #expireLeaving(): void {
+    const now = this.#options.timer.now();
+    for (const [name, until] of this.#leavingUntil) {
+      if (until <= now) this.#leavingUntil.delete(name);
+    }
+  }
+
   #change(step: MembershipStep, members: readonly MemberHealth[]): void {
     const { onPlanned, onRefused } = this.#options;
     this.#isChanging = true;
--- a/packages/consensus/src/simulation/ReplacedGroup.ts
+++ b/packages/consensus/src/simulation/ReplacedGroup.ts
@@ -1,6 +1,7 @@
 import { AdmissionPolicy } from '../lib/AdmissionPolicy';
 import { canHandVoteOver } from '../lib/canHandVoteOver';
 import { groupTimes } from '../lib/groupTimes';
+import type { ReplicaName } from '../lib/ids';
 import { MembershipKeeper } from '../lib/MembershipKeeper';
 import type { Replica } from '../lib/Replica';
 import { Invariants } from './Invariants';
@@ -25,11 +26,22 @@
   readonly voters: 3 | 5;
 }
 
-/** Admits every replica as a learner, as the registry does. */
+/** Admits every replica as a learner, and gives no vote to one that stops, as the registry does. */
 class AdmitAsLearner extends AdmissionPolicy {
+  readonly #isLeaving: (name: string) => boolean;
+
+  constructor(isLeaving: (name: string) => boolean) {
+    super();
+    this.#isLeaving = isLeaving;
+  }
+
   override admit(): 'learner' {
     return 'learner';
   }
+
+  override mayVote(replica: ReplicaName): boolean {
+    return !this.#isLeaving(replica);
+  }
 }
 
 /** A group with the times of the registry, whose machines are replaced or lose their disks. */
@@ -61,7 +73,9 @@
   constructor({ seed, voters }: ReplacedGroupOptions) {
     const names = ['a', 'b', 'c', 'd', 'e'].slice(0, voters);
     const { heartbeatMs, leaseMs, electionTimeoutMs } = groupTimes;
-    const admission = new AdmitAsLearner();
+    const admission = new AdmitAsLearner((name) =>
+      [...this.#leaving].some((node) => node.name === name),
+    );
     const replica = { heartbeatMs, leaseMs, electionTimeoutMs, admission };
     this.cluster = new SimulatedCluster({ seed, names, replica });
     this.workload = new Workload(this.cluster);
--- a/packages/registry/src/lib/Registry.ts
+++ b/packages/registry/src/lib/Registry.ts
@@ -9,6 +9,7 @@
   canHandVoteOver,
   createReplicaName,
   groupTimes,
+  type ReplicaName,
   type Transport,
 } from '@berylwood/consensus';
 import { Unpackr } from 'msgpackr';
@@ -60,9 +61,20 @@
 
 /** Admits every instance with a disk as a learner; `planMembership` promotes it later. */
 class AdmitAsLearner extends AdmissionPolicy {
+  readonly #isLeaving: (replica: ReplicaName) => boolean;
+
+  constructor(isLeaving: (replica: ReplicaName) => boolean) {
+    super();
+    this.#isLeaving = isLeaving;
+  }
+
   override admit(): 'learner' {
     return 'learner';
   }
+
+  override mayVote(replica: ReplicaName): boolean {
+    return !this.#isLeaving(replica);
+  }
 }
 
 /** The registry replica of an instance with a disk; it is reopened after a disk failure. @public */
@@ -116,7 +128,7 @@
         seeds: otherReplicas.map(createReplicaName),
         contacts: () => contacts().map(createReplicaName),
         founder: bootstrapReplicas[0] === address,
-        admission: new AdmitAsLearner(),
+        admission: new AdmitAsLearner((replica) => this.#keeper?.isLeaving(replica) ?? false),
         heartbeatMs: groupTimes.heartbeatMs,
         leaseMs: groupTimes.leaseMs,
         electionTimeoutMs: groupTimes.electionTimeoutMs,
