Move the votes of silent members before a leader that stops hands over, and only to a live voter

A follower is killed, the leader gets a planned SIGTERM 0.8 s later, and once the next replica is lost, 4.1 s after the start of the killed one's successor, no instance answers a read of the acknowledged configuration again.

Cause: the leader handed over at once, to the voter with the longest log that had replied within a second, at times the killed one. It gave up its lease, waited a second for it and stepped down; an election took 1 to 2 s, and the new leader counted the silence of the killed one anew.

Now a leader that stops leads on while another voter has not replied for three heartbeats and its vote can be moved. It hands over to a voter that replied within two heartbeats and does not stop itself, and after two heartbeats to the next one. It goes on until its process ends, as it may be elected again. The transfer moves out of Replica with the other parts of a leadership.

Evidence: LeadershipTransfer.test and the new test of planMembership fail before.

--- a/packages/consensus/src/lib/Leader.ts
+++ b/packages/consensus/src/lib/Leader.ts
@@ -15,6 +15,9 @@
 
 const NO_DATA = new Uint8Array();
 
+/** A member has replied just now if it replied to a message sent within this many heartbeat intervals. */
+const RECENT_HEARTBEATS = 2;
+
 /** Leader of one term: accepts and commits proposals, and holds the lease. @internal */
 export class Leader implements Disposable {
   readonly replicator: Replicator;
@@ -196,15 +199,25 @@
     return this.progress(incarnation)?.match ?? 0;
   }
 
-  /** The most advanced other voter that replied within the last election timeout, if any. */
-  get successor(): Identity | undefined {
-    const core = this.#core;
-    const since = core.now - core.settings.electionTimeoutMs;
-    const candidates = core.membership.latest.members
-      .filter((member) => member.kind === 'voter' && !core.isSelf(member))
+  /**
+   * Other voters that replied within the last election timeout, the best successor first: one that replied just
+   * now goes before a more advanced one that may be gone.
+   */
+  get successors(): Identity[] {
+    const { membership, now, settings } = this.#core;
+    const { heartbeatMs, electionTimeoutMs } = settings;
+    const isRecent = ({ stamp }: Progress): boolean =>
+      now - stamp.mono <= RECENT_HEARTBEATS * heartbeatMs;
+    const candidates = membership.latest.members
+      .filter((member) => member.kind === 'voter' && !this.#core.isSelf(member))
       .flatMap((member) => this.progress(member.incarnation) ?? [])
-      .filter((progress) => progress.stamp.mono >= since);
-    candidates.sort((a, b) => b.match - a.match);
-    return candidates[0]?.identity;
+      .filter(({ stamp }) => now - stamp.mono <= electionTimeoutMs);
+    candidates.sort(
+      (a, b) =>
+        Number(isRecent(b)) - Number(isRecent(a)) ||
+        b.match - a.match ||
+        b.stamp.mono - a.stamp.mono,
+    );
+    return candidates.map(({ identity }) => identity);
   }
 }
--- /dev/null
+++ b/packages/consensus/src/lib/LeadershipTransfer.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { awaitLeader, createGroup } from '../simulation/createGroup';
+import { groupTimes } from './groupTimes';
+
+const { heartbeatMs, leaseMs, electionTimeoutMs } = groupTimes;
+const replica = { heartbeatMs, leaseMs, electionTimeoutMs };
+const FOLLOWERS = [0, 1];
+
+/** Time since the loss of a follower, from one that no heartbeat has shown to one that several have. */
+const LOST_MS = [0, 100, 200, 400, 800];
+
+// Guards against a leader that hands over to a voter that has just been lost, and waits for it.
+test('leadership goes to a live voter, whichever follower is lost just before', async () => {
+  for (const at of FOLLOWERS) {
+    for (const lostMs of LOST_MS) {
+      const { cluster, leader, others, ...group } = await createGroup({ replica });
+      const lost = others[at];
+      assert.ok(lost);
+      cluster.crash(lost);
+      await cluster.run(lostMs);
+      leader.replica?.transferLeadership().catch(assert.fail);
+      const next = await awaitLeader({ cluster, leader, others, ...group }, [leader], leaseMs);
+      assert.ok(next, `follower ${at}, lost for ${lostMs} ms`);
+    }
+  }
+});
+
+test('leadership is not handed to an excluded voter', async () => {
+  const group = await createGroup({ replica });
+  const { cluster, leader, others } = group;
+  const [first, second] = others;
+  assert.ok(first && second);
+  leader.replica?.transferLeadership((name) => name === first.name).catch(assert.fail);
+  assert.equal(await awaitLeader(group, [leader], leaseMs), second);
+  await cluster.run(electionTimeoutMs);
+  second.replica?.transferLeadership(() => true).catch(assert.fail);
+  assert.equal(await awaitLeader(group, [second], electionTimeoutMs), undefined);
+});
--- a/packages/consensus/src/lib/LeadershipTransfer.ts
+++ b/packages/consensus/src/lib/LeadershipTransfer.ts
@@ -1,12 +1,15 @@
 import type { Core } from './Core';
 import { consensusEvents } from './events';
-import type { Incarnation } from './ids';
+import type { Identity, Incarnation, ReplicaName } from './ids';
 import type { Leader } from './Leader';
 
+/** Heartbeat intervals after which another successor is asked, since the one before may be gone. @internal */
+export const RETRY_HEARTBEATS = 2;
+
 /**
  * Transfers leadership to another voter. The leader abandons its lease for the rest of the term
- * before it asks the successor to start an election, so that the election need not wait for the
- * lease. If the successor is not elected in time, the leader steps down.
+ * before it asks a successor to start an election, so that the election need not wait for the
+ * lease. If no successor is elected in time, the leader steps down.
  * @internal
  */
 export class LeadershipTransfer {
@@ -14,39 +17,70 @@
 
   readonly #leader: Leader;
 
+  readonly #isExcluded: (replica: ReplicaName) => boolean;
+
   readonly #deadline: number;
 
-  readonly #successor: Incarnation;
+  readonly #tried = new Set<Incarnation>();
+
+  #successor: Identity | undefined;
 
-  #hasSentTimeoutNow = false;
+  /** Monotonic time at which the successor was chosen. */
+  #chosenAt = -Infinity;
 
-  constructor(core: Core, leader: Leader, successor: Incarnation) {
+  #hasAsked = false;
+
+  /** Excluded replicas are no successors, as they are about to stop. */
+  constructor(core: Core, leader: Leader, isExcluded: (replica: ReplicaName) => boolean) {
     this.#core = core;
     this.#leader = leader;
-    this.#successor = successor;
+    this.#isExcluded = isExcluded;
     this.#deadline = core.now + core.settings.electionTimeoutMs;
     leader.setRejecting(true);
-    core.settings.journal.record(consensusEvents.transferStarted, { successor });
   }
 
   /** Continues the transfer; returns false once it has timed out. */
   tick(): boolean {
-    const { now, store } = this.#core;
+    const { now, settings } = this.#core;
     if (now >= this.#deadline) {
       this.#abort();
       return false;
     }
-    const progress = this.#leader.progress(this.#successor);
-    if (!this.#hasSentTimeoutNow && progress && progress.match === store.lastIndex) {
-      this.#hasSentTimeoutNow = true;
-      this.#leader.lease.abandon();
-      this.#core.send(progress.identity, { type: 'timeoutNow' });
-    }
+    if (now - this.#chosenAt >= RETRY_HEARTBEATS * settings.heartbeatMs) this.#chooseNext();
+    this.#ask();
     return true;
   }
 
+  /** Whether a voter may succeed the leader. */
+  static hasSuccessor(leader: Leader, isExcluded: (replica: ReplicaName) => boolean): boolean {
+    return leader.successors.some(({ replica }) => !isExcluded(replica));
+  }
+
+  #chooseNext(): void {
+    const next = this.#leader.successors.find(
+      ({ replica, incarnation }) => !this.#isExcluded(replica) && !this.#tried.has(incarnation),
+    );
+    if (!next) return;
+    this.#tried.add(next.incarnation);
+    this.#successor = next;
+    this.#chosenAt = this.#core.now;
+    const { incarnation: successor } = next;
+    this.#core.settings.journal.record(consensusEvents.transferStarted, { successor });
+  }
+
+  /** Asks the successor to stand once it has the whole log. */
+  #ask(): void {
+    const successor = this.#successor;
+    const progress = successor && this.#leader.progress(successor.incarnation);
+    if (!progress || progress.match !== this.#core.store.lastIndex) return;
+    this.#successor = undefined;
+    this.#hasAsked = true;
+    this.#leader.lease.abandon();
+    this.#core.send(progress.identity, { type: 'timeoutNow' });
+  }
+
   #abort(): void {
-    if (this.#hasSentTimeoutNow) this.#core.sendRoleEvent({ type: 'quorumLost' });
+    if (this.#hasAsked) this.#core.sendRoleEvent({ type: 'quorumLost' });
     else this.#leader.setRejecting(false);
   }
 }
--- a/packages/consensus/src/lib/MembershipKeeper.ts
+++ b/packages/consensus/src/lib/MembershipKeeper.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'neverthrow';
 import type { ReplicaName } from './ids';
 import {
+  mustMoveVote,
   planMembership,
   type MemberHealth,
   type MembershipLimits,
@@ -75,6 +76,23 @@
     if (step) this.#change(step, view.members);
   }
 
+  /**
+   * Gives leadership up before a planned stop, to a voter that stays; call it repeatedly until the stop. Does
+   * nothing while the vote of another member has to be moved first.
+   */
+  async leave(): Promise<void> {
+    const { replica } = this.#options;
+    this.setLeaving(replica.status.identity.replica, true);
+    this.check();
+    if (!replica.holdsLease || mustMoveVote(this.#view)) return;
+    await this.transferLeadership();
+  }
+
+  /** Transfers leadership to a voter that is not about to stop. */
+  async transferLeadership(): Promise<void> {
+    await this.#options.replica.transferLeadership((name) => this.isLeaving(name));
+  }
+
   get #view(): MembershipView {
     const { replica, timer, target, limits } = this.#options;
     const { identity, membership } = replica.status;
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -12,9 +12,8 @@
 import type { Incarnation, ReplicaName } from './ids';
 import { Joiner } from './Joiner';
 import { Leader } from './Leader';
-import { LeadershipTransfer } from './LeadershipTransfer';
+import { Leadership } from './Leadership';
 import { decodeMembership, type Membership, reportedMembership } from './Membership';
-import { MembershipChanger } from './MembershipChanger';
 import type { Message } from './Message';
 import { openCore } from './openCore';
 import { Proposals } from './Proposals';
@@ -23,19 +22,12 @@
 import { withDefaults, type ReplicaOptions } from './ReplicaOptions';
 import { roleMachine, type Role, type RoleEffects } from './roleMachine';
 
-/** Number of deadline checks per heartbeat interval. */
-const TICKS_PER_HEARTBEAT = 2;
+/** Number of deadline checks per heartbeat interval. @internal */
+export const TICKS_PER_HEARTBEAT = 2;
 
 /** Timeout of `transferLeadership`, in election timeouts. */
 const TRANSFER_TIMEOUT_ELECTIONS = 3;
 
-/** The leader of a term with its membership changes and leadership transfer. */
-interface Leadership {
-  readonly leader: Leader;
-  readonly changer: MembershipChanger;
-  transfer: LeadershipTransfer | undefined;
-}
-
 /** One replica of a replicated log, which it stores on a disk. @public */
 export class Replica extends ReplicatedLog {
   /** Called when a membership change is committed; the membership includes member addresses. */
@@ -139,22 +131,22 @@
   }
 
   /**
-   * Transfers leadership to the most advanced voter. The lease of the new leader may begin at once,
-   * so no effect guarded by this replica's lease may be in flight when this is called.
+   * Transfers leadership to a voter that replies and is not excluded. The lease of the new leader may
+   * begin at once, so no effect guarded by this replica's lease may be in flight when this is called.
    */
-  override async transferLeadership(): Promise<void> {
+  override async transferLeadership(
+    isExcluded: (replica: ReplicaName) => boolean = () => false,
+  ): Promise<void> {
     const leadership = this.#leadership;
-    const successor = leadership?.leader.successor;
-    if (!leadership || !successor || leadership.transfer) return;
-    const { leader } = leadership;
-    leadership.transfer = new LeadershipTransfer(this.#core, leader, successor.incarnation);
-    leadership.transfer.tick();
+    if (!leadership?.startTransfer(isExcluded)) return;
     const deadline =
       this.#core.now + TRANSFER_TIMEOUT_ELECTIONS * this.#core.settings.electionTimeoutMs;
     const isOver = (): boolean =>
       this.#core.role === 'stopped' ||
       this.#core.now >= deadline ||
-      (this.#leadership === leadership ? !leadership.transfer : this.#core.leader !== undefined);
+      (this.#leadership === leadership
+        ? !leadership.isTransferring
+        : this.#core.leader !== undefined);
     while (!isOver()) {
       await new Promise<void>((resolve) => {
         this.#roleWaiters.push(resolve);
@@ -246,23 +238,14 @@
   #tick(): void {
     const core = this.#core;
     this.#resolveRoleWaiters();
-    if (this.#leadership) {
-      this.#leadership.leader.tick();
-      this.#leadership?.changer.tick();
-      this.#tickTransfer();
-    } else if (core.now >= core.electionDeadline && !core.installing) {
+    if (this.#leadership) this.#leadership.tick();
+    else if (core.now >= core.electionDeadline && !core.installing) {
       core.setElectionRetryDeadline();
       core.sendRoleEvent({ type: 'electionTimeout' });
     }
     this.#joiner.tick();
   }
 
-  #tickTransfer(): void {
-    const leadership = this.#leadership;
-    if (!leadership?.transfer || leadership.transfer.tick()) return;
-    leadership.transfer = undefined;
-  }
-
   #receive(message: Message): void {
     dispatch(message, {
       core: this.#core,
@@ -314,8 +297,7 @@
 
   #startLeading(): void {
     const leader = new Leader(this.#core, this.#proposals, this.#elector.leaseRemainingMs);
-    const changer = new MembershipChanger(this.#core, leader);
-    this.#leadership = { leader, changer, transfer: undefined };
+    this.#leadership = new Leadership(this.#core, leader);
     leader.start();
     this.onRole(this.status);
   }
@@ -323,7 +305,7 @@
   #stopLeading(): void {
     const leadership = this.#leadership;
     this.#leadership = undefined;
-    leadership?.leader[Symbol.dispose]();
+    leadership?.[Symbol.dispose]();
     if (this.#core.leader && this.#core.isSelf(this.#core.leader)) this.#core.leader = undefined;
     this.#core.resetElectionDeadline();
     this.#resolveRoleWaiters();
--- a/packages/consensus/src/lib/ReplicatedLog.ts
+++ b/packages/consensus/src/lib/ReplicatedLog.ts
@@ -52,7 +52,7 @@
   /** Monotonic time in milliseconds at which the lease ends; 0 without a lease. */
   abstract get leaseEndsAt(): number;
 
-  /** Transfers leadership to the most advanced voter; resolves on success, failure or time-out. */
+  /** Transfers leadership to a voter that replies; resolves on success, failure or time-out. */
   abstract transferLeadership(): Promise<void>;
 
   abstract close(): Promise<void>;
--- a/packages/consensus/src/lib/events.ts
+++ b/packages/consensus/src/lib/events.ts
@@ -78,7 +78,8 @@
   transferStarted: {
     number: 1212,
     level: 'info',
-    meaning: 'The leader has started to transfer its leadership.',
+    meaning:
+      'The leader transfers its leadership to a voter; another one is tried if it does not take over.',
     action: 'none',
   },
   joinPending: {
--- a/packages/consensus/src/lib/planMembership.test.ts
+++ b/packages/consensus/src/lib/planMembership.test.ts
@@ -3,6 +3,7 @@
 import { createReplicaName } from './ids';
 import type { MemberKind } from './Membership';
 import {
+  mustMoveVote,
   planMembership,
   type MemberHealth,
   type MembershipStep,
@@ -139,3 +140,15 @@
   assert.deepEqual(plan(members), { replica: 'e', change: 'promote' });
   assert.equal(plan([...voters, member('d', 'learner', 600)]), undefined);
 });
+
+// Guards against a leaving leader whose successor starts to wait for a voter that it knew to be silent.
+test('a leaving leader leads on while the vote of a silent voter can be moved', () => {
+  const voters = [leaving(leader('a')), member('b'), member('c', 'voter', 800)];
+  const learner = member('d', 'learner');
+  assert.equal(mustMoveVote(viewOf([...voters, learner])), true);
+  assert.equal(mustMoveVote(viewOf([...voters, member('d', 'joining')])), true);
+  assert.equal(mustMoveVote(viewOf([...voters, member('d')])), true);
+  assert.equal(mustMoveVote(viewOf(voters)), false);
+  const calm = [leaving(leader('a')), member('b'), member('c', 'voter', 100)];
+  assert.equal(mustMoveVote(viewOf([...calm, learner])), false);
+});
--- a/packages/consensus/src/lib/planMembership.ts
+++ b/packages/consensus/src/lib/planMembership.ts
@@ -109,3 +109,17 @@
   );
   return expired && { replica: expired.replica, change: 'remove' };
 }
+
+/**
+ * Whether a leader that is about to stop should lead on for now: another voter does not reply, and its vote can be
+ * moved. The group may need both votes, and a transfer of leadership takes time until the next change.
+ * @internal
+ */
+export function mustMoveVote(view: MembershipView): boolean {
+  const { members, target, limits } = view;
+  const { voters, learners } = classify(view);
+  const isSuspect = ({ isSelf, silenceMs }: MemberHealth): boolean =>
+    !isSelf && silenceMs > limits.suspectAfterMs;
+  const isChanging = voters.length > target || members.some(({ kind }) => kind === 'joining');
+  return voters.some(isSuspect) && (isChanging || learners.length > 0);
+}
--- a/packages/consensus/src/simulation/ReplacedGroup.ts
+++ b/packages/consensus/src/simulation/ReplacedGroup.ts
@@ -55,6 +55,9 @@
   /** What was done, and the changes of the membership, each with its time. */
   readonly trace: string[] = [];
 
+  /** Number of changes of the membership that leaders have planned. */
+  changes = 0;
+
   /** Machines that are there and stay. */
   running: SimulatedNode[];
 
@@ -164,7 +167,7 @@
     this.#leaving.add(node);
     const endsAt = base.now() + HAND_OVER_MS;
     do {
-      if (node.replica?.holdsLease) node.replica.transferLeadership().catch(this.fail);
+      this.#keeperOf(node)?.leave().catch(this.fail);
       await base.sleep(groupTimes.leaveIntervalMs);
     } while (this.#canHandVoteOver(node) && base.now() < endsAt);
     this.#leaving.delete(node);
@@ -225,14 +228,17 @@
 
   #checkMemberships(): void {
     for (const node of this.cluster.nodes) {
-      const replica = node.active;
-      if (!replica) continue;
-      const keeper = this.#keepers.get(replica) ?? this.#createKeeper(node, replica);
-      for (const { name } of this.#leaving) keeper.setLeaving(name, true);
-      keeper.check();
+      const keeper = this.#keeperOf(node);
+      for (const { name } of this.#leaving) keeper?.setLeaving(name, true);
+      keeper?.check();
     }
   }
 
+  #keeperOf(node: SimulatedNode): MembershipKeeper | undefined {
+    const replica = node.active;
+    return replica && (this.#keepers.get(replica) ?? this.#createKeeper(node, replica));
+  }
+
   #createKeeper(node: SimulatedNode, replica: Replica): MembershipKeeper {
     const { timer } = node;
     const keeper = new MembershipKeeper({
@@ -241,6 +247,7 @@
       target: this.#voters,
       limits: groupTimes.limits,
       onPlanned: (step, members) => {
+        this.changes += 1;
         const kinds = members.map(({ replica: name, kind }) => `${name} ${kind}`).join(', ');
         this.log(`${node.name}: ${step.change} ${step.replica} of ${kinds}`);
       },
--- a/packages/gateway/src/lib/leaveRegistry.ts
+++ b/packages/gateway/src/lib/leaveRegistry.ts
@@ -29,14 +29,15 @@
   const canHandOver = (): boolean =>
     registry.canHandVoteOver((address) => mesh.isConnected(address));
   const endsAt = timer.now() + Math.min(HAND_OVER_TIMEOUT_MS, graceMs * HAND_OVER_SHARE);
+  const onFailure = (error: unknown): void =>
+    journal.record(gatewayEvents.handOverFailed, { error: String(error) });
   mesh.leave();
+  registry.startLeaving(onFailure);
   do {
-    // It may be elected again while it waits.
-    registry.transferLeadership().catch((error: unknown) => {
-      journal.record(gatewayEvents.handOverFailed, { error: String(error) });
-    });
     await timer.sleep(POLL_INTERVAL_MS);
   } while (canHandOver() && timer.now() < endsAt);
+  // Without time left, another leader is better than none, even if a vote is still to be moved.
+  registry.transferLeadership().catch(onFailure);
   const { hasVote } = registry;
   journal.record(gatewayEvents.registryLeft, { hasVote, members: registry.members });
 }
--- a/packages/registry/src/lib/Registry.ts
+++ b/packages/registry/src/lib/Registry.ts
@@ -216,9 +216,21 @@
     return canHandVoteOver({ members, own, target: this.#voterTarget, isConnected });
   }
 
-  /** Transfers leadership to another replica before a planned stop. */
+  /**
+   * Gives leadership up from now on whenever this replica has it, once the votes of silent members are moved. It may
+   * be elected again until its process ends.
+   */
+  startLeaving(onFailure: (error: unknown) => void): void {
+    const leave = (): void => {
+      this.#keeper?.leave().catch(onFailure);
+    };
+    leave();
+    this.#store.add(this.#options.timer.every(groupTimes.leaveIntervalMs, leave));
+  }
+
+  /** Transfers leadership to another replica at once, if this one has it. */
   async transferLeadership(): Promise<void> {
-    if (this.isLeader) await this.#replica?.transferLeadership();
+    if (this.isLeader) await this.#keeper?.transferLeadership();
   }
 
   [Symbol.dispose](): void {
