Keep the silence of members over a change of leader, and make the next change once the one before is committed

What callers saw: a group of five that loses two followers after its leader has stopped, and two more machines as soon as the tolerance allows it, accepts no change again.

Cause: a new leader counted the silence of every member from its own election, and looked for the next change every 200 ms only, a promotion and a demotion each.

Heartbeats state now for how long each member has been silent, and each replica keeps it (MemberContacts). A new leader relies on it for a member that had two heartbeats' time to reply and did not, without the time that a change of leader takes (leaderlessMs). While a member joins, a change is not committed or a new leader waits for first replies, the keeper looks again after 25 ms.

--- a/packages/consensus/src/lib/Core.ts
+++ b/packages/consensus/src/lib/Core.ts
@@ -4,6 +4,7 @@
 import { consensusEvents } from './events';
 import type { GroupId, Identity, Incarnation, ReplicaName } from './ids';
 import type { LogStore } from './LogStore';
+import { MemberContacts } from './MemberContacts';
 import { decodeMembership, voterSets, voters, type Membership } from './Membership';
 import type { MembershipHistory } from './MembershipHistory';
 import type { Contact, MessageBody, Message } from './Message';
@@ -48,6 +49,9 @@
 
   readonly preRestartLeaseUntil: number;
 
+  /** Latest contacts with the other members, which outlast changes of the leader. */
+  readonly contacts = new MemberContacts();
+
   role: Role = 'learner';
 
   leader: Identity | undefined;
--- a/packages/consensus/src/lib/Follower.ts
+++ b/packages/consensus/src/lib/Follower.ts
@@ -34,6 +34,7 @@
   onAppend(message: Message<Append>): void {
     const core = this.#core;
     if (!this.#acceptLeader(message)) return;
+    this.#recordSilences(message.body);
     if (core.installing) {
       // The log cannot be compared during an installation, but the lease is granted nevertheless.
       const stamp = this.#stamp;
@@ -102,6 +103,7 @@
       core.sendRoleEvent({ type: 'leaderSeen' });
     }
     core.leader = from;
+    core.contacts.record(from.incarnation, core.now);
     core.grantedLease = { term, expiresAt: core.now + core.settings.leaseMs };
     core.resetElectionDeadline();
     if (this.#verified.term !== term) {
@@ -113,6 +115,13 @@
     return true;
   }
 
+  /** Takes over from the leader when it was last in contact with the other members. */
+  #recordSilences({ silences = [] }: Append): void {
+    const { contacts, now } = this.#core;
+    for (const { incarnation, silenceMs } of silences)
+      contacts.record(incarnation, now - silenceMs);
+  }
+
   /** Entries from the first one on that the log lacks or holds with another term. */
   #newEntries(entries: readonly Entry[]): readonly Entry[] {
     const { store, commitIndex } = this.#core;
--- a/packages/consensus/src/lib/Leader.ts
+++ b/packages/consensus/src/lib/Leader.ts
@@ -58,6 +58,11 @@
     this.tick();
   }
 
+  /** Time since the election, in milliseconds. */
+  get leadershipMs(): number {
+    return this.#core.now - this.#startedAt;
+  }
+
   /** Whether an entry of this term is committed, which implies that all earlier ones are. */
   get isEstablished(): boolean {
     return this.#core.commitIndex >= this.#firstIndex;
@@ -174,6 +179,7 @@
 
   #recordStamp(progress: Progress, stamp: LeaseStamp): void {
     progress.recordStamp(stamp);
+    this.#core.contacts.record(progress.identity.incarnation, progress.stamp.mono);
     this.#renewLease();
   }
 
--- a/packages/consensus/src/lib/MembershipChanger.ts
+++ b/packages/consensus/src/lib/MembershipChanger.ts
@@ -80,7 +80,9 @@
       const message = `${replica} of kind ${member.kind} cannot change to ${kind}`;
       return fail(consensusCodes.membershipInvalid, message);
     }
-    return this.#proposeChange(withKind(this.#latest, replica, kind));
+    const changed = await this.#proposeChange(withKind(this.#latest, replica, kind));
+    this.tick();
+    return changed;
   }
 
   /** Queues a join request if the membership or the admission policy allows the replica. */
--- a/packages/consensus/src/lib/MembershipKeeper.ts
+++ b/packages/consensus/src/lib/MembershipKeeper.ts
@@ -1,7 +1,9 @@
 import type { Failure, Timer } from '@berylwood/base';
 import type { Result } from 'neverthrow';
-import type { ReplicaName } from './ids';
+import type { Incarnation, ReplicaName } from './ids';
+import type { Member } from './Membership';
 import {
+  isUndecided,
   mustMoveVote,
   planMembership,
   type MemberHealth,
@@ -30,9 +32,12 @@
  */
 const LEAVING_TTL_MS = 1500;
 
+/** Interval of the checks while the next change can be due at any moment, in milliseconds. @internal */
+export const FAST_CHECK_INTERVAL_MS = 25;
+
 /**
  * Keeps the votes of a group with members that reply and stay. It acts only on the leader, by one change of
- * the membership at a time.
+ * the membership at a time; on every replica it keeps what the next leader has to know.
  * @public
  */
 export class MembershipKeeper {
@@ -43,9 +48,11 @@
 
   #isChanging = false;
 
-  /** Monotonic time at which this replica became leader; `Infinity` while it is not. */
+  /** Monotonic time at which this replica first held the lease of its term; `Infinity` while it does not lead. */
   #leaderSince = Infinity;
 
+  #nextCheck: Disposable | undefined;
+
   constructor(options: MembershipKeeperOptions) {
     this.#options = options;
   }
@@ -71,9 +78,11 @@
     }
     this.#leaderSince = Math.min(this.#leaderSince, timer.now());
     if (this.#isChanging) return;
+    const { membership, settledMembership } = replica.status;
     const view = this.#view;
-    const step = planMembership(view);
+    const step = membership === settledMembership ? planMembership(view) : undefined;
     if (step) this.#change(step, view.members);
+    else if (membership !== settledMembership || isUndecided(view)) this.#checkSoon();
   }
 
   /**
@@ -94,23 +103,21 @@
   }
 
   get #view(): MembershipView {
-    const { replica, timer, target, limits } = this.#options;
-    const { identity, membership } = replica.status;
-    const now = timer.now();
-    const leadershipMs = now - this.#leaderSince;
-    const members = membership.members.map((member): MemberHealth => {
-      const silenceMs = replica.silenceMs(member.incarnation);
-      return {
-        ...member,
-        silenceMs: silenceMs ?? leadershipMs,
-        hasReplied: silenceMs !== undefined,
-        isLeaving: this.isLeaving(member.replica),
-        isSelf: member.incarnation === identity.incarnation,
-      };
-    });
+    const { replica, target, limits } = this.#options;
+    const { leadershipMs } = replica;
+    const members = replica.status.membership.members.map((member) => this.#healthOf(member));
     return { members, target, limits, leadershipMs };
   }
 
+  /** Checks again shortly, as the group may change again once the change before is committed. */
+  #checkSoon(): void {
+    if (this.#nextCheck) return;
+    this.#nextCheck = this.#options.timer.after(FAST_CHECK_INTERVAL_MS, () => {
+      this.#nextCheck = undefined;
+      this.check();
+    });
+  }
+
   #expireLeaving(): void {
     const now = this.#options.timer.now();
     for (const [name, until] of this.#leavingUntil) {
@@ -118,13 +125,40 @@
     }
   }
 
+  #healthOf(member: Member): MemberHealth {
+    const { replica } = this.#options;
+    const { replica: name, incarnation } = member;
+    const silenceMs = replica.silenceMs(incarnation);
+    return {
+      ...member,
+      silenceMs: silenceMs ?? this.#unansweredMs(incarnation),
+      hasReplied: silenceMs !== undefined,
+      isLeaving: this.isLeaving(name),
+      isSelf: incarnation === replica.status.identity.incarnation,
+    };
+  }
+
+  /**
+   * Silence of a member that has not replied to this leader. What earlier leaders have seen counts once the member has
+   * had time to reply to this one, and without the time that a change of leader takes.
+   */
+  #unansweredMs(incarnation: Incarnation): number {
+    const { replica, timer, limits } = this.#options;
+    const unansweredMs = timer.now() - this.#leaderSince;
+    const knownMs = replica.knownSilenceMs(incarnation);
+    if (knownMs === undefined || replica.leadershipMs < limits.confirmAfterMs) return unansweredMs;
+    return Math.max(unansweredMs, knownMs - limits.leaderlessMs);
+  }
+
   #change(step: MembershipStep, members: readonly MemberHealth[]): void {
     const { onPlanned, onRefused } = this.#options;
     this.#isChanging = true;
     onPlanned(step, members);
     this.#apply(step)
       .then((result) => {
+        this.#isChanging = false;
         if (result.isErr()) onRefused(step, result.error);
+        else this.check();
       })
       .finally(() => {
         this.#isChanging = false;
--- a/packages/consensus/src/lib/Message.ts
+++ b/packages/consensus/src/lib/Message.ts
@@ -1,5 +1,5 @@
 import type { Entry } from './Entry';
-import type { GroupId, Identity, ReplicaName } from './ids';
+import type { GroupId, Identity, Incarnation, ReplicaName } from './ids';
 
 /**
  * Both clocks of a leader, in milliseconds, read just before it sends a message. The reply echoes
@@ -45,6 +45,12 @@
   readonly leaseRemainingMs: number;
 }
 
+/** Time since the latest contact of a leader with a member, in milliseconds. @public */
+export interface MemberSilence {
+  readonly incarnation: Incarnation;
+  readonly silenceMs: number;
+}
+
 /** Entries after `prevIndex`; a heartbeat has none. @public */
 export interface Append {
   readonly type: 'append';
@@ -53,6 +59,8 @@
   readonly entries: readonly Entry[];
   readonly commitIndex: number;
   readonly stamp: LeaseStamp;
+  /** In heartbeats, the silence of the members that have replied; missing from earlier versions. */
+  readonly silences?: readonly MemberSilence[];
 }
 
 /**
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -175,6 +175,11 @@
     return this.#leadership.changer.assignKind(replica, kind);
   }
 
+  /** Milliseconds since this replica was elected; 0 while it does not lead. */
+  get leadershipMs(): number {
+    return this.#leadership?.leader.leadershipMs ?? 0;
+  }
+
   /** Milliseconds since the latest message that a member replied to was sent; undefined if none. */
   silenceMs(incarnation: Incarnation): number | undefined {
     if (this.#core.isSelf({ incarnation })) return 0;
@@ -182,6 +187,15 @@
     return sentAt === undefined || sentAt === -Infinity ? undefined : this.#core.now - sentAt;
   }
 
+  /**
+   * Milliseconds since the latest contact that this replica, or a leader that it followed, had with a member;
+   * undefined if none is known.
+   */
+  knownSilenceMs(incarnation: Incarnation): number | undefined {
+    const lastAt = this.#core.contacts.lastAt(incarnation);
+    return lastAt === -Infinity ? undefined : this.#core.now - lastAt;
+  }
+
   override async close(): Promise<void> {
     this.#core.sendRoleEvent({ type: 'stop' });
     await this.#core.store.close();
--- a/packages/consensus/src/lib/Replicator.ts
+++ b/packages/consensus/src/lib/Replicator.ts
@@ -3,7 +3,7 @@
 import type { Entry } from './Entry';
 import { encodeFrame } from './frame';
 import type { Incarnation } from './ids';
-import type { Append, LeaseStamp, SnapshotReply } from './Message';
+import type { Append, LeaseStamp, MemberSilence, SnapshotReply } from './Message';
 import { Progress, type SnapshotTransfer } from './Progress';
 import { RECORD_VERSION, encodeSnapshot } from './records';
 
@@ -50,9 +50,10 @@
     this.#updateMembers();
     const isSending = [...this.#progress.values()].some(({ mode }) => mode === 'snapshot');
     if (!isSending) this.#loadedSnapshot = undefined;
+    const silences = this.#core.contacts.report([...this.#progress.keys()], this.#core.now);
     for (const progress of this.#progress.values()) {
       progress.isProbing = false;
-      this.#sendEntries(progress, []);
+      this.#sendEntries(progress, [], silences);
       this.#resendSnapshot(progress);
     }
   }
@@ -117,7 +118,11 @@
     return { mono: timer.now(), wall: timer.wall() };
   }
 
-  #sendEntries(progress: Progress, entries: readonly Entry[]): void {
+  #sendEntries(
+    progress: Progress,
+    entries: readonly Entry[],
+    silences?: readonly MemberSilence[],
+  ): void {
     assert(this.#core.term === this.#term, 'a leader must send only in its own term');
     const { store, commitIndex } = this.#core;
     // A member that waits for a snapshot rejects the append, but the heartbeat renews the lease.
@@ -126,7 +131,7 @@
     const stamp = this.#stamp;
     const body: Append = { type: 'append', prevIndex, prevTerm, entries, commitIndex, stamp };
     progress.sentCommitIndex = commitIndex;
-    this.#core.send(progress.identity, body);
+    this.#core.send(progress.identity, silences ? { ...body, silences } : body);
   }
 
   #beginSnapshot(progress: Progress): void {
--- a/packages/consensus/src/lib/groupTimes.ts
+++ b/packages/consensus/src/lib/groupTimes.ts
@@ -17,7 +17,7 @@
 
 /**
  * Times of a group of which another machine may be lost four seconds after the successor of a lost one has started.
- * By then the vote of the lost one must have been moved.
+ * By then the vote of the lost one must have been moved; docs/design/consensus.md lists the steps.
  * @public
  */
 export const groupTimes: GroupTimes = {
@@ -28,7 +28,9 @@
   leaveIntervalMs: 50,
   limits: {
     suspectAfterMs: 3 * HEARTBEAT_MS,
+    confirmAfterMs: 2 * HEARTBEAT_MS,
     replaceAfterMs: 1000,
+    leaderlessMs: 1650,
     removeAfterMs: 120_000,
   },
 };
--- a/packages/consensus/src/lib/isMessage.ts
+++ b/packages/consensus/src/lib/isMessage.ts
@@ -26,6 +26,9 @@
 const isKind: Predicate = (value) => typeof value === 'number' && EntryKind[value] !== undefined;
 const isEntry = hasShape({ index: isCount, term: isCount, kind: isKind, data: isBytes });
 const isEntries: Predicate = (value) => Array.isArray(value) && value.every(isEntry);
+const isSilence = hasShape({ incarnation: isString, silenceMs: isNumber });
+const isSilences: Predicate = (value) =>
+  value === undefined || (Array.isArray(value) && value.every(isSilence));
 const isContact = hasShape({ replica: isString, address: isString });
 const isContacts: Predicate = (value) => Array.isArray(value) && value.every(isContact);
 
@@ -41,6 +44,7 @@
     entries: isEntries,
     commitIndex: isCount,
     stamp: isStamp,
+    silences: isSilences,
   },
   appendReply: { accepted: isBoolean, match: isCount, hint: isCount, stamp: isStamp },
   snapshotChunk: {
--- a/packages/consensus/src/lib/planMembership.test.ts
+++ b/packages/consensus/src/lib/planMembership.test.ts
@@ -12,7 +12,9 @@
 
 const LIMITS = {
   suspectAfterMs: 500,
+  confirmAfterMs: 300,
   replaceAfterMs: 3000,
+  leaderlessMs: 1500,
   removeAfterMs: 60_000,
 };
 const SETTLED_MS = 60_000;
--- a/packages/consensus/src/lib/planMembership.ts
+++ b/packages/consensus/src/lib/planMembership.ts
@@ -5,7 +5,7 @@
 export interface MemberHealth {
   readonly replica: ReplicaName;
   readonly kind: MemberKind;
-  /** Time since its last reply, or since the leader started to wait for one, in milliseconds. */
+  /** Time since its last reply, or for which it is known or presumed to be silent, in milliseconds. */
   readonly silenceMs: number;
   /** Whether it has replied to this leader; without a reply it may be gone for long. */
   readonly hasReplied: boolean;
@@ -29,6 +29,10 @@
   readonly replaceAfterMs: number;
   /** Silence after which a learner is removed. */
   readonly removeAfterMs: number;
+  /** Time for which a new leader waits for replies before it relies on what earlier leaders have seen. */
+  readonly confirmAfterMs: number;
+  /** Time without a leader that does not count as a member's silence. */
+  readonly leaderlessMs: number;
 }
 
 /** What a plan is made from. @public */
@@ -110,6 +114,14 @@
   return expired && { replica: expired.replica, change: 'remove' };
 }
 
+/** Whether a change may be due soon: a member is on its way to a vote, or a new leader waits for first replies. */
+export function isUndecided({ members, limits, leadershipMs }: MembershipView): boolean {
+  const isAwaited = ({ kind, isSelf, hasReplied }: MemberHealth): boolean =>
+    kind === 'voter' && !isSelf && !hasReplied;
+  if (members.some(({ kind }) => kind === 'joining')) return true;
+  return leadershipMs <= limits.confirmAfterMs && members.some(isAwaited);
+}
+
 /**
  * Whether a leader that is about to stop should lead on for now: another voter does not reply, and its vote can be
  * moved. The group may need both votes, and a transfer of leadership takes time until the next change.
