Let one of two replicas that ask for pre-votes at the same moment go first, and ask to join more often

Two replicas that timed out within a round trip granted each other's pre-vote, stood both and split the votes, which added up to a second to an election, and an empty replica asked to join every 500 ms.

--- a/packages/consensus/src/lib/Elector.test.ts
+++ b/packages/consensus/src/lib/Elector.test.ts
@@ -1,10 +1,14 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import { awaitLeader, createGroup, write } from '../simulation/createGroup';
+import { groupTimes } from './groupTimes';
 import type { UnsafeDeviations } from './ReplicaOptions';
 
 const FAILOVER_MS = 2000;
 
+/** Enough crashes that two of three replicas time out within a round trip in some of them. */
+const SPLIT_SEEDS = 400;
+
 /** Partitions a follower for 2 s, heals the network and returns how many terms have started. */
 async function countTermsAfterIsolation(unsafe: UnsafeDeviations): Promise<number> {
   const { cluster, leader, others } = await createGroup({ unsafe });
@@ -38,3 +42,16 @@
     assert.ok(cluster.base.now() - crashedAt < FAILOVER_MS);
   }
 });
+
+// Guards against two replicas that grant each other's pre-vote, and then split the votes.
+test('two replicas that ask for pre-votes at the same moment need one election', async () => {
+  const { heartbeatMs, leaseMs, electionTimeoutMs } = groupTimes;
+  const replica = { heartbeatMs, leaseMs, electionTimeoutMs };
+  for (let seed = 1; seed <= SPLIT_SEEDS; seed += 1) {
+    const group = await createGroup({ seed, replica });
+    const { cluster, leader } = group;
+    cluster.crash(leader);
+    const limitMs = 2 * electionTimeoutMs + 2 * heartbeatMs;
+    assert.ok(await awaitLeader(group, [leader], limitMs), `seed ${seed}: a leader in one election`);
+  }
+});
--- a/packages/consensus/src/lib/Elector.ts
+++ b/packages/consensus/src/lib/Elector.ts
@@ -3,6 +3,9 @@
 import type { Incarnation } from './ids';
 import type { Message, PreVote, PreVoteReply, Vote, VoteReply } from './Message';
 
+/** Heartbeat intervals for which a replica that has asked for pre-votes goes before one with an equal log. */
+const PRECEDENCE_HEARTBEATS = 1;
+
 /**
  * Runs elections, with a pre-vote before the vote, and replies to the vote requests of peers. A
  * replica that has granted a lease grants neither pre-votes nor votes until the lease expires.
@@ -22,6 +25,12 @@
 
   readonly #grantedBy = new Set<Incarnation>();
 
+  /** Monotonic time of the last pre-vote that this replica has asked for. */
+  #preVoteAt = -Infinity;
+
+  /** Whether this replica has granted a pre-vote since it asked for pre-votes itself. */
+  #hasYielded = false;
+
   /** Term whose leader transferred leadership to this replica; 0 if none did. */
   #transferOf = 0;
 
@@ -41,6 +50,8 @@
     core.leader = undefined;
     this.#transferOf = 0;
     this.#grantedBy.clear();
+    this.#preVoteAt = core.now;
+    this.#hasYielded = false;
     const { lastIndex, lastTerm } = core.store;
     const body: PreVote = { type: 'preVote', nextTerm: core.term + 1, lastIndex, lastTerm };
     core.peers.forEach((peer) => core.send(peer, body));
@@ -65,13 +76,18 @@
 
   onPreVote({ from, body }: Message<PreVote>): void {
     const core = this.#core;
-    const granted = body.nextTerm > core.term && !this.#isBoundByLease(0) && this.#isUpToDate(body);
+    const granted =
+      body.nextTerm > core.term &&
+      !this.#isBoundByLease(0) &&
+      this.#isUpToDate(body) &&
+      !this.#hasPrecedence(from.incarnation, body);
+    if (granted) this.#hasYielded = true;
     core.send(from, { type: 'preVoteReply', nextTerm: body.nextTerm, granted });
   }
 
   onPreVoteReply({ from, body }: Message<PreVoteReply>): void {
     const core = this.#core;
-    if (core.role !== 'preCandidate' || !body.granted) return;
+    if (core.role !== 'preCandidate' || !body.granted || this.#hasYielded) return;
     if (body.nextTerm === core.term + 1) this.#countGrant(from.incarnation);
   }
 
@@ -118,6 +134,18 @@
     return lastIndex >= store.lastIndex;
   }
 
+  /**
+   * Whether this replica has just asked for pre-votes itself and goes first. If two replicas granted each other's
+   * pre-vote, both would stand and split the votes. The precedence is short, as this one may reach no quorum.
+   */
+  #hasPrecedence(candidate: Incarnation, { lastIndex, lastTerm }: PreVote): boolean {
+    const { role, now, settings, store, identity } = this.#core;
+    if (role !== 'preCandidate') return false;
+    if (now - this.#preVoteAt >= PRECEDENCE_HEARTBEATS * settings.heartbeatMs) return false;
+    if (lastTerm !== store.lastTerm || lastIndex !== store.lastIndex) return false;
+    return identity.incarnation > candidate;
+  }
+
   #mayVote(candidate: Incarnation): boolean {
     const { vote, role } = this.#core;
     return (vote === '' && role !== 'leader') || vote === candidate;
--- a/packages/consensus/src/lib/Joiner.ts
+++ b/packages/consensus/src/lib/Joiner.ts
@@ -5,11 +5,11 @@
 import { encodeMembership } from './Membership';
 import type { Contact, Join, JoinReply, Message } from './Message';
 
-/** Interval of join requests from a replica without a group to the replicas that it knows. */
-const JOIN_INTERVAL_MS = 500;
+/** Interval of join requests from a replica without a group to the replicas that it knows. @internal */
+export const JOIN_INTERVAL_MS = 250;
 
 /** Join requests between two log lines of a replica that is not admitted. */
-const REQUESTS_PER_WARNING = 10;
+const REQUESTS_PER_WARNING = 20;
 
 /** Brings a replica with an empty disk into a group, or founds one. @internal */
 export class Joiner {
