Give a vote to the learner that joined first of those that have just replied

By the time of the last reply alone, the newest machine got the vote at times, which still counts as lost for some time after its start.

Also formats Elector.test, which failed the check of the format.

--- a/packages/consensus/src/lib/Elector.test.ts
+++ b/packages/consensus/src/lib/Elector.test.ts
@@ -52,6 +52,9 @@
     const { cluster, leader } = group;
     cluster.crash(leader);
     const limitMs = 2 * electionTimeoutMs + 2 * heartbeatMs;
-    assert.ok(await awaitLeader(group, [leader], limitMs), `seed ${seed}: a leader in one election`);
+    assert.ok(
+      await awaitLeader(group, [leader], limitMs),
+      `seed ${seed}: a leader in one election`,
+    );
   }
 });
--- a/packages/consensus/src/lib/planMembership.test.ts
+++ b/packages/consensus/src/lib/planMembership.test.ts
@@ -135,11 +135,14 @@
   assert.equal(plan(members), undefined);
 });
 
-// Guards against a promotion that waits for a learner that has just gone.
-test('the learner that has replied last is promoted, and none that is suspected to be gone', () => {
+// Guards against a promotion that waits for a learner that has just gone, and against one of the newest learner: a
+// machine counts as lost for some time after its start.
+test('the first learner that has replied just now is promoted, and none that is suspected to be gone', () => {
   const voters = [leader('a'), member('b'), member('c', 'voter', 9000)];
   const members = [...voters, member('d', 'learner', 400), member('e', 'learner', 50)];
   assert.deepEqual(plan(members), { replica: 'e', change: 'promote' });
+  const bothReply = [...voters, member('d', 'learner', 100), member('e', 'learner', 50)];
+  assert.deepEqual(plan(bothReply), { replica: 'd', change: 'promote' });
   assert.equal(plan([...voters, member('d', 'learner', 600)]), undefined);
 });
 
--- a/packages/consensus/src/lib/planMembership.ts
+++ b/packages/consensus/src/lib/planMembership.ts
@@ -29,7 +29,7 @@
   readonly replaceAfterMs: number;
   /** Silence after which a learner is removed. */
   readonly removeAfterMs: number;
-  /** Time for which a new leader waits for replies before it relies on what earlier leaders have seen. */
+  /** Time within which a member that is there has replied, also to a new leader. */
   readonly confirmAfterMs: number;
   /** Time without a leader that does not count as a member's silence. */
   readonly leaderlessMs: number;
@@ -50,7 +50,7 @@
   readonly voters: readonly MemberHealth[];
   /** Voters to replace. Silent ones come first: unlike one that leaves, they bear no further loss. */
   readonly gone: readonly MemberHealth[];
-  /** Learners that may become voters, the one that replied last first. */
+  /** Learners that may become voters: those that replied just now first, then in the order in which they joined. */
   readonly learners: readonly MemberHealth[];
 }
 
@@ -63,6 +63,7 @@
 
 function classify({ members, limits }: MembershipView): Candidates {
   const isSilent = ({ silenceMs }: MemberHealth): boolean => silenceMs > limits.replaceAfterMs;
+  const isLate = ({ silenceMs }: MemberHealth): boolean => silenceMs > limits.confirmAfterMs;
   const voters = members.filter(({ kind }) => kind === 'voter');
   const gone = voters
     .filter((member) => !member.isSelf && isGone(member, limits))
@@ -70,7 +71,7 @@
   const learners = members
     .filter(({ kind, hasReplied }) => kind === 'learner' && hasReplied)
     .filter(({ isLeaving, silenceMs }) => !isLeaving && silenceMs <= limits.suspectAfterMs)
-    .sort((a, b) => a.silenceMs - b.silenceMs);
+    .sort((a, b) => Number(isLate(a)) - Number(isLate(b)));
   return { voters, gone, learners };
 }
 
