--- a/packages/consensus/src/lib/events.ts
+++ b/packages/consensus/src/lib/events.ts
@@ -90,4 +90,11 @@
     action:
       'Check that one of the contacted replicas reaches the leader, and that the group may admit this replica.',
   },
+  diskSlow: {
+    number: 1214,
+    level: 'warn',
+    meaning:
+      'Writes of this replica took long to become durable; at most one line a second, with the longest.',
+    action: 'Check the disk: elections and changes of the membership wait for several writes.',
+  },
 });
--- a/packages/consensus/src/lib/openCore.ts
+++ b/packages/consensus/src/lib/openCore.ts
@@ -13,6 +13,7 @@
 import { RECORD_VERSION, encodeJson, type Snapshot } from './records';
 import { recover, type Recovered } from './recover';
 import type { ReplicaSettings } from './ReplicaOptions';
+import { TimedDisk } from './TimedDisk';
 
 interface OpenedCore {
   readonly core: Core;
@@ -76,8 +77,9 @@
  * @internal
  */
 export async function openCore(settings: ReplicaSettings): Promise<Result<OpenedCore, Failure>> {
+  const { disk, timer, journal } = settings;
   try {
-    return await open(settings);
+    return await open({ ...settings, disk: new TimedDisk(disk, timer, journal) });
   } catch (error) {
     return fail(consensusCodes.diskFailed, `reading the disk failed: ${String(error)}`, {
       cause: error,
--- a/packages/gateway/src/lib/events.ts
+++ b/packages/gateway/src/lib/events.ts
@@ -131,7 +131,7 @@
     number: 9033,
     level: 'info',
     meaning:
-      'The replica of a stopping instance has left its vote to another one; `hasVote` if it has not in time.',
+      'The replica of a stopping instance has left its vote to another one; `hasVote` if it has not within `waitedMs`.',
     action: 'None; if it has not, the other replicas replace it once it is silent.',
   },
   endpointLimited: {
--- a/packages/gateway/src/lib/leaveRegistry.ts
+++ b/packages/gateway/src/lib/leaveRegistry.ts
@@ -28,7 +28,8 @@
   const { registry, mesh, timer, journal, graceMs } = options;
   const canHandOver = (): boolean =>
     registry.canHandVoteOver((address) => mesh.isConnected(address));
-  const endsAt = timer.now() + Math.min(HAND_OVER_TIMEOUT_MS, graceMs * HAND_OVER_SHARE);
+  const startedAt = timer.now();
+  const endsAt = startedAt + Math.min(HAND_OVER_TIMEOUT_MS, graceMs * HAND_OVER_SHARE);
   const onFailure = (error: unknown): void =>
     journal.record(gatewayEvents.handOverFailed, { error: String(error) });
   mesh.leave();
@@ -38,6 +39,7 @@
   } while (canHandOver() && timer.now() < endsAt);
   // Without time left, another leader is better than none, even if a vote is still to be moved.
   registry.transferLeadership().catch(onFailure);
-  const { hasVote } = registry;
-  journal.record(gatewayEvents.registryLeft, { hasVote, members: registry.members });
+  const { hasVote, members } = registry;
+  const waitedMs = Math.round(timer.now() - startedAt);
+  journal.record(gatewayEvents.registryLeft, { hasVote, waitedMs, members });
 }
