Simulate disks whose syncs take long, and processes that start late

Replacing a file costs two syncs on a real disk, the file and its directory, so it does in the simulation.

--- a/packages/consensus/bench/sweep.ts
+++ b/packages/consensus/bench/sweep.ts
@@ -1,7 +1,8 @@
 /**
  * Sweeps planned stops beside losses: `--voters` is 3 or 5, `--seed` the first phase of the timers (1 by default),
  * `--count` their number (1), `--step` the distance of two offsets in milliseconds (100). `--shard I/N` runs each
- * Nth point from the Ith on. Prints each violated point; the last line is one JSON object.
+ * Nth point from the Ith on. `--sync` is the time that each sync takes longer, `--start` the time until the process
+ * of a started machine runs, both in milliseconds (0). Prints each violated point; the last line is one JSON object.
  */
 import { parseArgs } from 'node:util';
 import { stopBesideLoss } from '../src/simulation/stopBesideLoss';
@@ -22,6 +23,8 @@
     count: { type: 'string', default: '1' },
     step: { type: 'string', default: '100' },
     shard: { type: 'string', default: '1/1' },
+    sync: { type: 'string', default: '0' },
+    start: { type: 'string', default: '0' },
   },
 });
 const voters = values.voters === '5' ? 5 : 3;
@@ -35,6 +38,8 @@
   stepMs: Number(values.step),
   delaysMs: [0, 200, 1000],
   kinds: ['machine', 'disk', 'freeze'],
+  syncMs: Number(values.sync),
+  startMs: Number(values.start),
 }).filter((_, at) => at % shards === shard - 1);
 const violated = new Map<string, number>();
 let violations = 0;
--- a/packages/consensus/src/simulation/ReplacedGroup.ts
+++ b/packages/consensus/src/simulation/ReplacedGroup.ts
@@ -24,6 +24,10 @@
   readonly seed: number;
   /** Number of voters: 3 bears one loss at a time, 5 bear two. */
   readonly voters: 3 | 5;
+  /** Time that each sync takes longer once the group is formed, in milliseconds; 0 by default. */
+  readonly syncMs?: number;
+  /** Time from the start of a machine until its process runs, in milliseconds; 0 by default. */
+  readonly startMs?: number;
 }
 
 /** Admits every replica as a learner, and gives no vote to one that stops, as the registry does. */
@@ -63,6 +67,10 @@
 
   readonly #voters: number;
 
+  readonly #syncMs: number;
+
+  readonly #startMs: number;
+
   /** A machine has another replica after each start. */
   readonly #keepers = new WeakMap<Replica, MembershipKeeper>();
 
@@ -73,7 +81,7 @@
 
   #added = 0;
 
-  constructor({ seed, voters }: ReplacedGroupOptions) {
+  constructor({ seed, voters, syncMs = 0, startMs = 0 }: ReplacedGroupOptions) {
     const names = ['a', 'b', 'c', 'd', 'e'].slice(0, voters);
     const { heartbeatMs, leaseMs, electionTimeoutMs } = groupTimes;
     const admission = new AdmitAsLearner((name) =>
@@ -85,6 +93,8 @@
     this.invariants = new Invariants(this.cluster, this.workload);
     this.cluster.onStep = () => this.invariants.check();
     this.#voters = voters;
+    this.#syncMs = syncMs;
+    this.#startMs = startMs;
     this.running = [...this.cluster.nodes];
   }
 
@@ -106,6 +116,7 @@
     cluster.base.every(groupTimes.checkIntervalMs, () => this.#checkMemberships());
     const isFormed = (): boolean => cluster.committedVoters.length === this.#voters;
     if (!(await cluster.runUntil(isFormed, FORMATION_MS))) this.fail('the group did not form');
+    for (const { disk } of cluster.nodes) disk.slownessMs = this.#syncMs;
     this.workload.start(1);
   }
 
@@ -178,6 +189,7 @@
   addMachine(): SimulatedNode {
     this.#added += 1;
     const node = this.cluster.add(`n${this.#added}`);
+    node.disk.slownessMs = this.#syncMs;
     this.running = [...this.running, node];
     this.#start(node);
     return node;
@@ -216,7 +228,12 @@
     this.log(`${node.name} starts`);
     node.seeds = this.running.filter((item) => item !== node).map(({ name }) => name);
     this.#lostUntil.set(node.name, base.now() + CATCH_UP_MS);
-    this.cluster.start(node).catch(this.fail);
+    if (this.#startMs === 0) this.#run(node);
+    else base.after(this.#startMs, () => this.#run(node));
+  }
+
+  #run(node: SimulatedNode): void {
+    if (this.running.includes(node)) this.cluster.start(node).catch(this.fail);
   }
 
   /** Ends a machine for good. */
--- a/packages/consensus/src/simulation/SimulatedDisk.ts
+++ b/packages/consensus/src/simulation/SimulatedDisk.ts
@@ -21,7 +21,7 @@
   /** Runs the end of an operation in the process that asked for it; undefined once that process has ended. */
   resume: ((callback: () => void) => void) | undefined = (callback) => callback();
 
-  /** Time that each write takes longer. */
+  /** Time that each sync takes longer; replacing a file needs two. */
   slownessMs = 0;
 
   readonly #timer: VirtualTimer;
@@ -62,7 +62,7 @@
     const complete = (): void => {
       this.#files.set(name, Buffer.from(bytes));
     };
-    return this.#start({ complete, interrupt: () => this.#perhaps(complete) });
+    return this.#start({ complete, interrupt: () => this.#perhaps(complete) }, 2);
   }
 
   override truncate(name: string, length: number): Promise<void> {
@@ -114,13 +114,13 @@
     return true;
   }
 
-  #start(operation: Operation): Promise<void> {
+  #start(operation: Operation, syncs = 1): Promise<void> {
     const { resume } = this;
     // A process that has ended may still run to its next pause, but writes no more.
     if (!resume) return new Promise(() => {});
     this.#pending.add(operation);
     return new Promise((resolve) => {
-      const syncMs = this.slownessMs + MIN_SYNC_MS + this.#random.below(MAX_SYNC_MS);
+      const syncMs = syncs * this.slownessMs + MIN_SYNC_MS + this.#random.below(MAX_SYNC_MS);
       this.#timer.after(syncMs, () => {
         if (!this.#pending.delete(operation)) return;
         operation.complete();
