Let a stop wait while a lost member may return or have a successor

Cause: a replica that stops waited only while a member without a vote was connected to it.

Why it works: the planned step is the one that waits, within its bounds of 6 s and three quarters of the grace period. It does not wait for a member that stops, too, nor for one that has been gone for 10 s, so a restart in a whole group is as fast as before.

--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -5,8 +5,8 @@
 export { LocalLog } from './lib/LocalLog';
 export { MembershipKeeper, type MembershipKeeperOptions } from './lib/MembershipKeeper';
 export type { MemberHealth, MembershipLimits, MembershipStep } from './lib/planMembership';
-export { canHandVoteOver } from './lib/canHandVoteOver';
 export { groupTimes, type GroupTimes } from './lib/groupTimes';
+export { mustAwaitHandOver } from './lib/mustAwaitHandOver';
 export { Replica } from './lib/Replica';
 export type { ReplicaStatus } from './lib/ReplicaStatus';
 export type { ReplicaOptions } from './lib/ReplicaOptions';
--- a/packages/consensus/src/simulation/ReplacedGroup.ts
+++ b/packages/consensus/src/simulation/ReplacedGroup.ts
@@ -1,8 +1,8 @@
 import { AdmissionPolicy } from '../lib/AdmissionPolicy';
-import { canHandVoteOver } from '../lib/canHandVoteOver';
 import { groupTimes } from '../lib/groupTimes';
 import type { ReplicaName } from '../lib/ids';
 import { MembershipKeeper } from '../lib/MembershipKeeper';
+import { mustAwaitHandOver } from '../lib/mustAwaitHandOver';
 import type { Replica } from '../lib/Replica';
 import { Invariants } from './Invariants';
 import { SimulatedCluster, type SimulatedNode } from './SimulatedCluster';
@@ -180,7 +180,7 @@
     do {
       this.#keeperOf(node)?.leave().catch(this.fail);
       await base.sleep(groupTimes.leaveIntervalMs);
-    } while (this.#canHandVoteOver(node) && base.now() < endsAt);
+    } while (this.#mustAwaitHandOver(node) && base.now() < endsAt);
     this.#leaving.delete(node);
     this.#remove(node);
   }
@@ -213,14 +213,20 @@
     invariants.checkHistory();
   }
 
-  #canHandVoteOver({ replica }: SimulatedNode): boolean {
+  #mustAwaitHandOver(node: SimulatedNode): boolean {
+    const { replica } = node;
     if (!replica) return false;
     const { identity, settledMembership } = replica.status;
     const isConnected = (address: string): boolean =>
       this.cluster.nodes.some(({ name, active }) => name === address && active);
-    const { members } = settledMembership;
-    const own = identity.incarnation;
-    return canHandVoteOver({ members, own, target: this.#voters, isConnected });
+    return mustAwaitHandOver({
+      members: settledMembership.members,
+      own: identity.incarnation,
+      target: this.#voters,
+      isConnected,
+      silenceMs: (incarnation) => replica.knownSilenceMs(incarnation),
+      isLeaving: (name) => this.#keeperOf(node)?.isLeaving(name) ?? false,
+    });
   }
 
   #start(node: SimulatedNode): void {
--- a/packages/consensus/src/simulation/replaceReplicas.test.ts
+++ b/packages/consensus/src/simulation/replaceReplicas.test.ts
@@ -24,3 +24,11 @@
     trace: [],
   });
 });
+
+// Guards against a stop that goes on with its vote when the successor that was to take it is lost.
+test('a replica that stops waits when its successor is lost on the way to its vote', async () => {
+  for (const seed of [7310252, 7314317, 7314927, 7316784, 7316837, 7317189]) {
+    const finding = await replaceReplicas({ seed, voters: 3 });
+    assert.deepEqual(finding, { violations: [], trace: [] }, `seed ${seed}`);
+  }
+});
--- a/packages/consensus/src/simulation/stopBesideLoss.test.ts
+++ b/packages/consensus/src/simulation/stopBesideLoss.test.ts
@@ -44,3 +44,13 @@
   };
   assert.deepEqual(await findViolated([point]), []);
 });
+
+// Guards against a stop that goes on with its vote before the successor of a lost member has joined.
+test('a group of three bears a stop beside a loss when the processes of successors start late', async () => {
+  const late = { voters: 3, seed: 1, stopped: 'leader', lost: 'follower', startMs: 2500 } as const;
+  const points: StopBesideLoss[] = [
+    { ...late, kind: 'machine', delayMs: 1000, offsetMs: 3100 },
+    { ...late, kind: 'disk', delayMs: 0, offsetMs: 1300 },
+  ];
+  assert.deepEqual(await findViolated(points), []);
+});
--- a/packages/gateway/src/lib/leaveRegistry.ts
+++ b/packages/gateway/src/lib/leaveRegistry.ts
@@ -21,13 +21,13 @@
 
 /**
  * Hands leadership and the vote of this instance's replica over before it stops, so that it is not missed if it
- * does not return. Without another replica to hand it to, the vote is kept.
+ * does not return. If no other replica takes it in time, or there is none, the vote is kept.
  * @internal
  */
 export async function leaveRegistry(options: LeaveOptions): Promise<void> {
   const { registry, mesh, timer, journal, graceMs } = options;
-  const canHandOver = (): boolean =>
-    registry.canHandVoteOver((address) => mesh.isConnected(address));
+  const mustWait = (): boolean =>
+    registry.mustAwaitHandOver((address) => mesh.isConnected(address));
   const startedAt = timer.now();
   const endsAt = startedAt + Math.min(HAND_OVER_TIMEOUT_MS, graceMs * HAND_OVER_SHARE);
   const onFailure = (error: unknown): void =>
@@ -36,7 +36,7 @@
   registry.startLeaving(onFailure);
   do {
     await timer.sleep(POLL_INTERVAL_MS);
-  } while (canHandOver() && timer.now() < endsAt);
+  } while (mustWait() && timer.now() < endsAt);
   // Without time left, another leader is better than none, even if a vote is still to be moved.
   registry.transferLeadership().catch(onFailure);
   const { hasVote, members } = registry;
--- a/packages/registry/src/lib/Registry.ts
+++ b/packages/registry/src/lib/Registry.ts
@@ -6,9 +6,9 @@
   FileDisk,
   MembershipKeeper,
   Replica,
-  canHandVoteOver,
   createReplicaName,
   groupTimes,
+  mustAwaitHandOver,
   type ReplicaName,
   type Transport,
 } from '@berylwood/consensus';
@@ -207,13 +207,18 @@
   }
 
   /** Whether a stop should wait until another replica has this one's vote. */
-  canHandVoteOver(isConnected: (address: string) => boolean): boolean {
-    const status = this.#replica?.status;
-    if (!status) return false;
-    const { identity, settledMembership } = status;
-    const { members } = settledMembership;
-    const own = identity.incarnation;
-    return canHandVoteOver({ members, own, target: this.#voterTarget, isConnected });
+  mustAwaitHandOver(isConnected: (address: string) => boolean): boolean {
+    const replica = this.#replica;
+    if (!replica) return false;
+    const { identity, settledMembership } = replica.status;
+    return mustAwaitHandOver({
+      members: settledMembership.members,
+      own: identity.incarnation,
+      target: this.#voterTarget,
+      isConnected,
+      silenceMs: (incarnation) => replica.knownSilenceMs(incarnation),
+      isLeaving: (name) => this.#keeper?.isLeaving(name) ?? false,
+    });
   }
 
   /**
