Write a term and its vote at once, and retry an election only after disks had time for it

Cause: a voter wrote the new term, and then the vote in that term, each with two syncs. The candidate writes twice, too, before it asks. So an election took six syncs, while a candidate gives up after 200 to 1000 ms from the moment that it stands. Beyond some 150 ms a sync no election ends: each try is abandoned, with a new term, before its votes arrive.

Why it works: term and vote are one record, so one write is enough; the time until a retry counts from when the requests are sent, on top of the time that the candidate's own write took; and no election starts while this replica's own write is not durable.

--- a/packages/consensus/src/lib/Core.ts
+++ b/packages/consensus/src/lib/Core.ts
@@ -184,11 +184,14 @@
     this.electionDeadline = this.now + random.between(electionTimeoutMs, 2 * electionTimeoutMs);
   }
 
-  /** Sets the deadline of a started election; it is earlier, to retry soon after a split vote. */
-  setElectionRetryDeadline(): void {
+  /**
+   * Sets the deadline of a started election; it is earlier, to retry soon after a split vote.
+   * @param writeMs - time for which the voters are expected to write their votes, in milliseconds.
+   */
+  setElectionRetryDeadline(writeMs = 0): void {
     const { electionTimeoutMs, random } = this.settings;
     const delayMs = random.between(MIN_RETRY_FRACTION * electionTimeoutMs, electionTimeoutMs);
-    this.electionDeadline = this.now + delayMs;
+    this.electionDeadline = this.now + writeMs + delayMs;
   }
 
   /** Sets term and vote; messages sent afterwards wait until both are durable. */
@@ -210,6 +213,11 @@
     this.onFailure(new Failure(consensusCodes.diskFailed, message, { cause: error }));
   }
 
+  /** Whether the term and vote are being written; messages wait until they are durable. */
+  get isSaving(): boolean {
+    return this.#isSaving;
+  }
+
   /** Runs an action once the current term and vote are durable. */
   whenSaved(action: () => void): void {
     if (this.#isSaving) this.#pendingActions.push(action);
--- a/packages/consensus/src/lib/Elector.test.ts
+++ b/packages/consensus/src/lib/Elector.test.ts
@@ -9,6 +9,14 @@
 /** Enough crashes that two of three replicas time out within a round trip in some of them. */
 const SPLIT_SEEDS = 400;
 
+const SLOW_SEEDS = 100;
+
+/** Two syncs of a candidate and two of a voter take longer together than the shortest time-out of an election. */
+const SLOW_SYNC_MS = 200;
+
+/** Time after the last loss within which everything works again, in milliseconds. */
+const SLOW_FAILOVER_MS = 12_000;
+
 /** Partitions a follower for 2 s, heals the network and returns how many terms have started. */
 async function countTermsAfterIsolation(unsafe: UnsafeDeviations): Promise<number> {
   const { cluster, leader, others } = await createGroup({ unsafe });
@@ -58,3 +66,17 @@
     );
   }
 });
+
+// Guards against elections that are given up before the voters have written their votes, so that none ever ends.
+test('a leader is elected on disks whose syncs take long', async () => {
+  const { heartbeatMs, leaseMs, electionTimeoutMs } = groupTimes;
+  const replica = { heartbeatMs, leaseMs, electionTimeoutMs };
+  for (let seed = 1; seed <= SLOW_SEEDS; seed += 1) {
+    const group = await createGroup({ seed, replica });
+    const { cluster, leader } = group;
+    for (const { disk } of cluster.nodes) disk.slownessMs = SLOW_SYNC_MS;
+    cluster.crash(leader);
+    const next = await awaitLeader(group, [leader], SLOW_FAILOVER_MS);
+    assert.ok(next, `seed ${seed}: a leader within ${SLOW_FAILOVER_MS} ms`);
+  }
+});
--- a/packages/consensus/src/lib/Elector.ts
+++ b/packages/consensus/src/lib/Elector.ts
@@ -1,6 +1,6 @@
 import { majority } from './Membership';
 import type { Core } from './Core';
-import type { Incarnation } from './ids';
+import type { Identity, Incarnation } from './ids';
 import type { Message, PreVote, PreVoteReply, Vote, VoteReply } from './Message';
 
 /** Heartbeat intervals for which a replica that has asked for pre-votes goes before one with an equal log. */
@@ -67,10 +67,12 @@
     const body: Vote = { type: 'vote', lastIndex, lastTerm, transferOf: this.#transferOf };
     this.#transferOf = 0;
     core.peers.forEach((peer) => core.send(peer, body));
-    const { term } = core;
+    const { term, now } = core;
     core.whenSaved(() => {
-      if (core.role === 'candidate' && core.term === term)
-        this.#countGrant(core.identity.incarnation);
+      if (core.role !== 'candidate' || core.term !== term) return;
+      // The voters have to write their votes, too, which is expected to take them as long.
+      core.setElectionRetryDeadline(core.now - now);
+      this.#countGrant(core.identity.incarnation);
     });
   }
 
@@ -94,20 +96,26 @@
   onVote({ from, term, body }: Message<Vote>): void {
     const core = this.#core;
     // A vote rejected because of a lease does not advance the term, so the leader keeps its role.
-    if (term >= core.term && !this.#isBoundByLease(body.transferOf)) {
-      if (term > core.term) {
-        core.saveTerm(term, '');
-        core.sendRoleEvent({ type: 'newerTerm' });
-      }
-      if (this.#mayVote(from.incarnation) && this.#isUpToDate(body)) {
-        core.saveTerm(term, from.incarnation);
-        core.resetElectionDeadline();
-        const leaseRemainingMs = this.#preRestartLeaseMs;
-        core.send(from, { type: 'voteReply', granted: true, leaseRemainingMs });
-        return;
-      }
+    if (term < core.term || this.#isBoundByLease(body.transferOf)) {
+      this.#rejectVote(from);
+      return;
     }
-    core.send(from, { type: 'voteReply', granted: false, leaseRemainingMs: 0 });
+    const isNewer = term > core.term;
+    const isGranted = this.#isUpToDate(body) && (isNewer || this.#mayVote(from.incarnation));
+    // The term and the vote share one write; with two, an election takes longer than its time-out on a slow disk.
+    if (isNewer || isGranted) core.saveTerm(term, isGranted ? from.incarnation : '');
+    if (isNewer) core.sendRoleEvent({ type: 'newerTerm' });
+    if (!isGranted) {
+      this.#rejectVote(from);
+      return;
+    }
+    core.resetElectionDeadline();
+    const leaseRemainingMs = this.#preRestartLeaseMs;
+    core.send(from, { type: 'voteReply', granted: true, leaseRemainingMs });
+  }
+
+  #rejectVote(candidate: Identity): void {
+    this.#core.send(candidate, { type: 'voteReply', granted: false, leaseRemainingMs: 0 });
   }
 
   onVoteReply({ from, body }: Message<VoteReply>): void {
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -253,7 +253,7 @@
     const core = this.#core;
     this.#resolveRoleWaiters();
     if (this.#leadership) this.#leadership.tick();
-    else if (core.now >= core.electionDeadline && !core.installing) {
+    else if (core.now >= core.electionDeadline && !core.installing && !core.isSaving) {
       core.setElectionRetryDeadline();
       core.sendRoleEvent({ type: 'electionTimeout' });
     }
