Let a leader that stops lead on until a lost member has a successor

Cause: a leader that stops handed leadership over as soon as no vote could be moved, before the successor of a lost member had joined, and even before it had heard its voters, right after its own election. If the next loss comes meanwhile, the replica that stops reaches its limit of 6 s during the election, and ends with its vote.

Why it works: a leader that is about to stop is still the best one to admit the successor: it is known, and what is in its way is its own transfer. It leads on while voters have not had time to reply (confirmAfterMs), while the vote of a silent one can be moved, and while a member was lost less than 10 s ago and no learner is there; the bounds of the stop stay.

--- a/packages/consensus/src/lib/MembershipKeeper.ts
+++ b/packages/consensus/src/lib/MembershipKeeper.ts
@@ -4,7 +4,7 @@
 import type { Member } from './Membership';
 import {
   isUndecided,
-  mustMoveVote,
+  mustLeadOn,
   planMembership,
   type MemberHealth,
   type MembershipLimits,
@@ -87,13 +87,13 @@
 
   /**
    * Gives leadership up before a planned stop, to a voter that stays; call it repeatedly until the stop. Does
-   * nothing while the vote of another member has to be moved first.
+   * nothing while another member is lost and the group can recover sooner under this leader.
    */
   async leave(): Promise<void> {
     const { replica } = this.#options;
     this.setLeaving(replica.status.identity.replica, true);
     this.check();
-    if (!replica.holdsLease || mustMoveVote(this.#view)) return;
+    if (!replica.holdsLease || mustLeadOn(this.#view)) return;
     await this.transferLeadership();
   }
 
--- a/packages/consensus/src/lib/groupTimes.ts
+++ b/packages/consensus/src/lib/groupTimes.ts
@@ -31,6 +31,7 @@
     confirmAfterMs: 2 * HEARTBEAT_MS,
     replaceAfterMs: 1000,
     leaderlessMs: 1650,
+    returnTimeoutMs: 10_000,
     removeAfterMs: 120_000,
   },
 };
--- a/packages/consensus/src/lib/mustAwaitHandOver.test.ts
+++ b/packages/consensus/src/lib/mustAwaitHandOver.test.ts
@@ -2,13 +2,14 @@
 import { test } from 'node:test';
 import { createReplicaName, type Incarnation } from './ids';
 import type { Member, MemberKind } from './Membership';
-import { RETURN_TIMEOUT_MS, mustAwaitHandOver, type Departure } from './mustAwaitHandOver';
+import { mustAwaitHandOver, type Departure } from './mustAwaitHandOver';
 
 function member(name: string, kind: MemberKind): Member {
   const incarnation = `${name}-1` as Incarnation;
   return { replica: createReplicaName(name), incarnation, kind, address: name };
 }
 
+const returnTimeoutMs = 10_000;
 const VOTERS = [member('a', 'voter'), member('b', 'voter'), member('c', 'voter')];
 
 function awaits(members: readonly Member[], departure: Partial<Departure> = {}): boolean {
@@ -18,6 +19,7 @@
     target: 3,
     isConnected: () => true,
     silenceMs: () => 0,
+    limits: { returnTimeoutMs },
     isLeaving: () => false,
     ...departure,
   });
@@ -33,8 +35,8 @@
   const withLearner = [...VOTERS, member('d', 'learner')];
   assert.equal(awaits(VOTERS), false);
   assert.equal(awaits(withLearner), true);
-  assert.equal(awaits(withLearner, withoutConnection('d', RETURN_TIMEOUT_MS + 1)), false);
-  assert.equal(awaits(VOTERS, withoutConnection('c', RETURN_TIMEOUT_MS + 1)), false);
+  assert.equal(awaits(withLearner, withoutConnection('d', returnTimeoutMs + 1)), false);
+  assert.equal(awaits(VOTERS, withoutConnection('c', returnTimeoutMs + 1)), false);
   assert.equal(awaits(withLearner, { own: 'd-1' as Incarnation }), false);
 });
 
--- a/packages/consensus/src/lib/mustAwaitHandOver.ts
+++ b/packages/consensus/src/lib/mustAwaitHandOver.ts
@@ -1,5 +1,6 @@
 import type { Incarnation, ReplicaName } from './ids';
 import type { Member } from './Membership';
+import type { MembershipLimits } from './planMembership';
 
 /** What a replica that stops knows of its group. @public */
 export interface Departure {
@@ -13,13 +14,11 @@
   readonly isConnected: (address: string) => boolean;
   /** Time since the latest known contact with a member, in milliseconds; undefined if none is known. */
   readonly silenceMs: (incarnation: Incarnation) => number | undefined;
+  readonly limits: Pick<MembershipLimits, 'returnTimeoutMs'>;
   /** Whether a member has said that it is about to stop. */
   readonly isLeaving: (replica: ReplicaName) => boolean;
 }
 
-/** Silence of a member after which neither its return nor its successor is expected, in milliseconds. @internal */
-export const RETURN_TIMEOUT_MS = 10_000;
-
 /**
  * Whether a replica that stops should wait until another one has its vote. It does while it is a voter and
  * - there are more voters than the target, so that this replica is still to lose its vote;
@@ -29,12 +28,12 @@
  * @public
  */
 export function mustAwaitHandOver(departure: Departure): boolean {
-  const { members, own, target, isConnected, silenceMs, isLeaving } = departure;
+  const { members, own, target, isConnected, silenceMs, isLeaving, limits } = departure;
   const voters = members.filter(({ kind }) => kind === 'voter');
   if (!voters.some(({ incarnation }) => incarnation === own)) return false;
   if (voters.length > target) return true;
   const isLost = ({ replica, incarnation }: Member): boolean =>
-    !isLeaving(replica) && (silenceMs(incarnation) ?? 0) <= RETURN_TIMEOUT_MS;
+    !isLeaving(replica) && (silenceMs(incarnation) ?? 0) <= limits.returnTimeoutMs;
   return members
     .filter(({ incarnation }) => incarnation !== own)
     .some((member) => (isConnected(member.address) ? member.kind !== 'voter' : isLost(member)));
--- a/packages/consensus/src/lib/planMembership.test.ts
+++ b/packages/consensus/src/lib/planMembership.test.ts
@@ -3,7 +3,7 @@
 import { createReplicaName } from './ids';
 import type { MemberKind } from './Membership';
 import {
-  mustMoveVote,
+  mustLeadOn,
   planMembership,
   type MemberHealth,
   type MembershipStep,
@@ -15,6 +15,7 @@
   confirmAfterMs: 300,
   replaceAfterMs: 3000,
   leaderlessMs: 1500,
+  returnTimeoutMs: 5000,
   removeAfterMs: 60_000,
 };
 const SETTLED_MS = 60_000;
@@ -150,10 +151,32 @@
 test('a leaving leader leads on while the vote of a silent voter can be moved', () => {
   const voters = [leaving(leader('a')), member('b'), member('c', 'voter', 800)];
   const learner = member('d', 'learner');
-  assert.equal(mustMoveVote(viewOf([...voters, learner])), true);
-  assert.equal(mustMoveVote(viewOf([...voters, member('d', 'joining')])), true);
-  assert.equal(mustMoveVote(viewOf([...voters, member('d')])), true);
-  assert.equal(mustMoveVote(viewOf(voters)), false);
+  assert.equal(mustLeadOn(viewOf([...voters, learner])), true);
+  assert.equal(mustLeadOn(viewOf([...voters, member('d', 'joining')])), true);
+  assert.equal(mustLeadOn(viewOf([...voters, member('d')])), true);
   const calm = [leaving(leader('a')), member('b'), member('c', 'voter', 100)];
-  assert.equal(mustMoveVote(viewOf([...calm, learner])), false);
+  assert.equal(mustLeadOn(viewOf(calm)), false);
+  assert.equal(mustLeadOn(viewOf([...calm, learner])), false);
+});
+
+// Guards against a transfer of leadership that delays the admission of a lost member's successor.
+test('a leaving leader leads on until a member that was lost has a successor, or is gone for long', () => {
+  const votersWith = (silenceMs: number) => [
+    leaving(leader('a')),
+    member('b'),
+    member('c', 'voter', silenceMs),
+  ];
+  assert.equal(mustLeadOn(viewOf(votersWith(800))), true);
+  assert.equal(mustLeadOn(viewOf(votersWith(5001))), false);
+  const replaced = [leaving(leader('a')), member('b'), member('d'), member('c', 'learner', 2000)];
+  assert.equal(mustLeadOn(viewOf(replaced)), true);
+  assert.equal(mustLeadOn(viewOf([...replaced, member('e', 'learner')])), false);
+});
+
+// Guards against a leader that hands over right after its election, before it knows which voters are silent.
+test('a leaving leader leads on until its voters have had time to reply', () => {
+  const unheard = { ...member('c', 'voter', 100), hasReplied: false };
+  const members = [leaving(leader('a')), member('b'), unheard];
+  assert.equal(mustLeadOn(viewOf(members, 100)), true);
+  assert.equal(mustLeadOn(viewOf(members, 5000)), false);
 });
--- a/packages/consensus/src/lib/planMembership.ts
+++ b/packages/consensus/src/lib/planMembership.ts
@@ -27,6 +27,8 @@
   readonly suspectAfterMs: number;
   /** Silence after which a voter is replaced by a learner. */
   readonly replaceAfterMs: number;
+  /** Silence after which neither the return of a member nor its successor is expected soon. */
+  readonly returnTimeoutMs: number;
   /** Silence after which a learner is removed. */
   readonly removeAfterMs: number;
   /** Time within which a member that is there has replied, also to a new leader. */
@@ -124,15 +126,22 @@
 }
 
 /**
- * Whether a leader that is about to stop should lead on for now: another voter does not reply, and its vote can be
- * moved. The group may need both votes, and a transfer of leadership takes time until the next change.
+ * Whether a leader that is about to stop should lead on for now, as the next change would have to wait for a transfer
+ * of leadership: it does not know the other voters yet, the vote of one that does not reply can be moved, or a member
+ * has been lost just now whose successor has not joined yet.
  * @internal
  */
-export function mustMoveVote(view: MembershipView): boolean {
+export function mustLeadOn(view: MembershipView): boolean {
   const { members, target, limits } = view;
+  if (isUndecided(view)) return true;
   const { voters, learners } = classify(view);
-  const isSuspect = ({ isSelf, silenceMs }: MemberHealth): boolean =>
-    !isSelf && silenceMs > limits.suspectAfterMs;
-  const isChanging = voters.length > target || members.some(({ kind }) => kind === 'joining');
-  return voters.some(isSuspect) && (isChanging || learners.length > 0);
+  const suspects = members.filter(
+    ({ isSelf, silenceMs }) => !isSelf && silenceMs > limits.suspectAfterMs,
+  );
+  if (learners.length > 0 || voters.length > target) {
+    return suspects.some(({ kind }) => kind === 'voter');
+  }
+  return suspects.some(
+    ({ isLeaving, silenceMs }) => !isLeaving && silenceMs <= limits.returnTimeoutMs,
+  );
 }
--- a/packages/consensus/src/simulation/ReplacedGroup.ts
+++ b/packages/consensus/src/simulation/ReplacedGroup.ts
@@ -224,6 +224,7 @@
       own: identity.incarnation,
       target: this.#voters,
       isConnected,
+      limits: groupTimes.limits,
       silenceMs: (incarnation) => replica.knownSilenceMs(incarnation),
       isLeaving: (name) => this.#keeperOf(node)?.isLeaving(name) ?? false,
     });
--- a/packages/registry/src/lib/Registry.ts
+++ b/packages/registry/src/lib/Registry.ts
@@ -216,6 +216,7 @@
       own: identity.incarnation,
       target: this.#voterTarget,
       isConnected,
+      limits: groupTimes.limits,
       silenceMs: (incarnation) => replica.knownSilenceMs(incarnation),
       isLeaving: (name) => this.#keeper?.isLeaving(name) ?? false,
     });
