Count the silence of a member that has just joined from its admission

Cause: a member that has not replied to a leader counted as silent for as long as that leader has led. A replica that returned with an empty disk was admitted, and demoted at the next check if its first reply took longer than that: on a slow disk it first writes the group and its term. Its vote went to a learner, or stayed with the incarnation whose disk is lost.

Why it works: the leader knows when it began to send to each member; the silence counts from then, up to the same limit.

What a replica knows of the contact with a member has moved from Replica to contactWith.

--- a/packages/consensus/src/lib/MembershipKeeper.ts
+++ b/packages/consensus/src/lib/MembershipKeeper.ts
@@ -1,6 +1,7 @@
 import type { Failure, Timer } from '@berylwood/base';
 import type { Result } from 'neverthrow';
-import type { Incarnation, ReplicaName } from './ids';
+import type { MemberContact } from './contactWith';
+import type { ReplicaName } from './ids';
 import type { Member } from './Membership';
 import {
   isUndecided,
@@ -128,10 +129,11 @@
   #healthOf(member: Member): MemberHealth {
     const { replica } = this.#options;
     const { replica: name, incarnation } = member;
-    const silenceMs = replica.silenceMs(incarnation);
+    const contact = replica.contactWith(incarnation);
+    const { silenceMs } = contact;
     return {
       ...member,
-      silenceMs: silenceMs ?? this.#unansweredMs(incarnation),
+      silenceMs: silenceMs ?? this.#unansweredMs(contact),
       hasReplied: silenceMs !== undefined,
       isLeaving: this.isLeaving(name),
       isSelf: incarnation === replica.status.identity.incarnation,
@@ -139,13 +141,14 @@
   }
 
   /**
-   * Silence of a member that has not replied to this leader. What earlier leaders have seen counts once the member has
-   * had time to reply to this one, and without the time that a change of leader takes.
+   * Silence of a member that has not replied to this leader. It counts from when the leader has begun to send to it, as
+   * it may have joined just now. What earlier leaders have seen counts once the member has had time to reply to
+   * this one, and without the time that a change of leader takes.
    */
-  #unansweredMs(incarnation: Incarnation): number {
+  #unansweredMs({ contactedMs, knownSilenceMs: knownMs }: MemberContact): number {
     const { replica, timer, limits } = this.#options;
-    const unansweredMs = timer.now() - this.#leaderSince;
-    const knownMs = replica.knownSilenceMs(incarnation);
+    const leadingMs = timer.now() - this.#leaderSince;
+    const unansweredMs = Math.min(leadingMs, contactedMs);
     if (knownMs === undefined || replica.leadershipMs < limits.confirmAfterMs) return unansweredMs;
     return Math.max(unansweredMs, knownMs - limits.leaderlessMs);
   }
--- a/packages/consensus/src/lib/Progress.ts
+++ b/packages/consensus/src/lib/Progress.ts
@@ -39,6 +39,9 @@
 
   transfer: SnapshotTransfer | undefined;
 
+  /** Monotonic time from which on the leader has sent to the member, in milliseconds. */
+  readonly startedAt: number;
+
   /** Latest stamp that the member has echoed. */
   stamp: LeaseStamp = { mono: -Infinity, wall: -Infinity };
 
@@ -49,9 +52,10 @@
 
   readonly #maxInflight: number;
 
-  constructor(identity: Identity, next: number, maxInflight: number) {
+  constructor(identity: Identity, next: number, maxInflight: number, startedAt: number) {
     this.identity = identity;
     this.next = next;
+    this.startedAt = startedAt;
     this.#maxInflight = maxInflight;
   }
 
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -3,6 +3,7 @@
 import { DisposableStore, Failure, assert, fail } from '@berylwood/base';
 import { Applier } from './Applier';
 import { consensusCodes } from './codes';
+import { contactWith, type MemberContact } from './contactWith';
 import { Core } from './Core';
 import { dispatch } from './dispatch';
 import { Elector } from './Elector';
@@ -180,20 +181,9 @@
     return this.#leadership?.leader.leadershipMs ?? 0;
   }
 
-  /** Milliseconds since the latest message that a member replied to was sent; undefined if none. */
-  silenceMs(incarnation: Incarnation): number | undefined {
-    if (this.#core.isSelf({ incarnation })) return 0;
-    const sentAt = this.#leadership?.leader.progress(incarnation)?.stamp.mono;
-    return sentAt === undefined || sentAt === -Infinity ? undefined : this.#core.now - sentAt;
-  }
-
-  /**
-   * Milliseconds since the latest contact that this replica, or a leader that it followed, had with a member;
-   * undefined if none is known.
-   */
-  knownSilenceMs(incarnation: Incarnation): number | undefined {
-    const lastAt = this.#core.contacts.lastAt(incarnation);
-    return lastAt === -Infinity ? undefined : this.#core.now - lastAt;
+  /** What this replica knows of the contact with a member. */
+  contactWith(incarnation: Incarnation): MemberContact {
+    return contactWith(this.#core, this.#leadership?.leader, incarnation);
   }
 
   override async close(): Promise<void> {
--- a/packages/consensus/src/lib/Replicator.ts
+++ b/packages/consensus/src/lib/Replicator.ts
@@ -101,14 +101,14 @@
 
   /** Updates the set of members: adds new ones and drops removed ones. */
   #updateMembers(): void {
-    const { peers, store, settings } = this.#core;
+    const { peers, store, settings, now } = this.#core;
     const current = new Set(peers.map(({ incarnation }) => incarnation));
     for (const incarnation of this.#progress.keys()) {
       if (!current.has(incarnation)) this.#progress.delete(incarnation);
     }
     for (const peer of peers) {
       if (this.#progress.has(peer.incarnation)) continue;
-      const progress = new Progress(peer, store.lastIndex + 1, settings.maxInflight);
+      const progress = new Progress(peer, store.lastIndex + 1, settings.maxInflight, now);
       this.#progress.set(peer.incarnation, progress);
     }
   }
--- a/packages/consensus/src/simulation/ReplacedGroup.ts
+++ b/packages/consensus/src/simulation/ReplacedGroup.ts
@@ -225,7 +225,7 @@
       target: this.#voters,
       isConnected,
       limits: groupTimes.limits,
-      silenceMs: (incarnation) => replica.knownSilenceMs(incarnation),
+      silenceMs: (incarnation) => replica.contactWith(incarnation).knownSilenceMs,
       isLeaving: (name) => this.#keeperOf(node)?.isLeaving(name) ?? false,
     });
   }
--- a/packages/registry/src/lib/Registry.ts
+++ b/packages/registry/src/lib/Registry.ts
@@ -217,7 +217,7 @@
       target: this.#voterTarget,
       isConnected,
       limits: groupTimes.limits,
-      silenceMs: (incarnation) => replica.knownSilenceMs(incarnation),
+      silenceMs: (incarnation) => replica.contactWith(incarnation).knownSilenceMs,
       isLeaving: (name) => this.#keeper?.isLeaving(name) ?? false,
     });
   }
