Change the kind of one member, not of all incarnations of its replica

Callers saw: as before, a replica that lost its disk never votes again, and the next loss ends the group (CONFIG).

Cause: changes of the membership named a replica. After a lost disk two members share its name while the earlier one is a voter. If a learner takes that vote, both become learners, and a promotion made both joining: the earlier one is silent, so the plan demoted both again, and so on for good. The removal of a silent learner after two minutes took the live one along as well, which does not ask to join again.

Why it works: the plan names the incarnation, and so does each change. Removing a replica by its name stays the operators' command.

--- a/packages/consensus/src/lib/Membership.ts
+++ b/packages/consensus/src/lib/Membership.ts
@@ -112,14 +112,14 @@
   return isReplacement ? { members, admitted, outgoing: previousVoters } : { members, admitted };
 }
 
-/** Changes the kind of all incarnations of a replica. @internal */
+/** Changes the kind of one member. @internal */
 export function withKind(
   membership: Membership,
-  replica: ReplicaName,
+  incarnation: Incarnation,
   kind: MemberKind,
 ): Membership {
   const members = membership.members.map((member) =>
-    member.replica === replica ? { ...member, kind } : member,
+    member.incarnation === incarnation ? { ...member, kind } : member,
   );
   return { ...membership, members };
 }
@@ -150,6 +150,12 @@
   return { ...membership, admitted: [...others, admission] };
 }
 
+/** Removes one member; other incarnations of its replica stay. @internal */
+export function withoutMember(membership: Membership, incarnation: Incarnation): Membership {
+  const members = membership.members.filter((member) => member.incarnation !== incarnation);
+  return { ...membership, members };
+}
+
 /** Removes all incarnations of a replica, and its permission to join. @internal */
 export function withoutReplica(membership: Membership, replica: ReplicaName): Membership {
   return {
--- a/packages/consensus/src/lib/MembershipChanger.ts
+++ b/packages/consensus/src/lib/MembershipChanger.ts
@@ -15,7 +15,9 @@
   withKind,
   withPromoted,
   withoutOutgoing,
+  withoutMember,
   withoutReplica,
+  type Member,
   type MemberKind,
   type Membership,
 } from './Membership';
@@ -54,7 +56,24 @@
       (item) => item.replica === replica,
     );
     if (!isKnown) return fail(consensusCodes.membershipInvalid, `unknown replica ${replica}`);
-    const remaining = withoutReplica(this.#latest, replica);
+    return this.#proposeRemoval(withoutReplica(this.#latest, replica));
+  }
+
+  /** Removes one member; other incarnations of its replica stay. */
+  async removeMember(incarnation: Incarnation): Promise<Result<void, Failure>> {
+    if (!this.#find(incarnation)) return this.#unknownMember(incarnation);
+    return this.#proposeRemoval(withoutMember(this.#latest, incarnation));
+  }
+
+  #find(incarnation: Incarnation): Member | undefined {
+    return this.#latest.members.find((item) => item.incarnation === incarnation);
+  }
+
+  #unknownMember<T>(incarnation: Incarnation): Result<T, Failure> {
+    return fail(consensusCodes.membershipInvalid, `unknown member ${incarnation}`);
+  }
+
+  async #proposeRemoval(remaining: Membership): Promise<Result<void, Failure>> {
     const reachable = voters(remaining).filter((incarnation) => this.#isReachable(incarnation));
     if (reachable.length < majority(voters(remaining).length)) {
       return fail(
@@ -70,17 +89,17 @@
    * entries; a voter becomes a learner at once.
    */
   async assignKind(
-    replica: ReplicaName,
+    incarnation: Incarnation,
     kind: 'joining' | 'learner',
   ): Promise<Result<void, Failure>> {
-    const member = this.#latest.members.find((item) => item.replica === replica);
-    if (!member) return fail(consensusCodes.membershipInvalid, `unknown replica ${replica}`);
+    const member = this.#find(incarnation);
+    if (!member) return this.#unknownMember(incarnation);
     const isPromotion = member.kind === 'learner' && kind === 'joining';
     if (!isPromotion && !(member.kind !== 'learner' && kind === 'learner')) {
-      const message = `${replica} of kind ${member.kind} cannot change to ${kind}`;
+      const message = `${member.replica} of kind ${member.kind} cannot change to ${kind}`;
       return fail(consensusCodes.membershipInvalid, message);
     }
-    const changed = await this.#proposeChange(withKind(this.#latest, replica, kind));
+    const changed = await this.#proposeChange(withKind(this.#latest, incarnation, kind));
     this.tick();
     return changed;
   }
--- a/packages/consensus/src/lib/MembershipKeeper.ts
+++ b/packages/consensus/src/lib/MembershipKeeper.ts
@@ -168,9 +168,9 @@
       });
   }
 
-  #apply({ replica: name, change }: MembershipStep): Promise<Result<void, Failure>> {
+  #apply({ incarnation, change }: MembershipStep): Promise<Result<void, Failure>> {
     const { replica } = this.#options;
-    if (change === 'remove') return replica.removeReplica(name);
-    return replica.assignKind(name, change === 'promote' ? 'joining' : 'learner');
+    if (change === 'remove') return replica.removeMember(incarnation);
+    return replica.assignKind(incarnation, change === 'promote' ? 'joining' : 'learner');
   }
 }
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -167,13 +167,19 @@
     return this.#leadership.changer.remove(replica);
   }
 
+  /** Removes one member; other incarnations of its replica stay. */
+  async removeMember(incarnation: Incarnation): Promise<Result<void, Failure>> {
+    if (!this.#leadership) return this.#notLeaderFailure();
+    return this.#leadership.changer.removeMember(incarnation);
+  }
+
   /** Promotes a learner (`joining`), or makes a member a learner without a vote. */
   async assignKind(
-    replica: ReplicaName,
+    incarnation: Incarnation,
     kind: 'joining' | 'learner',
   ): Promise<Result<void, Failure>> {
     if (!this.#leadership) return this.#notLeaderFailure();
-    return this.#leadership.changer.assignKind(replica, kind);
+    return this.#leadership.changer.assignKind(incarnation, kind);
   }
 
   /** Milliseconds since this replica was elected; 0 while it does not lead. */
--- a/packages/consensus/src/lib/planMembership.test.ts
+++ b/packages/consensus/src/lib/planMembership.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { createReplicaName } from './ids';
+import { createReplicaName, type Incarnation } from './ids';
 import type { MemberKind } from './Membership';
 import {
   mustLeadOn,
@@ -22,7 +22,9 @@
 
 function member(name: string, kind: MemberKind = 'voter', silenceMs = 0): MemberHealth {
   const replica = createReplicaName(name);
-  return { replica, kind, silenceMs, hasReplied: true, isLeaving: false, isSelf: false };
+  const incarnation = `${name}-1` as Incarnation;
+  const state = { hasReplied: true, isLeaving: false, isSelf: false };
+  return { replica, incarnation, kind, silenceMs, ...state };
 }
 
 function leader(name: string): MemberHealth {
@@ -41,8 +43,12 @@
 function plan(
   members: readonly MemberHealth[],
   leadershipMs = SETTLED_MS,
-): MembershipStep | undefined {
-  return planMembership(viewOf(members, leadershipMs));
+): Omit<MembershipStep, 'incarnation'> | undefined {
+  const step = planMembership(viewOf(members, leadershipMs));
+  if (!step) return undefined;
+  const { replica, incarnation, change } = step;
+  assert.ok(members.some((item) => item.replica === replica && item.incarnation === incarnation));
+  return { replica, change };
 }
 
 test('learners become voters up to the target', () => {
@@ -180,3 +186,11 @@
   assert.equal(mustLeadOn(viewOf(members, 100)), true);
   assert.equal(mustLeadOn(viewOf(members, 5000)), false);
 });
+
+// Guards against a change that also concerns the incarnation from before the loss of a disk.
+test('of two incarnations of a replica, the one that is silent loses its vote', () => {
+  const earlier = { ...member('c', 'voter', 9000), incarnation: 'c-0' as Incarnation };
+  const members = [leader('a'), member('b'), earlier, member('d'), member('c', 'learner')];
+  const step = planMembership(viewOf(members));
+  assert.deepEqual(step, { replica: earlier.replica, incarnation: 'c-0', change: 'demote' });
+});
--- a/packages/consensus/src/lib/planMembership.ts
+++ b/packages/consensus/src/lib/planMembership.ts
@@ -1,9 +1,10 @@
-import type { ReplicaName } from './ids';
+import type { Incarnation, ReplicaName } from './ids';
 import type { MemberKind } from './Membership';
 
 /** State of a member as observed by the leader. @public */
 export interface MemberHealth {
   readonly replica: ReplicaName;
+  readonly incarnation: Incarnation;
   readonly kind: MemberKind;
   /** Time since its last reply, or for which it is known or presumed to be silent, in milliseconds. */
   readonly silenceMs: number;
@@ -18,6 +19,8 @@
 /** One change of the membership. @public */
 export interface MembershipStep {
   readonly replica: ReplicaName;
+  /** The member to change; earlier incarnations of its replica may be members, too, after the loss of a disk. */
+  readonly incarnation: Incarnation;
   readonly change: 'promote' | 'demote' | 'remove';
 }
 
@@ -91,6 +94,13 @@
   return isSettled ? voters.findLast(({ isSelf }) => !isSelf) : undefined;
 }
 
+function stepOf(
+  { replica, incarnation }: MemberHealth,
+  change: MembershipStep['change'],
+): MembershipStep {
+  return { replica, incarnation, change };
+}
+
 /**
  * Returns the next change that brings the number of voters to the target and moves votes from members that
  * are silent or leaving to others. Such a voter keeps its vote while no learner can replace it, as it may
@@ -102,19 +112,19 @@
   const { members, target, limits } = view;
   const joining = members.find(({ kind }) => kind === 'joining');
   if (joining) {
-    return isGone(joining, limits) ? { replica: joining.replica, change: 'demote' } : undefined;
+    return isGone(joining, limits) ? stepOf(joining, 'demote') : undefined;
   }
   const candidates = classify(view);
   const { voters, gone, learners } = candidates;
   const surplus = findSurplus(view, candidates);
-  if (surplus) return { replica: surplus.replica, change: 'demote' };
+  if (surplus) return stepOf(surplus, 'demote');
   const [learner] = learners;
   const isVoteMissing = voters.length < target || (voters.length === target && gone.length > 0);
-  if (learner && isVoteMissing) return { replica: learner.replica, change: 'promote' };
+  if (learner && isVoteMissing) return stepOf(learner, 'promote');
   const expired = members.find(
     ({ kind, silenceMs }) => kind === 'learner' && silenceMs > limits.removeAfterMs,
   );
-  return expired && { replica: expired.replica, change: 'remove' };
+  return expired && stepOf(expired, 'remove');
 }
 
 /** Whether a change may be due soon: a member is on its way to a vote, or a new leader waits for first replies. */
--- a/packages/consensus/src/simulation/slowDisks.test.ts
+++ b/packages/consensus/src/simulation/slowDisks.test.ts
@@ -40,3 +40,26 @@
     assert.equal(group.changes, 0, `seed ${seed}: ${group.trace.join('\n')}`);
   }
 });
+
+// Guards against a change of one member that also changes the incarnation from before the loss of its disk, so that
+// the live one never gets a vote.
+test('a replica that lost its disk gets a vote beside the member that it was before', async () => {
+  for (const seed of SEEDS) {
+    const group = await createSlowGroup(seed);
+    const { cluster } = group;
+    const [follower, other] = followersOf(group);
+    let isMuted = true;
+    cluster.network.filter = ({ from, body }) =>
+      !isMuted || from.replica !== follower.name || body.type !== 'appendReply';
+    group.loseDisk(follower, 200).catch(group.fail);
+    await cluster.run(CATCH_UP_MS);
+    isMuted = false;
+    await cluster.run(CATCH_UP_MS);
+    group.replaceLost(other, 0).catch(group.fail);
+    await cluster.run(CATCH_UP_MS);
+    const trace = `seed ${seed}: ${group.trace.join('\n')}`;
+    assert.ok(votersOf(group).includes(follower.name), trace);
+    await group.checkRecovery();
+    assert.deepEqual([...group.invariants.violations], [], trace);
+  }
+});
