Let a replica that is about to stop stand for election last

Cause: a follower that stops could win the election after the leader was lost.

Why it works: its time-out is longer by one election time-out, so another voter stands first; if none can, it still is elected.

--- a/packages/consensus/src/lib/Core.ts
+++ b/packages/consensus/src/lib/Core.ts
@@ -60,6 +60,9 @@
 
   electionDeadline = 0;
 
+  /** Whether this replica stands for election later than the others, as it is about to stop. */
+  isYielding = false;
+
   /** Whether a snapshot from the leader is being installed in place of the log. */
   installing = false;
 
@@ -181,7 +184,8 @@
 
   resetElectionDeadline(): void {
     const { electionTimeoutMs, random } = this.settings;
-    this.electionDeadline = this.now + random.between(electionTimeoutMs, 2 * electionTimeoutMs);
+    const delayMs = random.between(electionTimeoutMs, 2 * electionTimeoutMs);
+    this.electionDeadline = this.now + delayMs + (this.isYielding ? electionTimeoutMs : 0);
   }
 
   /**
--- a/packages/consensus/src/lib/Elector.test.ts
+++ b/packages/consensus/src/lib/Elector.test.ts
@@ -10,6 +10,7 @@
 const SPLIT_SEEDS = 400;
 
 const SLOW_SEEDS = 100;
+const YIELDING_SEEDS = 40;
 
 /** Two syncs of a candidate and two of a voter take longer together than the shortest time-out of an election. */
 const SLOW_SYNC_MS = 200;
@@ -80,3 +81,21 @@
     assert.ok(next, `seed ${seed}: a leader within ${SLOW_FAILOVER_MS} ms`);
   }
 });
+
+// Guards against a leader that has to hand over at once, while another voter could have been elected.
+test('a replica that is about to stop is elected only if no other stands', async () => {
+  const { heartbeatMs, leaseMs, electionTimeoutMs } = groupTimes;
+  const replica = { heartbeatMs, leaseMs, electionTimeoutMs };
+  for (let seed = 1; seed <= YIELDING_SEEDS; seed += 1) {
+    const group = await createGroup({ seed, replica });
+    const { cluster, leader, others } = group;
+    const [stopping, other] = others;
+    assert.ok(stopping && other);
+    stopping.replica?.yieldElections();
+    cluster.crash(leader);
+    assert.equal(await awaitLeader(group, [leader]), other, `seed ${seed}`);
+    cluster.crash(other);
+    await cluster.startNow(leader);
+    assert.ok(await awaitLeader(group, [other]), `seed ${seed}: one of the others leads`);
+  }
+});
--- a/packages/consensus/src/lib/MembershipKeeper.ts
+++ b/packages/consensus/src/lib/MembershipKeeper.ts
@@ -93,6 +93,7 @@
   async leave(): Promise<void> {
     const { replica } = this.#options;
     this.setLeaving(replica.status.identity.replica, true);
+    replica.yieldElections();
     this.check();
     if (!replica.holdsLease || mustLeadOn(this.#view)) return;
     await this.transferLeadership();
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -155,6 +155,13 @@
     }
   }
 
+  /** Lets the other voters stand for election first from now on, as this replica is about to stop. */
+  yieldElections(): void {
+    if (this.#core.isYielding) return;
+    this.#core.isYielding = true;
+    this.#core.resetElectionDeadline();
+  }
+
   /** Admits a replica by name, as a voter or permanent learner; it is added on its join request. */
   async addReplica(replica: ReplicaName, voter = true): Promise<Result<void, Failure>> {
     if (!this.#leadership) return this.#notLeaderFailure();
