--- a/packages/consensus/src/lib/groupTimes.test.ts
+++ b/packages/consensus/src/lib/groupTimes.test.ts
@@ -12,12 +12,18 @@
 /** A round trip with a sync of the disk on a busy machine, in milliseconds. */
 const STEP_MS = 100;
 
+/** A write of the term and vote, which syncs a file and its directory, on a busy machine. */
+const VOTE_WRITE_MS = 2 * STEP_MS;
+
+/** Time that the process of a successor may need to start, in milliseconds. */
+const START_MS = 3000;
+
 const { heartbeatMs, electionTimeoutMs, checkIntervalMs, leaveIntervalMs, limits } = groupTimes;
 const { replaceAfterMs, confirmAfterMs, leaderlessMs } = limits;
 const tickMs = heartbeatMs / TICKS_PER_HEARTBEAT;
 
-/** The latest time-out, the pre-vote and the vote, and the first entry of the term. */
-const electionMs = 2 * electionTimeoutMs + tickMs + 3 * STEP_MS;
+/** The latest time-out, the pre-vote, the votes of the candidate and the voters, and the first entry of the term. */
+const electionMs = 2 * electionTimeoutMs + tickMs + STEP_MS + 2 * VOTE_WRITE_MS + STEP_MS;
 
 /** The silence of a follower is noticed by its leader. */
 const silenceMs = replaceAfterMs + checkIntervalMs;
@@ -32,10 +38,10 @@
 const voteMs = STEP_MS + tickMs + STEP_MS + FAST_CHECK_INTERVAL_MS + STEP_MS;
 
 /** A successor is asked to stand, is elected, and commits the first entry of its term. */
-const transferMs = leaveIntervalMs + 3 * STEP_MS;
+const transferMs = leaveIntervalMs + STEP_MS + 2 * VOTE_WRITE_MS + STEP_MS;
 
 /** Two successors are asked that are gone. */
-const failedTransfersMs = 2 * (RETRY_HEARTBEATS * heartbeatMs + tickMs);
+const failedTransfersMs = 2 * (RETRY_HEARTBEATS * heartbeatMs + VOTE_WRITE_MS + tickMs);
 
 const sums: Readonly<Record<string, number>> = {
   'a follower is lost': silenceMs + voteMs,
@@ -48,6 +54,7 @@
     failedTransfersMs + transferMs + replaceAfterMs + checkIntervalMs + 2 * voteMs,
   'a follower stops beside the loss of the leader':
     electionMs + Math.max(confirmationMs + STEP_MS, joinMs) + voteMs,
+  'a member is lost and the process of its successor starts late': START_MS + joinMs + voteMs,
   'two of five voters are lost, one of them the leader':
     electionMs + Math.max(confirmationMs, joinMs) + 2 * voteMs,
 };
