Bound the time that a vote is expected to take to write

A disk that has hung for seconds would have delayed the retry of an election by as long. No test shows the bound alone.

--- a/packages/consensus/src/lib/Core.ts
+++ b/packages/consensus/src/lib/Core.ts
@@ -200,9 +200,12 @@
     this.electionDeadline = this.now + this.voteWriteMs + delayMs;
   }
 
-  /** Time that another replica is expected to take to write its vote, as far as this disk tells, in milliseconds. */
+  /**
+   * Time that another replica is expected to take to write its vote, as far as this disk tells, in milliseconds. It is
+   * bounded, as this disk may have hung.
+   */
   get voteWriteMs(): number {
-    return this.#disk.replaceMs;
+    return Math.min(this.#disk.replaceMs, this.settings.electionTimeoutMs);
   }
 
   /** Sets term and vote; messages sent afterwards wait until both are durable. */
