--- a/packages/consensus/bench/replacements.ts
+++ b/packages/consensus/bench/replacements.ts
@@ -1,6 +1,7 @@
 /**
  * Plays random schedules of replacements and lost disks: `--voters` is 3 or 5, `--seed` the first schedule (1 by
- * default), `--count` their number (1000). `--sync` and `--start` are as in sweep.ts. Prints each violated schedule; the last line is one JSON object.
+ * default), `--count` their number (1000). `--sync` and `--start` are as in sweep.ts. Prints each violated schedule; the
+ * last line is one JSON object.
  */
 import { parseArgs } from 'node:util';
 import { replaceReplicas } from '../src/simulation/replaceReplicas';
