--- a/packages/consensus/src/lib/LeadershipTransfer.test.ts
+++ b/packages/consensus/src/lib/LeadershipTransfer.test.ts
@@ -12,6 +12,9 @@
 /** Time that each sync takes longer; a vote needs two. */
 const SLOW_SYNC_MS = 200;
 
+/** Time that one sync takes on a disk that hangs. */
+const HUNG_SYNC_MS = 5000;
+
 /** Time since the loss of a follower, from one that no heartbeat has shown to one that several have. */
 const LOST_MS = [0, 100, 200, 400, 800];
 
@@ -56,3 +59,21 @@
     assert.equal(next?.replica?.status.term, term + 1, `seed ${seed}`);
   }
 });
+
+// Guards against a leader that waits for a lost successor for as long as a write of its own disk once hung.
+test('leadership goes to a live voter soon after a disk has hung', async () => {
+  for (const at of FOLLOWERS) {
+    const group = await createGroup({ replica });
+    const { cluster, leader, others } = group;
+    const lost = others[at];
+    assert.ok(lost);
+    leader.disk.slownessMs = HUNG_SYNC_MS;
+    await write(group, leader, at);
+    leader.disk.slownessMs = 0;
+    await cluster.run(HUNG_SYNC_MS);
+    cluster.crash(lost);
+    leader.replica?.transferLeadership().catch(assert.fail);
+    const next = await awaitLeader(group, [leader], 2 * electionTimeoutMs);
+    assert.ok(next, `follower ${at}`);
+  }
+});
