Log the size and the duration of each read of the configuration

A read was logged before its response was sent, without its size, and nothing was logged of its end, so a link that is too slow could not be told from a response that is held back in the process.

ConfigurationReads takes the reads over from OperatorServer, as EvacuationCalls did its calls.

--- a/packages/gateway/src/lib/GatewayServers.ts
+++ b/packages/gateway/src/lib/GatewayServers.ts
@@ -41,13 +41,14 @@
   readonly #settings: GatewaySettings;
 
   constructor({ context, settings, mesh, links, isReady }: GatewayServersOptions) {
-    const { wire, journal, faults, timer, bodies, operatorBodies } = context;
+    const { wire, journal, metrics, faults, timer, bodies, operatorBodies } = context;
     this.#settings = settings;
     this.callers = new CallerServer(context);
     this.#readiness = new ReadinessServer(wire.paths.readiness, isReady);
     this.#operators = new OperatorServer({
-      ...{ wire, mesh, journal, faults, timer },
+      ...{ wire, mesh, journal, metrics, faults, timer },
       bodies: operatorBodies,
+      linkMbps: settings.linkMbps,
     });
     const descriptors = maxDescriptors();
     const scheduler = new ReadScheduler(() => timer.now());
--- a/packages/gateway/src/lib/OperatorServer.ts
+++ b/packages/gateway/src/lib/OperatorServer.ts
@@ -1,10 +1,11 @@
 import { isUtf8 } from 'node:buffer';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { deflateRawSync, inflateRawSync } from 'node:zlib';
-import { Failure, fail, type Journal, type Timer } from '@berylwood/base';
+import { deflateRawSync } from 'node:zlib';
+import { Failure, fail, type Journal, type Metrics, type Timer } from '@berylwood/base';
 import type { BodyBudget } from '@berylwood/policy';
 import { endEarly, readBody } from '@berylwood/link';
 import type { Mesh } from '@berylwood/registry';
+import { ConfigurationReads } from './ConfigurationReads';
 import { EvacuationCalls } from './EvacuationCalls';
 import { gatewayEvents } from './events';
 import { gatewayCodes } from './codes';
@@ -26,9 +27,12 @@
   readonly wire: Wire;
   readonly mesh: Mesh;
   readonly journal: Journal;
+  readonly metrics: Metrics;
   readonly faults: FaultLog;
   readonly timer: Timer;
   readonly bodies: BodyBudget;
+  /** Bandwidth of this machine's network link in Mbit/s; undefined if it is not known. */
+  readonly linkMbps: number | undefined;
 }
 
 /**
@@ -41,12 +45,15 @@
 
   readonly #evacuations: EvacuationCalls;
 
+  readonly #reads: ConfigurationReads;
+
   protected readonly server: Server;
 
   constructor(parts: OperatorServerOptions) {
     super();
     this.#options = parts;
     this.#evacuations = new EvacuationCalls(parts);
+    this.#reads = new ConfigurationReads(parts);
     this.server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
       this.#serve(request, response);
     });
@@ -69,7 +76,7 @@
         else if (body !== 'gone') this.#contain(response, () => this.#configure(body, response));
       });
     } else if (request.method === 'GET') {
-      this.#contain(response, () => this.#sendNewest(response));
+      this.#contain(response, () => this.#reads.serve(response));
     } else response.writeHead(405, { Allow: 'GET, PUT' }).end();
   }
 
@@ -116,21 +123,7 @@
     this.#sendJson(response, Buffer.from(JSON.stringify({ version: storedVersion })));
   }
 
-  async #sendNewest(response: ServerResponse): Promise<void> {
-    const result = await this.#options.mesh.readNewest();
-    if (result.isErr()) {
-      this.#postpone(response, undefined, result.error);
-      return;
-    }
-    if (!result.value) {
-      postponeCall(response, 'no configuration is committed');
-      return;
-    }
-    this.#logCall('read', result.value.version, undefined);
-    this.#sendJson(response, inflateRawSync(result.value.body));
-  }
-
-  /** Responds with 503 and Retry-After when a configuration could not be committed or read. */
+  /** Responds with 503 and Retry-After when a configuration could not be committed. */
   #postpone(response: ServerResponse, version: number | undefined, failure: Failure): void {
     this.#logCall('postponed', version, failure.message);
     postponeCall(response, failure.message);
--- a/packages/schema/src/lib/GatewaySettings.ts
+++ b/packages/schema/src/lib/GatewaySettings.ts
@@ -18,6 +18,8 @@
   readiness: addressSchema,
   /** Listener for operators; none if omitted. */
   operators: addressSchema.optional(),
+  /** Bandwidth of the machine's network link in Mbit/s; unknown if omitted. */
+  linkMbps: z.number().positive().optional(),
   /** Port for links between instances, the same on all instances. */
   meshPort: z.number().int().nonnegative().max(MAX_PORT),
   /** Addresses of the instances to contact first; only their IP addresses are used. */
