--- a/packages/testing/src/lib/Relay.ts
+++ b/packages/testing/src/lib/Relay.ts
@@ -13,6 +13,9 @@
 /** Bytes that may wait on one side of a pair before its reader is paused. */
 const HIGH_WATER_BYTES = 64 * 1024;
 
+/** Bytes that a relay with a limited rate passes at once. */
+const MAX_PART_BYTES = 4 * 1024;
+
 /** Time for delayed bytes to be written before their connection is closed, in milliseconds. */
 const LAST_BYTES_MS = 20;
 
@@ -38,6 +41,8 @@
 
   #delayMs = 0;
 
+  #bytesPerS = Infinity;
+
   #silencesAfterReply = false;
 
   constructor(target: string) {
@@ -77,6 +82,11 @@
     this.#delayMs = delayMs;
   }
 
+  /** Limits the bytes that a new connection passes in each direction, as a slow network link does. */
+  limitRate(bytesPerS: number): void {
+    this.#bytesPerS = bytesPerS;
+  }
+
   /** Connections that pass bytes. */
   get openCount(): number {
     return this.#pairs.size;
@@ -166,10 +176,13 @@
       waiting.push(deliver);
       setTimeout(() => waiting.shift()?.(), dueAt - now);
     };
-    from.on('data', (chunk) => pass(() => write(from, to, chunk)));
-    to.on('drain', () => {
-      if (this.#mode !== 'silent') from.resume();
-    });
+    if (this.#bytesPerS < Infinity) passSlowly(from, to, this.#bytesPerS);
+    else {
+      from.on('data', (chunk) => pass(() => write(from, to, chunk)));
+      to.on('drain', () => {
+        if (this.#mode !== 'silent') from.resume();
+      });
+    }
     from.on('end', () => {
       // A reset that arrives together with data is reported as an orderly end, but leaves no peer.
       if (!from.destroyed && from.remoteAddress === undefined) reset(pair);
@@ -178,6 +191,26 @@
   }
 }
 
+/** Passes bytes at a limited rate; the kernel of the sender holds what waits. */
+function passSlowly(from: Socket, to: Socket, bytesPerS: number): void {
+  let freeAt = 0;
+  from.on('data', (chunk: Buffer) => {
+    from.pause();
+    freeAt = Math.max(performance.now(), freeAt);
+    const passFrom = (at: number): void => {
+      if (at >= chunk.length) {
+        from.resume();
+        return;
+      }
+      const part = chunk.subarray(at, at + MAX_PART_BYTES);
+      if (!to.destroyed) to.write(part);
+      freeAt += (part.length / bytesPerS) * 1000;
+      setTimeout(() => passFrom(at + part.length), freeAt - performance.now());
+    };
+    passFrom(0);
+  });
+}
+
 function write(from: Socket, to: Socket, chunk: Buffer): void {
   if (to.destroyed) return;
   if (!to.write(chunk) && to.writableLength > HIGH_WATER_BYTES) from.pause();
