Redirect reads of a large configuration to an instance with a faster link

What callers saw: an operator that read the configuration back got none, although it was acknowledged and in force everywhere.

Cause: a read was answered by whichever instance was asked. The response grows with the number of routes, and the time that it takes on the instance's link with it; the callers' time limit does not. 4250 routes are 0.8 MB, which take 0.9 s on the 7 Mbit/s of 22 of 28 instances, beside 0.08 s until the leader has confirmed it. Callers wait for a second.

Evidence: in the record, the last four reads went to four such instances; each logged the read, sent some 790 KB over a second and more, and the caller asked the next one 1.1 s later.

Change: instances state their listener for operators and the rate of their link once on each link. A read whose response would take more than 300 ms on the own link is redirected with 307, which the platform's callers follow, to the fastest connected instance, if its link is at least twice as fast. It confirms the newest configuration by itself, so what a read proves is unchanged.

Cost: one more connection for such a read, and its bytes on a link that carries them in a tenth of the time. No sync, no message in steady state, nothing in the way of an acknowledgement. It may harm a caller that reaches the asked instance and not the other one: such a read fails and is tried elsewhere, as it did before. Small documents and unknown links are answered as before.

--- a/packages/gateway/src/lib/ConfigurationReads.ts
+++ b/packages/gateway/src/lib/ConfigurationReads.ts
@@ -1,10 +1,11 @@
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { inflateRawSync } from 'node:zlib';
 import type { Journal, Metrics, Timer } from '@berylwood/base';
-import type { Mesh, StoredConfiguration } from '@berylwood/registry';
+import type { Mesh, OperatorListener, StoredConfiguration } from '@berylwood/registry';
 import { gatewayEvents } from './events';
 import { operatorEvents } from './operatorEvents';
 import { postponeCall } from './postponeCall';
+import type { ReadRedirects } from './ReadRedirects';
 
 /** @internal */
 export interface ConfigurationReadsOptions {
@@ -14,10 +15,13 @@
   readonly timer: Timer;
   /** Bandwidth of this machine's network link in Mbit/s; undefined if it is not known. */
   readonly linkMbps: number | undefined;
+  readonly redirects: Pick<ReadRedirects, 'find'>;
+  /** Size of the document in force on this instance, in bytes; 0 without one. */
+  readonly documentBytes: () => number;
 }
 
 /** How a read ended: `abandoned` means that its caller left before the response was sent. */
-type ReadOutcome = 'sent' | 'abandoned' | 'postponed';
+type ReadOutcome = 'sent' | 'abandoned' | 'postponed' | 'redirected';
 
 /** Reads of the newest configuration by operators. @internal */
 export class ConfigurationReads {
@@ -36,13 +40,18 @@
     this.#seconds = metrics.histogram('configuration_read_seconds', secondsHelp);
   }
 
-  async serve(response: ServerResponse): Promise<void> {
-    const { mesh, timer } = this.#options;
+  async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { mesh, timer, redirects, documentBytes } = this.#options;
+    const early = redirects.find(documentBytes());
+    if (early) {
+      this.#redirect(request, response, early);
+      return;
+    }
     const startedAt = timer.now();
     const result = await mesh.readNewest();
     if (result.isErr()) this.#postpone(response, result.error.message);
     else if (!result.value) this.#postpone(response, 'no configuration is committed');
-    else this.#send(response, result.value, startedAt);
+    else this.#answer(request, response, result.value, startedAt);
   }
 
   /** Responds with 503 and Retry-After when the newest configuration is not known. */
@@ -52,13 +61,33 @@
     postponeCall(response, reason);
   }
 
-  #send(
+  /** Sends the caller to another instance, which confirms by itself what is the newest configuration. */
+  #redirect(
+    request: IncomingMessage,
+    response: ServerResponse,
+    { address }: OperatorListener,
+  ): void {
+    this.#log('redirected', { to: address });
+    this.#count('redirected');
+    const location = `http://${address}${request.url ?? ''}`;
+    response.writeHead(307, { Location: location, 'Content-Length': 0 }).end();
+  }
+
+  #answer(
+    request: IncomingMessage,
     response: ServerResponse,
     { version, body: compressed }: StoredConfiguration,
     startedAt: number,
   ): void {
-    const { journal, linkMbps, timer } = this.#options;
     const body = inflateRawSync(compressed);
+    // The newest document may be larger than the one in force here.
+    const listener = this.#options.redirects.find(body.length);
+    if (listener) this.#redirect(request, response, listener);
+    else this.#send(response, { version, body }, startedAt);
+  }
+
+  #send(response: ServerResponse, { version, body }: StoredConfiguration, startedAt: number): void {
+    const { journal, linkMbps, timer } = this.#options;
     const confirmedMs = Math.round(timer.now() - startedAt);
     this.#log('read', { version });
     response.once('close', () => {
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -13,6 +13,7 @@
 } from '@berylwood/registry';
 import type { GatewaySettings } from '@berylwood/schema';
 import { createBodyBudgets } from './createBodyBudgets';
+import { createOperatorListener } from './createOperatorListener';
 import { drainCallers } from './drainCallers';
 import { EndpointServices } from './EndpointServices';
 import { gatewayEvents } from './events';
@@ -91,6 +92,9 @@
 
   #table: RoutingTable | undefined;
 
+  /** Size of the newest configuration document that this instance has received, in bytes. */
+  #documentBytes = 0;
+
   #isStopping = false;
 
   /** Whether new requests on persistent connections are rejected, as they might not end in time. */
@@ -111,6 +115,7 @@
     this.#registry = this.#createRegistry();
     this.#mesh = new Mesh({
       address: this.#address,
+      operators: createOperatorListener(settings),
       source: this.#usageSource,
       seeds: () => this.#seeds,
       registry: this.#registry,
@@ -147,6 +152,7 @@
       mesh: this.#mesh,
       links: this.#links,
       isReady: () => this.#isReady(),
+      documentBytes: () => this.#documentBytes,
     });
     this.#listReader = platform && this.#createListReader(platform);
   }
@@ -293,7 +299,9 @@
 
   #applyConfiguration({ version, body }: StoredConfiguration): void {
     const { wire, journal } = this.#options;
-    const decoded = wire.decodeConfiguration(inflateRawSync(body).toString('utf8'));
+    const document = inflateRawSync(body);
+    this.#documentBytes = document.length;
+    const decoded = wire.decodeConfiguration(document.toString('utf8'));
     if (decoded.isErr()) {
       journal.record(gatewayEvents.tableRefused, { version, reason: decoded.error.message });
       return;
--- a/packages/gateway/src/lib/GatewayServers.ts
+++ b/packages/gateway/src/lib/GatewayServers.ts
@@ -8,6 +8,7 @@
 import { memoryEvents } from './memoryEvents';
 import { OperatorServer } from './OperatorServer';
 import { ReadinessServer } from './ReadinessServer';
+import { ReadRedirects } from './ReadRedirects';
 import { UnfinishedHeads } from './UnfinishedHeads';
 
 /**
@@ -28,6 +29,8 @@
   /** Accepts the links of other instances. */
   readonly links: LinkServer;
   readonly isReady: () => boolean;
+  /** Size of the configuration document in force, in bytes; 0 without one. */
+  readonly documentBytes: () => number;
 }
 
 /** The HTTP servers of an instance. @internal */
@@ -40,15 +43,17 @@
 
   readonly #settings: GatewaySettings;
 
-  constructor({ context, settings, mesh, links, isReady }: GatewayServersOptions) {
-    const { wire, journal, metrics, faults, timer, bodies, operatorBodies } = context;
+  constructor({ context, settings, mesh, links, isReady, documentBytes }: GatewayServersOptions) {
+    const { wire, journal, metrics, faults, timer, random, bodies, operatorBodies } = context;
+    const { linkMbps } = settings;
+    const redirects = new ReadRedirects({ linkMbps, listeners: mesh.operators, random });
     this.#settings = settings;
     this.callers = new CallerServer(context);
     this.#readiness = new ReadinessServer(wire.paths.readiness, isReady);
     this.#operators = new OperatorServer({
       ...{ wire, mesh, journal, metrics, faults, timer },
       bodies: operatorBodies,
-      linkMbps: settings.linkMbps,
+      ...{ linkMbps, redirects, documentBytes },
     });
     const descriptors = maxDescriptors();
     const scheduler = new ReadScheduler(() => timer.now());
--- a/packages/gateway/src/lib/OperatorServer.ts
+++ b/packages/gateway/src/lib/OperatorServer.ts
@@ -12,6 +12,7 @@
 import type { FaultLog } from './FaultLog';
 import { HttpListener } from './HttpListener';
 import { RETRY_AFTER_MS, postponeCall } from './postponeCall';
+import type { ReadRedirects } from './ReadRedirects';
 import type { RoutingConfiguration } from './RoutingConfiguration';
 import { sendFailure } from './sendFailure';
 import type { Wire } from './Wire';
@@ -33,6 +34,9 @@
   readonly bodies: BodyBudget;
   /** Bandwidth of this machine's network link in Mbit/s; undefined if it is not known. */
   readonly linkMbps: number | undefined;
+  readonly redirects: Pick<ReadRedirects, 'find'>;
+  /** Size of the document in force on this instance, in bytes; 0 without one. */
+  readonly documentBytes: () => number;
 }
 
 /**
@@ -76,7 +80,7 @@
         else if (body !== 'gone') this.#contain(response, () => this.#configure(body, response));
       });
     } else if (request.method === 'GET') {
-      this.#contain(response, () => this.#reads.serve(response));
+      this.#contain(response, () => this.#reads.serve(request, response));
     } else response.writeHead(405, { Allow: 'GET, PUT' }).end();
   }
 
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -17,6 +17,8 @@
 export type { WorkAttachments } from './lib/WorkAttachments';
 export { Mesh } from './lib/Mesh';
 export type { MeshOptions } from './lib/MeshOptions';
+export type { OperatorListener } from './lib/OperatorListener';
+export { OperatorListeners } from './lib/OperatorListeners';
 export type { EndpointWork } from './lib/MeshMessage';
 export type { StreamKey, StreamOrigin } from './lib/StreamOrigin';
 export { StreamOrigins } from './lib/StreamOrigins';
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -20,6 +20,7 @@
 import type { MeshOptions } from './MeshOptions';
 import { KEEP_ALIVE_INTERVAL_MS, MESH_PATH, Peers, SILENCE_TIMEOUT_MS, type Peer } from './Peers';
 import { NewestEvacuations } from './NewestEvacuations';
+import { OperatorListeners } from './OperatorListeners';
 import { ReportIntake } from './ReportIntake';
 import type { ConfigureOutcome, StoredConfiguration } from './RegistryMachine';
 import type { StreamOrigins } from './StreamOrigins';
@@ -59,6 +60,9 @@
   /** Versions that began streams, stored on the disks of several instances. */
   readonly origins: StreamOrigins;
 
+  /** Listeners for operators of other instances. */
+  readonly operators: OperatorListeners;
+
   readonly #options: MeshOptions;
 
   readonly #work = new WorkDistributor();
@@ -94,6 +98,7 @@
     const leader = () => this.#peers.leader;
     this.#addressBook = new AddressBook(options);
     this.#peers = new Peers(timer, journal, (peer, link) => this.#handleOpen(peer, link));
+    this.operators = new OperatorListeners(this.#peers);
     this.origins = this.#store.add(createStreamOrigins(options, this.#peers));
     this.#reports = this.#store.add(new LeaderReports({ ...options, leader }));
     this.#intake = new ReportIntake(options);
@@ -238,7 +243,8 @@
       const applied = this.#configuration;
       return handleMeshCall({ ...this.#options, applied, originLog: this.origins.log }, message);
     };
-    link.send({ ...this.#createStatus(), suspicions: this.suspicions() });
+    const { operators } = this.#options;
+    link.send({ ...this.#createStatus(), suspicions: this.suspicions(), operators });
   }
 
   #applyEvacuations(evacuations: EvacuationState): void {
@@ -327,7 +333,8 @@
   }
 
   #handleStatus(peer: Peer, link: Link<DialerMessage, AcceptorMessage>, status: Status): void {
-    peer.status = status;
+    // The listener is stated once on each link.
+    peer.status = { ...status, operators: status.operators ?? peer.status?.operators };
     this.#addMembers(status.members);
     this.#options.registry?.setLeaving(peer.address, status.isLeaving === true);
     if (status.evacuations) this.#evacuations.receive(status.evacuations);
--- a/packages/registry/src/lib/MeshMessage.ts
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -5,6 +5,7 @@
   type EvacuationOrder,
   type EvacuationState,
 } from './EvacuationState';
+import { operatorListenerSchema, type OperatorListener } from './OperatorListener';
 import { isPackedOrigin, isStreamKey, type PackedOrigin, type StreamKey } from './StreamOrigin';
 import type { WindowCounts } from './UsageLedger';
 
@@ -134,6 +135,11 @@
   readonly evacuations?: EvacuationState;
   /** Whether the sender is about to stop; missing if not, and from earlier versions. */
   readonly isLeaving?: boolean;
+  /**
+   * The sender's listener for operators, in the first status on a link; missing if it has none or does not know
+   * the rate of its link, and from earlier versions.
+   */
+  readonly operators?: OperatorListener;
 }
 
 const isRecord = (value: unknown): value is Record<string, unknown> =>
@@ -171,6 +177,9 @@
 const isEvacuations = (value: unknown): boolean =>
   value === undefined || evacuationStateSchema.safeParse(value).success;
 
+const isOperatorListener = (value: unknown): boolean =>
+  value === undefined || operatorListenerSchema.safeParse(value).success;
+
 const areOrigins = ({ origins }: Record<string, unknown>): boolean =>
   Array.isArray(origins) && origins.length <= MAX_RECORDED_ORIGINS && origins.every(isPackedOrigin);
 
@@ -215,6 +224,7 @@
     typeof isLeader === 'boolean' &&
     Number.isFinite(timeMs) &&
     isStringArray(members) &&
-    isEvacuations(value.evacuations)
+    isEvacuations(value.evacuations) &&
+    isOperatorListener(value.operators)
   );
 }, 'expected a status, work or notice message');
--- a/packages/registry/src/lib/MeshOptions.ts
+++ b/packages/registry/src/lib/MeshOptions.ts
@@ -1,5 +1,6 @@
 import type { Journal, Metrics, Timer } from '@berylwood/base';
 import type { FleetClock } from './FleetClock';
+import type { OperatorListener } from './OperatorListener';
 import type { Registry } from './Registry';
 import type { UsageLedger } from './UsageLedger';
 
@@ -7,6 +8,8 @@
 export interface MeshOptions {
   /** Address at which other instances reach this one, `IP:PORT`. */
   readonly address: string;
+  /** Listener for operators of this instance; undefined without one, or if the rate of its link is not known. */
+  readonly operators: OperatorListener | undefined;
   /** Source of this instance's usage counts: the instance and its incarnation. */
   readonly source: string;
   /** Initial addresses to dial; they may be out of date. */
--- a/packages/registry/src/lib/Peers.ts
+++ b/packages/registry/src/lib/Peers.ts
@@ -78,6 +78,13 @@
     return [...this.#peers.values()].every(({ dialer, status }) => dialer.link && status);
   }
 
+  /** Newest statuses of the connected instances. */
+  get statuses(): Status[] {
+    return [...this.#peers.values()].flatMap(({ dialer, status }) =>
+      dialer.link && status ? status : [],
+    );
+  }
+
   /** Open links. */
   get links(): Link<DialerMessage, AcceptorMessage>[] {
     return [...this.#peers.values()].flatMap(({ dialer }) => dialer.link ?? []);
