Redirect reads to the leader only if no other link is as fast

Operators read right after a change, and their callers wait for a second. The leader's link is the busiest then, so reads of others are not added to it.

--- a/packages/registry/src/lib/OperatorListeners.test.ts
+++ b/packages/registry/src/lib/OperatorListeners.test.ts
@@ -37,6 +37,15 @@
   assert.deepEqual(pickMany(statuses), new Set([FAST.address, ALSO_FAST.address]));
 });
 
+// Guards against reads that wait behind a new configuration, which the leader sends to all instances.
+test('the leader is picked only if no other link is as fast', () => {
+  const leader = createStatus({ operators: FAST, isLeader: true });
+  const follower = createStatus({ operators: ALSO_FAST });
+  assert.deepEqual(pickMany([leader, follower]), new Set([ALSO_FAST.address]));
+  const slow = createStatus({ operators: SLOW });
+  assert.deepEqual(pickMany([leader, slow]), new Set([FAST.address]));
+});
+
 test('an instance that stops or states no listener is not picked', () => {
   const statuses = [createStatus({ operators: FAST, isLeaving: true }), createStatus({})];
   assert.deepEqual(pickMany(statuses), new Set([undefined]));
