Confirm a read without sending a document that the instance holds

Cause: the reply of the leader carried the whole document, although each instance holds it moments after the change. It had to pass the leader's link behind the change that was being sent to all others, and in calm 58 KB of it took 0.07 s on a link of 7 Mbit/s.

Change: an instance says which version it holds, and the leader leaves the document out if that is the newest. What a read proves is unchanged: the leader still commits an entry first. Leaders and instances of earlier versions ignore the field, and send it whole. Cost: none; it saves the bytes of each such read.

--- a/packages/registry/src/lib/LeaderCalls.ts
+++ b/packages/registry/src/lib/LeaderCalls.ts
@@ -12,8 +12,13 @@
   readonly registry: Registry | undefined;
   /** The connected leader, if any. */
   readonly leader: () => Peer | undefined;
+  /** The configuration in force on this instance, if any. */
+  readonly applied: () => StoredConfiguration | undefined;
 }
 
+/** Reply of a leader to a read; without the document if the asking instance had said that it holds it. */
+type ReadReply = Pick<StoredConfiguration, 'version'> & Partial<StoredConfiguration>;
+
 /** Calls to the leader of the registry, which may be the replica of this instance. @internal */
 export class LeaderCalls {
   readonly #options: LeaderCallsOptions;
@@ -29,10 +34,15 @@
   }
 
   async readNewest(): Promise<Result<StoredConfiguration | undefined, Failure>> {
-    const { registry } = this.#options;
+    const { registry, applied } = this.#options;
     if (registry?.isLeader) return registry.readNewest();
-    const reply = await this.#call<StoredConfiguration | null>({ type: 'readNewest' });
-    return reply.map((configuration) => configuration ?? undefined);
+    const held = applied();
+    const reply = await this.#call<ReadReply | null>({ type: 'readNewest', held: held?.version });
+    return reply.map((newest) => {
+      if (!newest) return undefined;
+      const { version, body = version === held?.version ? held.body : undefined } = newest;
+      return body && { version, body };
+    });
   }
 
   async evacuate(order: EvacuationOrder): Promise<Result<EvacuateOutcome, Failure>> {
--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -102,7 +102,7 @@
     this.origins = this.#store.add(createStreamOrigins(options, this.#peers));
     this.#reports = this.#store.add(new LeaderReports({ ...options, leader }));
     this.#intake = new ReportIntake(options);
-    this.#calls = new LeaderCalls({ registry, leader });
+    this.#calls = new LeaderCalls({ registry, leader, applied: () => this.#configuration });
     this.#evacuations.onNewer = (evacuations) => this.#applyEvacuations(evacuations);
     this.#fetcher = new ConfigurationFetcher(journal, (newer) => this.#applyConfiguration(newer));
     if (registry) {
--- a/packages/registry/src/lib/MeshMessage.ts
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -47,6 +47,8 @@
 /** Asks the leader for the newest configuration, confirmed by a quorum. @internal */
 interface ReadNewest {
   readonly type: 'readNewest';
+  /** Version that the sender holds, whose document need not be sent; missing without one, and from earlier versions. */
+  readonly held?: number;
 }
 
 /**
@@ -207,8 +209,10 @@
       return isStreamKey(value);
     case 'findVersions':
       return typeof value.pool === 'string';
+    case 'readNewest':
+      return value.held === undefined || isCount(value.held);
     default:
-      return value.type === 'fetch' || value.type === 'readNewest';
+      return value.type === 'fetch';
   }
 }, 'expected a message from an instance');
 
--- a/packages/registry/src/lib/handleMeshCall.ts
+++ b/packages/registry/src/lib/handleMeshCall.ts
@@ -15,6 +15,15 @@
   readonly originLog: StreamOriginLog;
 }
 
+/** The reply to a read: the document is left out if the asking instance holds it. */
+function toReadReply(
+  newest: StoredConfiguration | undefined,
+  held: number | undefined,
+): StoredConfiguration | Pick<StoredConfiguration, 'version'> | null {
+  if (!newest) return null;
+  return newest.version === held ? { version: newest.version } : newest;
+}
+
 /** Replies to a call of another instance; fails if it needs a replica that this instance lacks. @internal */
 export async function handleMeshCall(
   { registry, applied, originLog }: CallContext,
@@ -31,7 +40,7 @@
       return registry.evacuate(message);
     case 'readNewest':
       if (!registry) break;
-      return (await registry.readNewest()).map((configuration) => configuration ?? null);
+      return (await registry.readNewest()).map((newest) => toReadReply(newest, message.held));
     case 'recordOrigins':
       return ok(await originLog.append(message.origins.map(unpackOrigin)));
     case 'findOrigin':
