Wait for a configuration for as long as its size takes on a slow link

With a somewhat larger document, a slower link or more instances, no fetch would end in time, and the change would never be in force.

Cost: a few bytes in each status. A source that is silent is dropped after 1.2 s, as before.

--- a/packages/registry/src/lib/Mesh.ts
+++ b/packages/registry/src/lib/Mesh.ts
@@ -344,6 +344,7 @@
       this.#options.clock.syncToLeader(status.timeMs);
       this.#options.usage.discardThrough(status.closedWindow);
     }
-    if (status.version > (this.#configuration?.version ?? -1)) this.#fetcher.fetch(link);
+    if (status.version > (this.#configuration?.version ?? -1))
+      this.#fetcher.fetch(link, status.bytes);
   }
 }
--- a/packages/registry/src/lib/MeshMessage.ts
+++ b/packages/registry/src/lib/MeshMessage.ts
@@ -121,6 +121,8 @@
   readonly type: 'status';
   /** Version of the sender's configuration; -1 without one. */
   readonly version: number;
+  /** Compressed size of that configuration in bytes; missing without one, and from earlier versions. */
+  readonly bytes?: number;
   readonly isLeader: boolean;
   readonly term: number;
   /** Known addresses of the registry's replicas. */
@@ -224,7 +226,7 @@
   if (value.type !== 'status') return false;
   const { version, isLeader, term, members, instances, closedWindow, timeMs } = value;
   return (
-    [version, term, instances, closedWindow].every(isCount) &&
+    [version, term, instances, closedWindow, value.bytes ?? 0].every(isCount) &&
     typeof isLeader === 'boolean' &&
     Number.isFinite(timeMs) &&
     isStringArray(members) &&
--- a/packages/registry/src/lib/createStatus.ts
+++ b/packages/registry/src/lib/createStatus.ts
@@ -23,6 +23,7 @@
   return {
     type: 'status',
     version: configuration?.version ?? -1,
+    bytes: configuration?.body.byteLength,
     isLeader,
     term: registry?.term ?? 0,
     members,
