Keep a link open while a large frame arrives

What callers would see: an instance on a slow link whose configuration never changes again.

Cause: a link counts as silent when no whole frame has arrived for 1.2 s. A frame that takes longer than that to arrive ended the link, and so did each repeat of it. At 7 Mbit/s that is 1 MB, compressed; a command may have 6 MB.

Cost: one read of a counter per check. A peer whose machine still sends what it had queued keeps its link until that has arrived.

--- a/packages/link/src/lib/Dialer.ts
+++ b/packages/link/src/lib/Dialer.ts
@@ -92,10 +92,12 @@
     const reconnect = (): void => this.#scheduleReconnect(socket);
     socket.once('error', reconnect);
     socket.once('close', reconnect);
-    socket.once('open', () => {
-      socket.off('error', reconnect);
-      socket.off('close', reconnect);
-      this.#handleOpen(socket, address);
+    socket.once('upgrade', ({ socket: transport }) => {
+      socket.once('open', () => {
+        socket.off('error', reconnect);
+        socket.off('close', reconnect);
+        this.#handleOpen(socket, address, transport);
+      });
     });
   }
 
@@ -138,9 +140,9 @@
     return socket;
   };
 
-  #handleOpen(socket: WebSocket, address: string): void {
+  #handleOpen(socket: WebSocket, address: string, transport: Socket): void {
     this.#backoffMs = MIN_BACKOFF_MS;
-    const link = new Link<Out, In>(socket, address, this.#options);
+    const link = new Link<Out, In>(socket, address, this.#options, transport);
     this.#link = link;
     this.onLink(link);
     const { onClose } = link;
--- a/packages/link/src/lib/Link.ts
+++ b/packages/link/src/lib/Link.ts
@@ -24,6 +24,11 @@
 /** One frame: wall time and counter of the sender's hybrid clock, and a batch of envelopes. */
 type Frame = [number, number, Envelope[]];
 
+/** The connection under a link, which shows how much has arrived of a frame. @internal */
+export interface LinkTransport {
+  readonly bytesRead: number;
+}
+
 interface PendingCall {
   readonly settle: (result: Result<unknown, Failure>) => void;
   readonly timeout: Disposable;
@@ -77,6 +82,11 @@
 
   #lastReceived: number;
 
+  readonly #transport: LinkTransport | undefined;
+
+  /** Bytes that had been received at the last check for silence. */
+  #bytesRead = 0;
+
   #lastSent: number;
 
   /** Time of the last frame that contained envelopes. */
@@ -84,8 +94,14 @@
 
   #closed = false;
 
-  constructor(socket: WebSocket, peer: string, options: LinkOptions<In>) {
+  constructor(
+    socket: WebSocket,
+    peer: string,
+    options: LinkOptions<In>,
+    transport?: LinkTransport,
+  ) {
     this.#socket = socket;
+    this.#transport = transport;
     this.peer = peer;
     this.#options = options;
     this.#lastReceived = options.timer.now();
@@ -230,7 +246,8 @@
 
   #keepAlive(intervalMs: number): void {
     const now = this.#options.timer.now();
-    if (now - this.#lastReceived > (this.#options.silenceTimeoutMs ?? DEFAULT_SILENCE_TIMEOUT_MS)) {
+    const silenceTimeoutMs = this.#options.silenceTimeoutMs ?? DEFAULT_SILENCE_TIMEOUT_MS;
+    if (!this.#hasProgressed() && now - this.#lastReceived > silenceTimeoutMs) {
       this.#options.journal.record(linkEvents.linkSilent, { peer: this.peer });
       this[Symbol.dispose]();
       return;
@@ -238,6 +255,14 @@
     if (now - this.#lastSent >= intervalMs / 2) this.#write([]);
   }
 
+  /** Whether bytes have arrived since the last call; a large frame takes many of them. */
+  #hasProgressed(): boolean {
+    const bytesRead = this.#transport?.bytesRead ?? 0;
+    const hasProgressed = bytesRead > this.#bytesRead;
+    this.#bytesRead = bytesRead;
+    return hasProgressed;
+  }
+
   #close(): void {
     if (this.#closed) return;
     this.#closed = true;
--- a/packages/link/src/lib/LinkServer.ts
+++ b/packages/link/src/lib/LinkServer.ts
@@ -8,7 +8,7 @@
 import { listenOn } from './listenOn';
 import { paceConnections, pacedConnectionOf, type PaceOptions } from './paceConnections';
 
-type SocketHandler = (socket: import('ws').WebSocket, peer: string) => void;
+type SocketHandler = (socket: import('ws').WebSocket, peer: string, transport: Socket) => void;
 
 const UPGRADE_REQUIRED = 426;
 
@@ -47,7 +47,9 @@
     options: LinkOptions<In>,
     onLink: (link: Link<Out, In>) => void,
   ): void {
-    this.#handlers.set(path, (socket, peer) => onLink(new Link<Out, In>(socket, peer, options)));
+    this.#handlers.set(path, (socket, peer, transport) =>
+      onLink(new Link<Out, In>(socket, peer, options, transport)),
+    );
   }
 
   /** Limits what connections may cost until they are links; call before `listen`. */
@@ -76,6 +78,8 @@
     }
     socket.setNoDelay(true);
     const peer = `${socket.remoteAddress}:${socket.remotePort}`;
-    this.#sockets.handleUpgrade(request, socket, head, (webSocket) => handler(webSocket, peer));
+    this.#sockets.handleUpgrade(request, socket, head, (webSocket) =>
+      handler(webSocket, peer, socket),
+    );
   }
 }
